--- /dev/null
+++ b/libs/settings/src/published.cpp
@@ -0,0 +1,210 @@
+#include "settings/published.h"
+
+#include "jsonreader.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+using detail::Faults;
+using detail::JsonReader;
+
+constexpr double maxLatencyMs = 60'000;
+constexpr double maxPercent = 100;
+constexpr double maxSlots = 10'000;
+constexpr double maxConnections = 100'000;
+constexpr double maxConnectionCostMs = 10'000;
+constexpr double maxId = 4'294'967'295;
+constexpr double maxKey = 9'007'199'254'740'992; // Largest whole number that JSON carries exactly.
+constexpr std::array<GivesWay, 2> givesWayValues{GivesWay::Latency, GivesWay::Coverage};
+constexpr std::array<ServerState, 2> stateValues{ServerState::Live, ServerState::Leaving};
+
+ClassTarget readTarget(JsonReader &reader)
+{
+    ClassTarget target;
+    target.latency = fromMilliseconds(reader.number("latencyMs", {1, maxLatencyMs}));
+    target.percentile = reader.number("percentile", {1, 99.999});
+    target.completeness = reader.number("completeness", {0.01, 1});
+    target.extraLoad = reader.number("extraLoadPercent", {0, maxPercent}) / maxPercent;
+    return target;
+}
+
+RequestClass readClass(JsonReader &reader)
+{
+    RequestClass cls;
+    cls.name = reader.text("name");
+    cls.backEnd = reader.text("backEnd");
+    cls.target = readTarget(reader);
+    cls.givesWay = givesWayValues.at(reader.choiceOr("givesWay", {"latency", "coverage"}, 1));
+    cls.isIdempotent = reader.flagOr("idempotent", true);
+    reader.rejectUnknown(
+        {"name", "backEnd", "latencyMs", "percentile", "completeness", "extraLoadPercent", "givesWay", "idempotent"});
+    return cls;
+}
+
+BackEndLimits readLimits(JsonReader &reader)
+{
+    BackEndLimits limits;
+    limits.name = reader.text("name");
+    limits.slots = static_cast<std::uint32_t>(reader.whole("slots", {1, maxSlots}));
+    limits.connections = static_cast<std::uint32_t>(reader.whole("connections", {1, maxConnections}));
+    limits.connectionCost = fromMilliseconds(reader.number("connectionCostMs", {0, maxConnectionCostMs}));
+    limits.coldAllowance = static_cast<std::uint32_t>(reader.whole("coldAllowance", {1, maxSlots}));
+    if (limits.coldAllowance > limits.slots) {
+        reader.fault("coldAllowance", "is more than the slots");
+    }
+    reader.rejectUnknown({"name", "slots", "connections", "connectionCostMs", "coldAllowance"});
+    return limits;
+}
+
+void checkReferences(const Configuration &configuration, Faults &faults)
+{
+    for (std::size_t i = 0; i < configuration.classes.size(); ++i) {
+        const RequestClass &cls = configuration.classes[i];
+        const std::string pointer = "/classes/" + std::to_string(i);
+        if (configuration.findBackEnd(cls.backEnd) == nullptr) {
+            faults.push_back(pointer + "/backEnd: \"" + cls.backEnd + "\" is not among /backEnds");
+        }
+        if (configuration.findClass(cls.name)->value != i) {
+            faults.push_back(pointer + "/name: \"" + cls.name + "\" appears twice");
+        }
+    }
+}
+
+Part readPart(JsonReader &reader)
+{
+    Part part;
+    part.id = PartId{static_cast<std::uint32_t>(reader.whole("id", {0, maxId}))};
+    part.begin = reader.whole("begin", {0, maxKey});
+    part.end = reader.whole("end", {0, maxKey});
+    for (const std::uint64_t replica : reader.wholes("searchers", {0, maxId})) {
+        part.replicas.push_back(SearcherId{static_cast<std::uint32_t>(replica)});
+    }
+    reader.rejectUnknown({"id", "begin", "end", "searchers"});
+    return part;
+}
+
+IndexMap readIndex(JsonReader &reader)
+{
+    IndexMap index;
+    index.version = IndexVersion{reader.whole("index", {1, maxKey})};
+    reader.objects("parts", [&index](JsonReader &part) { index.parts.push_back(readPart(part)); });
+    reader.rejectUnknown({"index", "parts"});
+    return index;
+}
+
+Searcher readSearcher(JsonReader &reader)
+{
+    Searcher searcher;
+    searcher.id = SearcherId{static_cast<std::uint32_t>(reader.whole("id", {0, maxId}))};
+    searcher.address = reader.address("address");
+    searcher.failureDomain = reader.text("failureDomain");
+    searcher.state = stateValues.at(reader.choiceOr("state", {"live", "leaving"}, 0));
+    reader.rejectUnknown({"id", "address", "failureDomain", "state"});
+    return searcher;
+}
+
+BackEndMap readBackEnd(JsonReader &reader)
+{
+    BackEndMap backEnd;
+    backEnd.name = reader.text("name");
+    reader.objects("searchers",
+                   [&backEnd](JsonReader &searcher) { backEnd.searchers.push_back(readSearcher(searcher)); });
+    reader.objects("versions", [&backEnd](JsonReader &index) { backEnd.versions.push_back(readIndex(index)); });
+    reader.rejectUnknown({"name", "searchers", "versions"});
+    return backEnd;
+}
+
+Vm readVm(JsonReader &reader)
+{
+    Vm vm;
+    vm.peer = reader.address("peer");
+    vm.callers = reader.address("callers");
+    vm.failureDomain = reader.text("failureDomain");
+    vm.region = reader.text("region");
+    vm.state = stateValues.at(reader.choiceOr("state", {"live", "leaving"}, 0));
+    reader.rejectUnknown({"peer", "callers", "failureDomain", "region", "state"});
+    return vm;
+}
+
+} // namespace
+
+std::optional<ClassIndex> Configuration::findClass(std::string_view name) const noexcept
+{
+    for (std::size_t i = 0; i < classes.size(); ++i) {
+        if (classes[i].name == name) {
+            return ClassIndex{static_cast<std::uint32_t>(i)};
+        }
+    }
+    return std::nullopt;
+}
+
+const BackEndLimits *Configuration::findBackEnd(std::string_view name) const noexcept
+{
+    for (const BackEndLimits &limits : backEnds) {
+        if (limits.name == name) {
+            return &limits;
+        }
+    }
+    return nullptr;
+}
+
+bool Configuration::isOut(std::string_view failureDomain) const noexcept
+{
+    return std::find(domainsOut.begin(), domainsOut.end(), failureDomain) != domainsOut.end();
+}
+
+Result<Configuration> readConfiguration(std::string_view json, ConfigVersion version)
+{
+    Faults faults;
+    const nlohmann::json document = detail::parseObject(json, faults);
+    Configuration configuration;
+    configuration.version = version;
+    JsonReader reader(document, "", faults);
+    reader.objects("classes", [&configuration](JsonReader &cls) { configuration.classes.push_back(readClass(cls)); });
+    reader.objects("backEnds",
+                   [&configuration](JsonReader &limits) { configuration.backEnds.push_back(readLimits(limits)); });
+    configuration.domainsOut = reader.texts("domainsOut", false);
+    reader.rejectUnknown({"classes", "backEnds", "domainsOut"});
+    checkReferences(configuration, faults);
+    if (!faults.empty()) {
+        return detail::faultsError(faults);
+    }
+    return configuration;
+}
+
+Result<ShardMap> readShardMap(std::string_view json, ConfigVersion version)
+{
+    Faults faults;
+    const nlohmann::json document = detail::parseObject(json, faults);
+    ShardMap::Builder builder;
+    JsonReader reader(document, "", faults);
+    reader.objects("backEnds", [&builder](JsonReader &backEnd) { builder.backEnd(readBackEnd(backEnd)); });
+    reader.rejectUnknown({"backEnds"});
+    if (!faults.empty()) {
+        return detail::faultsError(faults);
+    }
+    return builder.build(version);
+}
+
+Result<VmList> readVmList(std::string_view json, ConfigVersion version)
+{
+    Faults faults;
+    const nlohmann::json document = detail::parseObject(json, faults);
+    VmList list;
+    list.version = version;
+    JsonReader reader(document, "", faults);
+    reader.objects("vms", [&list](JsonReader &vm) { list.vms.push_back(readVm(vm)); });
+    reader.rejectUnknown({"vms"});
+    if (!faults.empty()) {
+        return detail::faultsError(faults);
+    }
+    return list;
+}
+
+} // namespace sassafrasvane
