Daemon: caller server, entry, leaf and peer tasks, platform reader

Cause: the decision libraries had no process to run in. Change: libs/daemon, whose tasks own sockets and state and talk by messages, and the program sassafrasvaned. A caller's query goes over the entry task to the leaf tasks that hold the searchers, by TCP links that prove membership.

--- /dev/null
+++ b/libs/daemon/include/daemon/entrytask.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "daemon/publishedview.h"
+#include "fanout/messages.h"
+#include "wire/callerapi.h"
+#include "wire/peermessages.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+/// \file
+/// The task that answers callers' requests.
+
+namespace sassafrasvane
+{
+
+/// What a caller's request came to.
+struct CallerOutcome {
+    /// Set for a query that was answered.
+    std::optional<QueryAnswer> answer;
+    /// Set for a non-idempotent request that ran: its result, JSON.
+    std::optional<std::string> result;
+    /// Set if there is neither.
+    std::optional<Error> error;
+    /// Whether the request ran.
+    Ran ran = Ran::No;
+    /// When it may be worth asking again; 0 if there is no advice.
+    Duration retryAfter{0};
+    /// Which target gave way, or empty.
+    std::string conflict;
+};
+
+/// Called once with the outcome, on the entry task's thread; must not block.
+using CallerReply = std::function<void(CallerOutcome outcome)>;
+
+/// How the entry task reaches leaf daemons. Called on its own thread.
+struct EntryHooks {
+    /// Sends to another daemon or, if \p to is this one, to its own leaf task.
+    std::function<void(DaemonId to, LeafRequest request)> sendRequest;
+    std::function<void(DaemonId to, LeafCancel cancel)> sendCancel;
+};
+
+/// Who the entry task is.
+struct EntryIdentity {
+    DaemonId daemon;
+    Incarnation incarnation;
+    /// Seed of random choices.
+    std::uint64_t seed = 0;
+};
+
+/// Owns the queries that this daemon took in.
+///
+/// \code
+/// EntryTask entry(identity, hooks);
+/// entry.setView(view);
+/// entry.query(query, traceparent, [](CallerOutcome outcome) { ... });
+/// \endcode
+class EntryTask
+{
+public:
+    EntryTask(const EntryIdentity &identity, EntryHooks hooks);
+    ~EntryTask();
+
+    EntryTask(const EntryTask &) = delete;
+    EntryTask &operator=(const EntryTask &) = delete;
+
+    /// Takes new published values.
+    void setView(std::shared_ptr<const PublishedView> view);
+
+    /// Answers a query. \param traceparent of the caller's request, W3C.
+    void query(CallerQuery query, std::string traceparent, CallerReply reply);
+
+    /// Runs a non-idempotent request. \param identity what makes two sendings the same request.
+    void run(CallerRun run, std::string identity, std::string traceparent, CallerReply reply);
+
+    /// Takes a reply of a leaf daemon.
+    void onReply(LeafReply reply);
+
+    /// Takes back a request that was not sent.
+    void onUnsent(DaemonId to, LeafRequest request);
+
+    /// Notes that replies of \p daemon that are still awaited will not come.
+    void onLost(DaemonId daemon);
+
+    /// Ends the thread; requests that are open are answered as ended by a stop.
+    void stop();
+
+private:
+    struct Implementation;
+    std::unique_ptr<Implementation> implementation_;
+};
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/daemon/src/callerserver.cpp
@@ -0,0 +1,209 @@
+#include "daemon/callerserver.h"
+
+#include "base/random.h"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <cstdio>
+#include <future>
+#include <thread>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+/// Threads, and so connections of callers that are served at the same time.
+constexpr std::size_t connectionThreads = 128;
+/// Time that a caller may take to send a request, in seconds.
+constexpr time_t readTimeout = 5;
+/// Idle time after which a connection is closed, in seconds.
+constexpr time_t idleTimeout = 5;
+constexpr std::size_t maxRequestsPerConnection = 1'000'000;
+/// Longest idempotency key.
+constexpr std::size_t maxIdentity = 256;
+constexpr const char *jsonType = "application/json";
+
+std::string hex(std::uint64_t value)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
+    return text;
+}
+
+/// Numbers the traces of this process.
+std::string newTraceparent()
+{
+    static const std::uint64_t base = mix(wallClockMicros());
+    static std::atomic<std::uint64_t> count{0};
+    const std::uint64_t number = ++count;
+    return "00-" + hex(base) + hex(mix(base, number)) + '-' + hex(mix(number)) + "-01";
+}
+
+/// The caller's traceparent if it has the form of one, else a new one.
+std::string traceparentOf(const httplib::Request &request)
+{
+    constexpr std::size_t traceparentSize = 55;
+    const std::string given = request.get_header_value("traceparent");
+    const bool isWellFormed
+        = given.size() == traceparentSize && given.find_first_not_of("0123456789abcdef-") == std::string::npos;
+    return isWellFormed ? given : newTraceparent();
+}
+
+std::string traceIdOf(const std::string &traceparent)
+{
+    constexpr std::size_t traceIdOffset = 3;
+    constexpr std::size_t traceIdSize = 32;
+    return traceparent.substr(traceIdOffset, traceIdSize);
+}
+
+void writeFailure(httplib::Response &response,
+                  const Error &error,
+                  Ran ran,
+                  const std::string &trace,
+                  Duration retryAfter = Duration{0})
+{
+    response.status = httpStatus(error.errc());
+    if (retryAfter > Duration{0}) {
+        response.set_header("Retry-After", std::to_string(std::max<std::int64_t>(retryAfter.count() / 1'000'000, 1)));
+    }
+    response.set_content(writeError(error, ran, trace, retryAfter), jsonType);
+}
+
+void writeOutcome(httplib::Response &response, const CallerOutcome &outcome, const std::string &trace)
+{
+    if (outcome.error) {
+        writeFailure(response, *outcome.error, outcome.ran, trace, outcome.retryAfter);
+    } else if (outcome.answer) {
+        response.set_content(writeQueryAnswer(*outcome.answer, trace, outcome.conflict), jsonType);
+    } else {
+        response.set_content(writeRunAnswer({outcome.result.value_or(std::string()), trace}), jsonType);
+    }
+}
+
+} // namespace
+
+struct CallerServer::Implementation {
+    CallerServerHooks hooks;
+    httplib::Server server;
+    std::thread thread;
+
+    void serveQuery(const httplib::Request &request, httplib::Response &response) const;
+    void serveRun(const httplib::Request &request, httplib::Response &response) const;
+    void configure();
+};
+
+void CallerServer::Implementation::serveQuery(const httplib::Request &request, httplib::Response &response) const
+{
+    const std::string traceparent = traceparentOf(request);
+    const std::string trace = traceIdOf(traceparent);
+    Result<CallerQuery> query = readCallerQuery(request.body);
+    if (query.has_error()) {
+        writeFailure(response, query.error(), Ran::No, trace);
+        return;
+    }
+    const auto promise = std::make_shared<std::promise<CallerOutcome>>();
+    std::future<CallerOutcome> outcome = promise->get_future();
+    hooks.query(std::move(query.value()), traceparent, [promise](CallerOutcome result) {
+        promise->set_value(std::move(result));
+    });
+    writeOutcome(response, outcome.get(), trace);
+}
+
+void CallerServer::Implementation::serveRun(const httplib::Request &request, httplib::Response &response) const
+{
+    const std::string traceparent = traceparentOf(request);
+    const std::string trace = traceIdOf(traceparent);
+    Result<CallerRun> run = readCallerRun(request.body);
+    if (run.has_error()) {
+        writeFailure(response, run.error(), Ran::No, trace);
+        return;
+    }
+    const std::string identity = request.get_header_value("Idempotency-Key");
+    if (identity.empty() || identity.size() > maxIdentity) {
+        writeFailure(
+            response,
+            Error(Errc::InvalidRequest, Step::Accept, {}, "the header Idempotency-Key must have 1 to 256 characters"),
+            Ran::No,
+            trace);
+        return;
+    }
+    const auto promise = std::make_shared<std::promise<CallerOutcome>>();
+    std::future<CallerOutcome> outcome = promise->get_future();
+    hooks.run(std::move(run.value()), identity, traceparent, [promise](CallerOutcome result) {
+        promise->set_value(std::move(result));
+    });
+    writeOutcome(response, outcome.get(), trace);
+}
+
+void CallerServer::Implementation::configure()
+{
+    server.new_task_queue = [] { return new httplib::ThreadPool(connectionThreads); };
+    server.set_tcp_nodelay(true);
+    server.set_keep_alive_max_count(maxRequestsPerConnection);
+    server.set_keep_alive_timeout(idleTimeout);
+    server.set_read_timeout(readTimeout);
+    server.set_write_timeout(readTimeout);
+    server.set_payload_max_length(maxCallerBody);
+    server.Post("/v1/query", [this](const httplib::Request &request, httplib::Response &response) {
+        serveQuery(request, response);
+    });
+    server.Post("/v1/run",
+                [this](const httplib::Request &request, httplib::Response &response) { serveRun(request, response); });
+    server.Get("/v1/entries", [this](const httplib::Request &request, httplib::Response &response) {
+        response.set_content(writeEntriesAnswer(hooks.entries(request.get_param_value("failureDomain"))), jsonType);
+    });
+    server.Get("/v1/live", [](const httplib::Request &, httplib::Response &response) {
+        response.set_content("{\"live\":true}", jsonType);
+    });
+    server.Get("/v1/ready", [this](const httplib::Request &, httplib::Response &response) {
+        const bool isReady = hooks.isReady();
+        response.status = isReady ? 200 : 503;
+        response.set_content(isReady ? "{\"ready\":true}" : "{\"ready\":false}", jsonType);
+    });
+    server.set_error_handler([](const httplib::Request &, httplib::Response &response) {
+        if (!response.body.empty()) {
+            return;
+        }
+        const bool isTooLarge = response.status == 413;
+        const Error error(isTooLarge ? Errc::TooLarge : Errc::InvalidRequest,
+                          Step::Accept,
+                          {},
+                          isTooLarge ? "the body is too large" : "no such address or a malformed request");
+        response.set_content(writeError(error, Ran::No, {}, Duration{0}), jsonType);
+    });
+}
+
+CallerServer::CallerServer(std::unique_ptr<Implementation> implementation) : implementation_(std::move(implementation))
+{
+}
+
+CallerServer::~CallerServer()
+{
+    stop();
+}
+
+Result<std::unique_ptr<CallerServer>> CallerServer::start(const Address &address, CallerServerHooks hooks)
+{
+    auto implementation = std::make_unique<Implementation>();
+    implementation->hooks = std::move(hooks);
+    implementation->configure();
+    if (!implementation->server.bind_to_port(address.host(), address.port)) {
+        return Error{Errc::Unavailable, Step::Accept, address.toString(), "the address for callers cannot be bound"};
+    }
+    Implementation *const raw = implementation.get();
+    implementation->thread = std::thread([raw] { raw->server.listen_after_bind(); });
+    return std::unique_ptr<CallerServer>(new CallerServer(std::move(implementation)));
+}
+
+void CallerServer::stop()
+{
+    implementation_->server.stop();
+    if (implementation_->thread.joinable()) {
+        implementation_->thread.join();
+    }
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/daemon/src/searcherconnections.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "base/address.h"
+#include "base/ids.h"
+#include "base/time.h"
+#include "wire/backendapi.h"
+#include "wire/peermessages.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+/// \file
+/// The connections to one searcher.
+
+namespace sassafrasvane::detail
+{
+
+/// One request to the searcher.
+struct SearcherJob {
+    /// The leaf's own id of the call.
+    CallId call;
+    WorkKind kind = WorkKind::Search;
+    std::string body;
+    std::string traceparent;
+    TimePoint deadline;
+};
+
+/// How a job ended.
+struct SearcherJobEnd {
+    CallId call;
+    BackEndAnswer answer;
+    /// False if it provably did not leave this process.
+    bool wasSent = false;
+    /// The connection broke while the searcher worked on it.
+    bool isConnectionLost = false;
+    Duration served{0};
+};
+
+/// A fixed number of threads, each of which owns one connection to the searcher and takes jobs from a queue, and one
+/// more connection for cancellations. Connections are opened before the first job and again after a failure.
+class SearcherConnections
+{
+public:
+    /// Called on a thread of the connections with the end of each job.
+    using EndHook = std::function<void(SearcherJobEnd end)>;
+
+    /// \param count connections for jobs; at least 1.
+    SearcherConnections(const Address &address, std::uint32_t count, EndHook onEnd);
+
+    /// Ends the threads once the jobs that run have ended; waiting jobs end as not sent.
+    ~SearcherConnections();
+
+    SearcherConnections(const SearcherConnections &) = delete;
+    SearcherConnections &operator=(const SearcherConnections &) = delete;
+
+    /// Queues a job.
+    void run(SearcherJob job);
+
+    /// Asks the searcher to stop working on \p call; only a hint, dropped when many wait.
+    void cancel(CallId call);
+
+private:
+    struct Implementation;
+    std::unique_ptr<Implementation> implementation_;
+};
+
+/// The name under which the searcher knows \p call: unique among all processes that talk to it.
+std::string searcherCallName(CallId call);
+
+} // namespace sassafrasvane::detail
