--- a/libs/once/src/oncetable.cpp
+++ b/libs/once/src/oncetable.cpp
@@ -251,7 +251,7 @@
 void OnceTable::forget(RecordId id, OnceActions &actions)
 {
     Record &record = records_.at(id);
-    answerWaiters(id, record, unknown(Errc::TicketExpired), actions);
+    answerWaiters(id, record, unknown(Errc::OutcomeUnknown), actions);
     const bool isRefusal = record.state == State::NotRun && record.attempts == 0;
     refusals_ -= isRefusal ? 1 : 0;
     running_ -= record.state == State::Running ? 1 : 0;
--- a/libs/once/tests/oncetable_test.cpp
+++ b/libs/once/tests/oncetable_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <map>
 
 namespace sassafrasvane
@@ -148,6 +149,21 @@
     BOOST_TEST(fixture.table->remembered() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(aCopyThatOutlivesItsRecordIsNotToldThatNothingWasStarted)
+{
+    Fixture fixture;
+    TicketIssuer shortLived(ownLife, 10ms);
+    fixture.limits.keepAfterExpiry = 10ms;
+    fixture.table = OnceTable::Builder().origin(ownLife).limits(fixture.limits).build().value();
+    const std::uint64_t waiter = fixture.send(shortLived.issue(origin), 0ms);
+    fixture.table->onTimer(origin + 20ms, fixture.actions);
+    fixture.collect();
+    BOOST_TEST((fixture.answers.at(waiter).ran == Ran::Unknown));
+    BOOST_TEST((fixture.answers.at(waiter).error == Errc::OutcomeUnknown));
+    fixture.end(AttemptEnd::End::Answered, 21ms);
+    BOOST_TEST(fixture.answers.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(timeNeverGoesBackInside)
 {
     Fixture fixture;
@@ -178,10 +194,8 @@
     limits.records = 2;
     limits.refusals = 3;
     Fixture fixture(limits);
-    std::vector<Ticket> tickets;
-    for (int i = 0; i < 20; ++i) {
-        tickets.push_back(fixture.issuer.issue(origin));
-    }
+    std::vector<Ticket> tickets(20);
+    std::generate(tickets.begin(), tickets.end(), [&fixture] { return fixture.issuer.issue(origin); });
     for (const Ticket &ticket : tickets) {
         fixture.send(ticket, 0ms);
         BOOST_TEST(fixture.table->remembered() <= limits.records + limits.refusals);
