Membership by random probes and suspicion

Cause: daemons must learn who of the fleet is alive, suspected or leaving from a lagging list and from each other. Change: libs/fleet has Membership, a state machine after SWIM with Lifeguard's suspicion timeout: random probes, direct and indirect, incarnations with a sequence per life, refutation, changes on every message, bucket digests in place of tables, a token bucket on messages, probes of lost members. A reported death is verified before it is believed, so that two healed halves do not bury each other.

--- /dev/null
+++ b/libs/fleet/src/membertable.cpp
@@ -0,0 +1,376 @@
+#include "membertable.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sassafrasvane::detail
+{
+
+namespace
+{
+
+/// Most members in the table, so that no peer can fill the memory.
+constexpr std::size_t maxMembers = 4'096;
+
+/// Suspicions by others after which the shortest timeout holds (Lifeguard, section IV-B).
+constexpr std::size_t confirmations = 3;
+
+/// The longest suspicion timeout as a multiple of the shortest one.
+constexpr double longestSuspicion = 3;
+
+/// Multiplies the logarithm of the fleet's size to give the periods that a suspicion lasts, and the transmissions of
+/// each change (SWIM, section 4.1).
+constexpr double logarithmFactor = 4;
+
+constexpr Duration forgetPeriod = std::chrono::minutes(1);
+
+bool isReachable(MemberState state) noexcept
+{
+    return state == MemberState::Alive || state == MemberState::Suspect;
+}
+
+std::size_t bucketOf(DaemonId daemon) noexcept
+{
+    return mix(daemon.value) % digestBuckets;
+}
+
+} // namespace
+
+MemberTable::MemberTable(TimePoint now, const MemberRecord &self, const MembershipLimits &limits)
+    : limits_(limits), self_(self), nextForget_(now + forgetPeriod)
+{
+    self_.sequence = 0;
+    self_.state = MemberState::Alive;
+    self_.phase = MemberPhase::Serving;
+    self_.accuser = {};
+    toggleDigest(self_);
+}
+
+bool MemberTable::merge(TimePoint now, const MemberRecord &record, MembershipActions &actions)
+{
+    if (record.daemon == self_.daemon) {
+        refute(record, actions);
+        return false;
+    }
+    const auto found = entries_.find(record.daemon);
+    const bool isKnown = found != entries_.end() && found->second.isKnown;
+    if (!isKnown && (!isReachable(record.state) || entries_.size() >= maxMembers)) {
+        return false;
+    }
+    Entry &entry = entries_[record.daemon];
+    if (isKnown && !supersedes(record, entry.record)) {
+        const bool isSame = record.incarnation == entry.record.incarnation && record.sequence == entry.record.sequence;
+        if (isSame && record.state == MemberState::Suspect && entry.record.state == MemberState::Suspect) {
+            addAccuser(entry, record.accuser);
+        }
+        return false;
+    }
+    if (isKnown && record.state == MemberState::Dead && entry.record.state == MemberState::Alive) {
+        if (!entry.accusation) {
+            accused_.push_back(record.daemon);
+        }
+        entry.accusation = record;
+        return false;
+    }
+    const bool isUrgent = record.state == MemberState::Left || (isKnown && record.phase != entry.record.phase);
+    adopt(now, entry, record, actions);
+    return isUrgent;
+}
+
+void MemberTable::adopt(TimePoint now, Entry &entry, const MemberRecord &record, MembershipActions &actions)
+{
+    const bool wasReachable = entry.isKnown && isReachable(entry.record.state);
+    const bool isVisible = !entry.isKnown || entry.record.state != record.state || entry.record.phase != record.phase
+        || entry.record.incarnation != record.incarnation;
+    if (wasReachable) {
+        toggleDigest(entry.record);
+        --reachableCount_;
+    }
+    if (record.state == MemberState::Suspect && (!entry.isKnown || entry.record.state != MemberState::Suspect)) {
+        suspects_.push_back(record.daemon);
+    }
+    if (record.state == MemberState::Suspect) {
+        entry.suspectedAt = now;
+        entry.accusers = {record.accuser};
+    } else {
+        std::erase(suspects_, record.daemon);
+        entry.accusers.clear();
+    }
+    entry.record = record;
+    entry.isKnown = true;
+    entry.accusation.reset();
+    if (isReachable(record.state)) {
+        toggleDigest(record);
+        ++reachableCount_;
+    }
+    if (isVisible) {
+        entry.since = now;
+        actions.changes.push_back({record.daemon, record.state, record.phase, record.incarnation});
+    }
+    passOn(record.daemon);
+}
+
+void MemberTable::addAccuser(Entry &entry, DaemonId accuser)
+{
+    const bool isNew = std::find(entry.accusers.begin(), entry.accusers.end(), accuser) == entry.accusers.end();
+    if (!isNew || entry.accusers.size() > confirmations) {
+        return;
+    }
+    entry.accusers.push_back(accuser);
+    passOn(entry.record.daemon);
+}
+
+void MemberTable::suspect(TimePoint now, DaemonId member, MembershipActions &actions)
+{
+    const auto found = entries_.find(member);
+    if (found == entries_.end() || !found->second.isKnown) {
+        return;
+    }
+    Entry &entry = found->second;
+    if (entry.record.state == MemberState::Suspect) {
+        addAccuser(entry, self_.daemon);
+        return;
+    }
+    if (entry.record.state != MemberState::Alive) {
+        return;
+    }
+    MemberRecord record = entry.record;
+    record.state = MemberState::Suspect;
+    record.accuser = self_.daemon;
+    adopt(now, entry, record, actions);
+}
+
+Duration MemberTable::suspicionTimeout(const Entry &entry) const noexcept
+{
+    const double periods = logarithmFactor * std::max(1.0, std::log10(static_cast<double>(reachableCount_)));
+    const double shortest = periods * static_cast<double>(limits_.period.count());
+    const std::size_t expected = std::min(confirmations, reachableCount_ > 2 ? reachableCount_ - 2 : 0);
+    if (expected == 0) {
+        return Duration(static_cast<Duration::rep>(shortest));
+    }
+    // The timeout falls with the logarithm of the independent suspicions (Lifeguard, section IV-B).
+    const double longest = longestSuspicion * shortest;
+    const double confirmed = static_cast<double>(std::min(entry.accusers.size() - 1, expected));
+    const double part = std::log(confirmed + 1) / std::log(static_cast<double>(expected) + 1);
+    return Duration(static_cast<Duration::rep>(longest - (longest - shortest) * part));
+}
+
+void MemberTable::expire(TimePoint now, MembershipActions &actions)
+{
+    const std::vector<DaemonId> suspects = suspects_;
+    for (const DaemonId member : suspects) {
+        Entry &entry = entries_.at(member);
+        if (entry.suspectedAt + suspicionTimeout(entry) > now) {
+            continue;
+        }
+        MemberRecord record = entry.record;
+        record.state = MemberState::Dead;
+        record.accuser = self_.daemon;
+        adopt(now, entry, record, actions);
+    }
+    if (now < nextForget_) {
+        return;
+    }
+    nextForget_ = now + forgetPeriod;
+    std::erase_if(entries_, [this, now](const std::pair<const DaemonId, Entry> &item) {
+        const Entry &entry = item.second;
+        const bool isGone = !entry.isKnown || !isReachable(entry.record.state);
+        return isGone && !entry.isPublished && entry.since + limits_.retention <= now;
+    });
+}
+
+void MemberTable::postpone(Duration pause) noexcept
+{
+    for (const DaemonId member : suspects_) {
+        entries_.at(member).suspectedAt += pause;
+    }
+}
+
+std::optional<TimePoint> MemberTable::nextExpiry() const noexcept
+{
+    std::optional<TimePoint> next;
+    for (const DaemonId member : suspects_) {
+        const Entry &entry = entries_.at(member);
+        const TimePoint end = entry.suspectedAt + suspicionTimeout(entry);
+        next = next ? std::min(*next, end) : end;
+    }
+    return next;
+}
+
+void MemberTable::setSelf(MemberPhase phase, MemberState state)
+{
+    toggleDigest(self_);
+    self_.phase = phase;
+    self_.state = state;
+    ++self_.sequence;
+    toggleDigest(self_);
+}
+
+void MemberTable::refute(const MemberRecord &record, MembershipActions &actions)
+{
+    if (!supersedes(record, self_) || self_.state == MemberState::Left) {
+        return;
+    }
+    toggleDigest(self_);
+    if (record.incarnation > self_.incarnation) {
+        self_.incarnation = Incarnation{record.incarnation.value + 1};
+        self_.sequence = 0;
+        actions.ownIncarnation = self_.incarnation;
+    } else {
+        self_.sequence = record.sequence + 1;
+    }
+    toggleDigest(self_);
+}
+
+void MemberTable::setPublished(TimePoint now, const VmList &list, MembershipActions &actions)
+{
+    for (auto &[member, entry] : entries_) {
+        entry.isPublished = false;
+    }
+    for (const Vm &vm : list.vms) {
+        const DaemonId member = daemonId(vm.peer);
+        if (member == self_.daemon || (entries_.size() >= maxMembers && !entries_.contains(member))) {
+            continue;
+        }
+        Entry &entry = entries_[member];
+        if (!entry.isKnown && entry.record.daemon != member) {
+            entry.since = now;
+            entry.record.daemon = member;
+        }
+        entry.isPublished = true;
+        const bool isLeaving = vm.state == ServerState::Leaving;
+        if (entry.isKnown && entry.isPublishedLeaving != isLeaving) {
+            actions.changes.push_back({member,
+                                       entry.record.state,
+                                       isLeaving ? MemberPhase::Leaving : entry.record.phase,
+                                       entry.record.incarnation});
+        }
+        entry.isPublishedLeaving = isLeaving;
+    }
+}
+
+const MemberRecord *MemberTable::find(DaemonId member) const noexcept
+{
+    const auto found = entries_.find(member);
+    return found != entries_.end() && found->second.isKnown ? &found->second.record : nullptr;
+}
+
+std::uint32_t MemberTable::transmissions() const noexcept
+{
+    return static_cast<std::uint32_t>(
+        std::ceil(logarithmFactor * std::log10(static_cast<double>(reachableCount_ + 9))));
+}
+
+void MemberTable::passOn(DaemonId member)
+{
+    std::erase_if(rumors_, [member](const Rumor &rumor) { return rumor.member == member; });
+    rumors_.push_back({member, 0});
+}
+
+std::vector<MemberRecord> MemberTable::takeRumors(DaemonId receiver)
+{
+    std::vector<MemberRecord> records;
+    const auto about = entries_.find(receiver);
+    if (about != entries_.end() && about->second.isKnown) {
+        const Entry &entry = about->second;
+        if (entry.accusation) {
+            records.push_back(*entry.accusation);
+        } else if (entry.record.state != MemberState::Alive) {
+            records.push_back(entry.record);
+        }
+    }
+    const std::size_t room = std::min(maxRecordsPerMessage - records.size(), rumors_.size());
+    const auto end = rumors_.begin() + static_cast<std::ptrdiff_t>(room);
+    std::partial_sort(rumors_.begin(), end, rumors_.end(), [](const Rumor &first, const Rumor &second) {
+        return first.sent < second.sent;
+    });
+    for (auto rumor = rumors_.begin(); rumor != end; ++rumor) {
+        ++rumor->sent;
+        if (const MemberRecord *record = find(rumor->member); record != nullptr && rumor->member != receiver) {
+            records.push_back(*record);
+        }
+    }
+    const std::uint32_t limit = transmissions();
+    std::erase_if(rumors_, [limit](const Rumor &rumor) { return rumor.sent >= limit; });
+    return records;
+}
+
+std::optional<DaemonId> MemberTable::takeAccused()
+{
+    while (!accused_.empty()) {
+        const DaemonId member = accused_.back();
+        accused_.pop_back();
+        const auto found = entries_.find(member);
+        if (found != entries_.end() && found->second.accusation) {
+            return member;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<MemberRecord> MemberTable::differing(std::span<const std::uint32_t> digest, std::size_t first) const
+{
+    std::vector<MemberRecord> records;
+    if (digest[bucketOf(self_.daemon)] != digest_[bucketOf(self_.daemon)]) {
+        records.push_back(self_);
+    }
+    for (const auto &[member, entry] : entries_) {
+        if (entry.isKnown && digest[bucketOf(member)] != digest_[bucketOf(member)]) {
+            records.push_back(entry.record);
+        }
+    }
+    std::sort(records.begin(), records.end(), [first](const MemberRecord &left, const MemberRecord &right) {
+        const std::size_t leftPlace = (bucketOf(left.daemon) + digestBuckets - first) % digestBuckets;
+        const std::size_t rightPlace = (bucketOf(right.daemon) + digestBuckets - first) % digestBuckets;
+        return std::pair(leftPlace, left.daemon) < std::pair(rightPlace, right.daemon);
+    });
+    return records;
+}
+
+std::vector<DaemonId> MemberTable::reachable(bool withSuspects) const
+{
+    std::vector<DaemonId> found;
+    for (const auto &[member, entry] : entries_) {
+        const MemberState state = entry.record.state;
+        if (entry.isKnown && (state == MemberState::Alive || (withSuspects && state == MemberState::Suspect))) {
+            found.push_back(member);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+std::vector<DaemonId> MemberTable::lost() const
+{
+    std::vector<DaemonId> found;
+    for (const auto &[member, entry] : entries_) {
+        if (!entry.isKnown || entry.record.state == MemberState::Dead
+            || (entry.record.state == MemberState::Left && entry.isPublished)) {
+            found.push_back(member);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+std::vector<Member> MemberTable::members() const
+{
+    std::vector<Member> members;
+    for (const auto &[daemon, entry] : entries_) {
+        if (entry.isKnown) {
+            members.push_back({entry.record, entry.since, entry.isPublishedLeaving});
+        }
+    }
+    std::sort(members.begin(), members.end(), [](const Member &first, const Member &second) {
+        return first.record.daemon < second.record.daemon;
+    });
+    return members;
+}
+
+void MemberTable::toggleDigest(const MemberRecord &record) noexcept
+{
+    const std::uint64_t hash = mix(mix(record.daemon.value, record.incarnation.value), record.sequence);
+    digest_[bucketOf(record.daemon)] ^= static_cast<std::uint32_t>(hash);
+}
+
+} // namespace sassafrasvane::detail
--- /dev/null
+++ b/libs/fleet/src/prober.cpp
@@ -0,0 +1,329 @@
+#include "prober.h"
+
+#include <algorithm>
+
+namespace sassafrasvane::detail
+{
+
+namespace
+{
+
+/// A timer later than this means that the process or the machine stood still.
+constexpr Duration pauseBound = std::chrono::milliseconds(500);
+
+constexpr unsigned maxSlowness = 2;
+
+/// Share of the rounds in which a lost member is probed as well.
+constexpr double lostProbeShare = 0.5;
+
+/// Lost members probed a round while nobody is reachable.
+constexpr std::size_t seedProbes = 3;
+
+/// Datagrams that answer one SyncRequest at most.
+constexpr std::size_t syncDatagrams = 4;
+
+/// Shortest time between two comparisons of tables.
+constexpr Duration shortestSyncPause = std::chrono::milliseconds(500);
+
+/// Tokens left for probes and acks by messages that can wait.
+constexpr double probeReserve = 2;
+
+} // namespace
+
+Prober::Prober(TimePoint now, MemberTable &table, std::uint64_t seed, const MembershipLimits &limits)
+    : table_(table)
+    , limits_(limits)
+    , random_(seed)
+    , budget_(limits.messagesPerSecond, limits.messageBurst)
+    , nextRound_(now + Duration(random_.below(static_cast<std::uint64_t>(limits.period.count()) / 2 + 1)))
+    , nextSync_(now + shortestSyncPause)
+    , syncPause_(shortestSyncPause)
+{
+}
+
+GossipMessage Prober::message(GossipKind kind, DaemonId receiver) const
+{
+    GossipMessage message;
+    message.kind = kind;
+    message.receiver = receiver;
+    return message;
+}
+
+bool Prober::send(TimePoint now, GossipMessage message, MembershipActions &actions)
+{
+    const bool canWait = message.kind == GossipKind::SyncRequest || message.kind == GossipKind::SyncRecords;
+    if (!budget_.take(now, canWait ? probeReserve : 0)) {
+        return false;
+    }
+    message.sender = table_.self();
+    message.status = status_;
+    if (message.records.empty() && message.kind != GossipKind::SyncRequest) {
+        message.records = table_.takeRumors(message.receiver);
+    }
+    actions.sends.push_back({message.receiver, std::move(message)});
+    return true;
+}
+
+void Prober::noticePause(TimePoint now)
+{
+    const TimePoint expected = nextTimer();
+    if (now < expected + pauseBound) {
+        return;
+    }
+    probes_.clear();
+    table_.postpone(now - expected);
+    nextRound_ = now;
+    slowness_ = std::min(slowness_ + 1, maxSlowness);
+}
+
+Duration Prober::probeTimeout() const noexcept
+{
+    return limits_.period * (1 + slowness_);
+}
+
+TimePoint Prober::nextTimer() const
+{
+    TimePoint next = std::min(nextRound_, nextSync_);
+    for (const auto &[number, probe] : probes_) {
+        const bool mayRetry = !probe.isIndirect && !probe.isLost && probe.origin.value == 0;
+        next = std::min(next, probe.sentAt + (mayRetry ? limits_.directTimeout : probeTimeout()));
+    }
+    if (const std::optional<TimePoint> expiry = table_.nextExpiry()) {
+        next = std::min(next, *expiry);
+    }
+    return next;
+}
+
+void Prober::onTimer(TimePoint now, MembershipActions &actions)
+{
+    checkProbes(now, actions);
+    table_.expire(now, actions);
+    if (now >= nextRound_) {
+        startRound(now, actions);
+    }
+    if (now >= nextSync_) {
+        synchronize(now, actions);
+    }
+}
+
+void Prober::startRound(TimePoint now, MembershipActions &actions)
+{
+    // Jitter keeps the rounds of many daemons from falling together.
+    const std::uint64_t period = static_cast<std::uint64_t>(limits_.period.count());
+    nextRound_ = now + Duration(period * 9 / 10 + random_.below(period / 5 + 1));
+    std::vector<DaemonId> targets;
+    while (targets.size() < limits_.probesPerRound) {
+        const std::optional<DaemonId> target = nextTarget();
+        if (!target || std::find(targets.begin(), targets.end(), *target) != targets.end()) {
+            break;
+        }
+        targets.push_back(*target);
+        startProbe(now, *target, false, actions);
+    }
+    probeLost(now, actions);
+}
+
+std::optional<DaemonId> Prober::nextTarget()
+{
+    if (const std::optional<DaemonId> accused = table_.takeAccused()) {
+        return accused;
+    }
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        while (!rotation_.empty()) {
+            const DaemonId target = rotation_.back();
+            rotation_.pop_back();
+            const MemberRecord *record = table_.find(target);
+            if (record != nullptr && (record->state == MemberState::Alive || record->state == MemberState::Suspect)) {
+                return target;
+            }
+        }
+        rotation_ = table_.reachable(true);
+        for (std::size_t place = rotation_.size(); place > 1; --place) {
+            std::swap(rotation_[place - 1], rotation_[random_.below(place)]);
+        }
+    }
+    return std::nullopt;
+}
+
+void Prober::probeLost(TimePoint now, MembershipActions &actions)
+{
+    const bool isAlone = table_.reachableCount() == 1;
+    if (!isAlone && !random_.chance(lostProbeShare)) {
+        return;
+    }
+    std::vector<DaemonId> lost = table_.lost();
+    for (std::size_t count = isAlone ? seedProbes : 1; count > 0 && !lost.empty(); --count) {
+        const std::size_t place = random_.below(lost.size());
+        startProbe(now, lost[place], true, actions);
+        lost.erase(lost.begin() + static_cast<std::ptrdiff_t>(place));
+    }
+}
+
+void Prober::startProbe(TimePoint now, DaemonId target, bool isLost, MembershipActions &actions)
+{
+    GossipMessage ping = message(GossipKind::Ping, target);
+    ping.probe = ++lastProbe_;
+    ping.target = target;
+    // A probe that was not sent must not be held against its target.
+    if (send(now, std::move(ping), actions)) {
+        Probe probe;
+        probe.target = target;
+        probe.sentAt = now;
+        probe.isLost = isLost;
+        probes_.emplace(lastProbe_, probe);
+    }
+}
+
+void Prober::probeNow(TimePoint now, MembershipActions &actions)
+{
+    std::vector<DaemonId> targets = randomPeers(limits_.indirectProbes);
+    for (const DaemonId target : targets) {
+        startProbe(now, target, false, actions);
+    }
+    if (targets.empty()) {
+        probeLost(now, actions);
+    }
+}
+
+void Prober::probeIndirectly(TimePoint now, std::uint64_t number, Probe &probe, MembershipActions &actions)
+{
+    probe.isIndirect = true;
+    GossipMessage ping = message(GossipKind::Ping, probe.target);
+    ping.probe = number;
+    ping.target = probe.target;
+    send(now, std::move(ping), actions);
+    std::vector<DaemonId> helpers = randomPeers(limits_.indirectProbes + 1);
+    std::erase(helpers, probe.target);
+    helpers.resize(std::min(helpers.size(), limits_.indirectProbes));
+    for (const DaemonId helper : helpers) {
+        GossipMessage request = message(GossipKind::PingRequest, helper);
+        request.probe = number;
+        request.target = probe.target;
+        send(now, std::move(request), actions);
+    }
+}
+
+void Prober::checkProbes(TimePoint now, MembershipActions &actions)
+{
+    for (auto place = probes_.begin(); place != probes_.end();) {
+        Probe &probe = place->second;
+        if (now >= probe.sentAt + probeTimeout()) {
+            if (!probe.isLost && probe.origin.value == 0) {
+                table_.suspect(now, probe.target, actions);
+            }
+            place = probes_.erase(place);
+            continue;
+        }
+        const bool mayRetry = !probe.isIndirect && !probe.isLost && probe.origin.value == 0;
+        if (mayRetry && now >= probe.sentAt + limits_.directTimeout) {
+            probeIndirectly(now, place->first, probe, actions);
+        }
+        ++place;
+    }
+}
+
+void Prober::onPing(TimePoint now, const GossipMessage &message, MembershipActions &actions)
+{
+    GossipMessage ack = this->message(GossipKind::Ack, message.sender.daemon);
+    ack.probe = message.probe;
+    ack.target = table_.self().daemon;
+    send(now, std::move(ack), actions);
+}
+
+void Prober::onPingRequest(TimePoint now, const GossipMessage &message, MembershipActions &actions)
+{
+    GossipMessage ping = this->message(GossipKind::Ping, message.target);
+    ping.probe = ++lastProbe_;
+    ping.target = message.target;
+    if (send(now, std::move(ping), actions)) {
+        Probe probe;
+        probe.target = message.target;
+        probe.sentAt = now;
+        probe.origin = message.sender.daemon;
+        probe.originProbe = message.probe;
+        probes_.emplace(lastProbe_, probe);
+    }
+}
+
+std::optional<TimePoint> Prober::onAck(TimePoint now, const GossipMessage &message, MembershipActions &actions)
+{
+    const auto found = probes_.find(message.probe);
+    if (found == probes_.end() || found->second.target != message.target) {
+        return std::nullopt;
+    }
+    const Probe probe = found->second;
+    probes_.erase(found);
+    slowness_ -= slowness_ > 0 ? 1 : 0;
+    if (probe.origin.value != 0) {
+        GossipMessage ack = this->message(GossipKind::Ack, probe.origin);
+        ack.probe = probe.originProbe;
+        ack.target = probe.target;
+        send(now, std::move(ack), actions);
+    }
+    return probe.sentAt;
+}
+
+void Prober::synchronize(TimePoint now, MembershipActions &actions)
+{
+    nextSync_ = now + syncPause_ + Duration(random_.below(static_cast<std::uint64_t>(shortestSyncPause.count())));
+    syncPause_ = std::min(syncPause_ * 2, limits_.syncPeriod);
+    const std::vector<DaemonId> peers = randomPeers(1);
+    if (peers.empty()) {
+        return;
+    }
+    GossipMessage request = message(GossipKind::SyncRequest, peers.front());
+    const std::span<const std::uint32_t> digest = table_.digest();
+    request.digest.assign(digest.begin(), digest.end());
+    send(now, std::move(request), actions);
+}
+
+void Prober::onSyncRequest(TimePoint now, const GossipMessage &message, MembershipActions &actions)
+{
+    const std::vector<MemberRecord> records = table_.differing(message.digest, random_.below(digestBuckets));
+    const std::size_t count = std::min(records.size(), syncDatagrams * maxRecordsPerMessage);
+    for (std::size_t first = 0; first < count; first += maxRecordsPerMessage) {
+        GossipMessage reply = this->message(GossipKind::SyncRecords, message.sender.daemon);
+        const std::size_t last = std::min(first + maxRecordsPerMessage, count);
+        reply.records.assign(records.begin() + static_cast<std::ptrdiff_t>(first),
+                             records.begin() + static_cast<std::ptrdiff_t>(last));
+        send(now, std::move(reply), actions);
+    }
+}
+
+void Prober::onSyncRecords(TimePoint now, std::size_t learned)
+{
+    if (learned == 0) {
+        return;
+    }
+    syncPause_ = shortestSyncPause;
+    nextSync_ = std::min(nextSync_, now + shortestSyncPause);
+}
+
+void Prober::notify(TimePoint now, MembershipActions &actions)
+{
+    for (const DaemonId peer : randomPeers(limits_.eagerPeers)) {
+        send(now, message(GossipKind::Notify, peer), actions);
+    }
+}
+
+void Prober::inform(TimePoint now, DaemonId receiver, MembershipActions &actions)
+{
+    GossipMessage notice = message(GossipKind::Notify, receiver);
+    if (const MemberRecord *record = table_.find(receiver)) {
+        notice.records.push_back(*record);
+    }
+    send(now, std::move(notice), actions);
+}
+
+std::vector<DaemonId> Prober::randomPeers(std::size_t count)
+{
+    std::vector<DaemonId> peers = table_.reachable(false);
+    const std::size_t wanted = std::min(count, peers.size());
+    for (std::size_t place = 0; place < wanted; ++place) {
+        std::swap(peers[place], peers[place + random_.below(peers.size() - place)]);
+    }
+    peers.resize(wanted);
+    return peers;
+}
+
+} // namespace sassafrasvane::detail
