Datagram codec with a keyed digest and a replay window

Cause: daemons must refuse datagrams of another fleet, another version, an earlier life, or none that can be decoded. Change: GossipCodec encodes typed messages as a flat sequence of MessagePack values, read one by one so that no claimed count allocates; HMAC-SHA256 cut to 16 bytes, several accepted keys, a sliding window of numbers a sender. Conclusion: every refusal is an Error of step gossip with the peer, and is counted; signed garbage does not crash.

--- /dev/null
+++ b/libs/fleet/src/gossipcodec.cpp
@@ -0,0 +1,236 @@
+#include "fleet/gossipcodec.h"
+
+#include "messageformat.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <algorithm>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+/// The first byte of every datagram.
+constexpr char protocolVersion = 1;
+
+/// Bytes of the truncated digest (RFC 2104, section 5: no less than half of it).
+constexpr std::size_t digestBytes = 16;
+
+/// Most senders whose numbers are remembered.
+constexpr std::size_t maxWindows = 4'096;
+
+enum class Body : std::uint8_t {
+    Gossip,
+    Config,
+};
+
+using Digest = std::array<unsigned char, EVP_MAX_MD_SIZE>;
+
+Digest digestOf(std::string_view key, std::string_view bytes)
+{
+    Digest digest{};
+    unsigned length = 0;
+    HMAC(EVP_sha256(),
+         key.data(),
+         static_cast<int>(key.size()),
+         reinterpret_cast<const unsigned char *>(bytes.data()),
+         bytes.size(),
+         digest.data(),
+         &length);
+    return digest;
+}
+
+bool areKeysUsable(std::span<const std::string> keys) noexcept
+{
+    return !keys.empty() && std::none_of(keys.begin(), keys.end(), [](const std::string &key) { return key.empty(); });
+}
+
+Error error(Errc reason, const Address &from, const char *detail)
+{
+    return Error{reason, Step::Gossip, from.toString(), detail};
+}
+
+} // namespace
+
+Result<void> GossipCodec::encode(DaemonId to, const FleetMessage &message, std::string &bytes)
+{
+    bytes.clear();
+    bytes.push_back(protocolVersion);
+    detail::DatagramWriter writer(bytes);
+    const bool isGossip = std::holds_alternative<GossipMessage>(message);
+    writer.number(self_.value);
+    writer.number(incarnation_.value);
+    writer.number(++lastNumber_);
+    writer.number(to.value);
+    writer.number(static_cast<std::uint64_t>(isGossip ? Body::Gossip : Body::Config));
+    std::visit([&writer](const auto &body) { detail::write(writer, body); }, message);
+    if (bytes.size() + digestBytes > maxDatagramBytes) {
+        return Error{Errc::TooLarge, Step::Gossip, peerAddress(to).toString(), "the message exceeds a datagram"};
+    }
+    bytes = sign(keys_.front(), bytes);
+    return boost::outcome_v2::success();
+}
+
+std::string GossipCodec::sign(std::string_view key, std::string_view bytes)
+{
+    const Digest digest = digestOf(key, bytes);
+    std::string out(bytes);
+    out.append(reinterpret_cast<const char *>(digest.data()), digestBytes);
+    return out;
+}
+
+Result<FleetMessage> GossipCodec::decode(const Address &from, std::string_view bytes)
+{
+    Result<FleetMessage> result = error(Errc::BadMessage, from, "not the size of a datagram");
+    if (bytes.size() > digestBytes + 1 && bytes.size() <= maxDatagramBytes) {
+        if (!isAuthentic(bytes)) {
+            result = error(Errc::NotAuthentic, from, "signed with no key of this fleet");
+        } else if (bytes.front() != protocolVersion) {
+            result = error(Errc::WrongVersion, from, "unknown protocol version");
+        } else {
+            result = decodeBody(from, bytes.substr(1, bytes.size() - 1 - digestBytes));
+        }
+    }
+    if (!result.has_value()) {
+        ++refusals_[result.error().errc()];
+    }
+    return result;
+}
+
+bool GossipCodec::isAuthentic(std::string_view bytes) const
+{
+    const std::string_view body = bytes.substr(0, bytes.size() - digestBytes);
+    const char *claimed = bytes.data() + body.size();
+    return std::any_of(keys_.begin(), keys_.end(), [body, claimed](const std::string &key) {
+        return CRYPTO_memcmp(digestOf(key, body).data(), claimed, digestBytes) == 0;
+    });
+}
+
+Result<FleetMessage> GossipCodec::decodeBody(const Address &from, std::string_view body)
+{
+    detail::DatagramReader reader(body);
+    const DaemonId sender{reader.number()};
+    const Incarnation incarnation{reader.number()};
+    const std::uint64_t number = reader.number();
+    const DaemonId receiver{reader.number()};
+    const bool isGossip = static_cast<Body>(reader.number(static_cast<std::uint64_t>(Body::Config))) == Body::Gossip;
+    FleetMessage message;
+    if (isGossip) {
+        GossipMessage &gossip = message.emplace<GossipMessage>();
+        gossip.sender.daemon = sender;
+        gossip.sender.incarnation = incarnation;
+        gossip.receiver = receiver;
+        detail::read(reader, gossip);
+    } else {
+        ConfigMessage &config = message.emplace<ConfigMessage>();
+        config.sender = sender;
+        detail::read(reader, config);
+    }
+    if (!reader.isComplete()) {
+        return error(Errc::BadMessage, from, "undecodable");
+    }
+    if (sender != daemonId(from)) {
+        return error(Errc::NotAuthentic, from, "sent from another address than its sender's");
+    }
+    if (receiver != self_) {
+        return error(Errc::InvalidRequest, from, "meant for another daemon");
+    }
+    const Result<void> window = checkWindow(from, incarnation, number, isGossip);
+    if (!window.has_value()) {
+        return window.error();
+    }
+    return message;
+}
+
+Result<void> GossipCodec::checkWindow(const Address &from, Incarnation incarnation, std::uint64_t number, bool isGossip)
+{
+    const DaemonId sender = daemonId(from);
+    if (windows_.size() >= maxWindows && !windows_.contains(sender)) {
+        // Forgetting all is harmless, see the class comment, and cheaper than keeping an order.
+        windows_.clear();
+    }
+    Window &window = windows_[sender];
+    if (incarnation < window.incarnation) {
+        // Membership refuses the sender's record and tells it of its later life.
+        return isGossip ? Result<void>(boost::outcome_v2::success())
+                        : Result<void>(error(Errc::StaleIncarnation, from, "from an earlier life of the sender"));
+    }
+    if (incarnation > window.incarnation) {
+        window = Window{};
+        window.incarnation = incarnation;
+    }
+    if (!takeNumber(window, number)) {
+        return error(Errc::NotAuthentic, from, "replayed, or too old to tell");
+    }
+    return boost::outcome_v2::success();
+}
+
+bool GossipCodec::takeNumber(Window &window, std::uint64_t number) noexcept
+{
+    // A ring of bits that slides with the highest number (RFC 6479).
+    if (number + windowBits <= window.highest) {
+        return false;
+    }
+    if (number > window.highest) {
+        const std::uint64_t last = std::min(number, window.highest + windowBits);
+        for (std::uint64_t place = window.highest + 1; place <= last; ++place) {
+            window.seen[place % windowBits / 64] &= ~(std::uint64_t{1} << (place % 64));
+        }
+        window.highest = number;
+    }
+    std::uint64_t &word = window.seen[number % windowBits / 64];
+    const std::uint64_t bit = std::uint64_t{1} << (number % 64);
+    const bool isNew = (word & bit) == 0;
+    word |= bit;
+    return isNew;
+}
+
+void GossipCodec::setIncarnation(Incarnation incarnation) noexcept
+{
+    incarnation_ = incarnation;
+}
+
+Result<void> GossipCodec::setKeys(std::span<const std::string> keys)
+{
+    if (!areKeysUsable(keys)) {
+        return Error{Errc::InvalidConfiguration, Step::Gossip, {}, "there must be a key, and none may be empty"};
+    }
+    keys_.assign(keys.begin(), keys.end());
+    return boost::outcome_v2::success();
+}
+
+GossipCodec::Builder &GossipCodec::Builder::self(DaemonId daemon) noexcept
+{
+    self_ = daemon;
+    return *this;
+}
+
+GossipCodec::Builder &GossipCodec::Builder::incarnation(Incarnation incarnation) noexcept
+{
+    incarnation_ = incarnation;
+    return *this;
+}
+
+GossipCodec::Builder &GossipCodec::Builder::keys(std::span<const std::string> keys)
+{
+    keys_.assign(keys.begin(), keys.end());
+    return *this;
+}
+
+Result<GossipCodec> GossipCodec::Builder::build() const
+{
+    GossipCodec codec;
+    codec.self_ = self_;
+    codec.incarnation_ = incarnation_;
+    const Result<void> keys = codec.setKeys(keys_);
+    if (!keys.has_value()) {
+        return keys.error();
+    }
+    return codec;
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/fleet/src/messageformat.cpp
@@ -0,0 +1,152 @@
+#include "messageformat.h"
+
+namespace sassafrasvane::detail
+{
+
+namespace
+{
+
+/// Reads an enumerator up to \p last.
+template<typename Enum>
+Enum readEnum(DatagramReader &reader, Enum last)
+{
+    return static_cast<Enum>(reader.number(static_cast<std::uint64_t>(last)));
+}
+
+void writeAddress(DatagramWriter &writer, const Address &address)
+{
+    writer.number(address.ip);
+    writer.number(address.port);
+}
+
+Address readAddress(DatagramReader &reader)
+{
+    Address address;
+    address.ip = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
+    address.port = static_cast<std::uint16_t>(reader.number(UINT16_MAX));
+    return address;
+}
+
+/// Writes all of a record but its daemon and incarnation.
+void writeAttributes(DatagramWriter &writer, const MemberRecord &record)
+{
+    writer.number(record.sequence);
+    writer.number(static_cast<std::uint64_t>(record.state));
+    writer.number(static_cast<std::uint64_t>(record.phase));
+    writeAddress(writer, record.callers);
+    writer.bytes(record.failureDomain);
+    writer.bytes(record.region);
+    writer.number(record.accuser.value);
+}
+
+void readAttributes(DatagramReader &reader, MemberRecord &record)
+{
+    record.sequence = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
+    record.state = readEnum(reader, MemberState::Left);
+    record.phase = readEnum(reader, MemberPhase::Leaving);
+    record.callers = readAddress(reader);
+    record.failureDomain = reader.bytes(maxRecordNameBytes);
+    record.region = reader.bytes(maxRecordNameBytes);
+    record.accuser = DaemonId{reader.number()};
+}
+
+void writeRecord(DatagramWriter &writer, const MemberRecord &record)
+{
+    writer.number(record.daemon.value);
+    writer.number(record.incarnation.value);
+    writeAttributes(writer, record);
+}
+
+MemberRecord readRecord(DatagramReader &reader)
+{
+    MemberRecord record;
+    record.daemon = DaemonId{reader.number()};
+    record.incarnation = Incarnation{reader.number()};
+    readAttributes(reader, record);
+    return record;
+}
+
+void writeDigest(DatagramWriter &writer, const TextDigest &digest)
+{
+    writer.number(digest.high);
+    writer.number(digest.low);
+}
+
+TextDigest readDigest(DatagramReader &reader)
+{
+    TextDigest digest;
+    digest.high = reader.number();
+    digest.low = reader.number();
+    return digest;
+}
+
+} // namespace
+
+void write(DatagramWriter &writer, const GossipMessage &message)
+{
+    writer.number(static_cast<std::uint64_t>(message.kind));
+    writeAttributes(writer, message.sender);
+    writer.number(message.probe);
+    writer.number(message.target.value);
+    for (const ConfigVersion version : message.status.versions) {
+        writer.number(version.value);
+    }
+    writer.number(message.status.serviceAgeMs);
+    writer.number(message.records.size());
+    for (const MemberRecord &record : message.records) {
+        writeRecord(writer, record);
+    }
+    writer.number(message.digest.size());
+    for (const std::uint32_t bucket : message.digest) {
+        writer.number(bucket);
+    }
+}
+
+void read(DatagramReader &reader, GossipMessage &message)
+{
+    message.kind = readEnum(reader, GossipKind::SyncRecords);
+    readAttributes(reader, message.sender);
+    message.probe = reader.number();
+    message.target = DaemonId{reader.number()};
+    for (ConfigVersion &version : message.status.versions) {
+        version = ConfigVersion{reader.number()};
+    }
+    message.status.serviceAgeMs = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
+    // Grows with what was read, never by a count that was only claimed.
+    for (std::uint64_t left = reader.number(maxRecordsPerMessage); left > 0 && reader.isGood(); --left) {
+        message.records.push_back(readRecord(reader));
+    }
+    for (std::uint64_t left = reader.number(digestBuckets); left > 0 && reader.isGood(); --left) {
+        message.digest.push_back(static_cast<std::uint32_t>(reader.number(UINT32_MAX)));
+    }
+}
+
+void write(DatagramWriter &writer, const ConfigMessage &message)
+{
+    writer.number(static_cast<std::uint64_t>(message.kind));
+    writer.number(static_cast<std::uint64_t>(message.key));
+    writer.number(message.version.value);
+    writeDigest(writer, message.digest);
+    writer.number(message.base.value);
+    writeDigest(writer, message.baseDigest);
+    writer.number(message.total);
+    writer.number(message.offset);
+    writer.number(message.count);
+    writer.bytes(message.bytes);
+}
+
+void read(DatagramReader &reader, ConfigMessage &message)
+{
+    message.kind = readEnum(reader, ConfigKind::Chunk);
+    message.key = readEnum(reader, ConfigKey::Vms);
+    message.version = ConfigVersion{reader.number()};
+    message.digest = readDigest(reader);
+    message.base = ConfigVersion{reader.number()};
+    message.baseDigest = readDigest(reader);
+    message.total = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
+    message.offset = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
+    message.count = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
+    message.bytes = reader.bytes(maxChunkBytes);
+}
+
+} // namespace sassafrasvane::detail
