--- a/bench/callers/loadreport.cpp
+++ b/bench/callers/loadreport.cpp
@@ -49,8 +49,8 @@
 {
     for (auto &[name, result] : results) {
         for (const auto &[key, said] : result.runs) {
-            const auto found = std::find_if(
-                runs.begin(), runs.end(), [&key](const auto &run) { return run.first.find(key) != std::string::npos; });
+            const auto found
+                = std::find_if(runs.begin(), runs.end(), [&key](const auto &run) { return run.first.ends_with(key); });
             const std::uint64_t count = found == runs.end() ? 0 : found->second;
             if (count > 1) {
                 ++result.wrong["a request ran twice"];
--- a/bench/callers/tests/answercheck_test.cpp
+++ b/bench/callers/tests/answercheck_test.cpp
@@ -51,6 +51,14 @@
     BOOST_TEST(!faultOf(twoParts(), {"q", 4}, answerFor(2, 128, 1.0, none)).empty());
 }
 
+BOOST_AUTO_TEST_CASE(keyThatBeginsLikeAnotherIsNotTakenForIt)
+{
+    std::map<std::string, ClassResult> results;
+    results["booking"].runs = {{"booking-1", RunSaid::NotRun}, {"booking-10", RunSaid::Ran}};
+    checkRuns(results, {{"booking-10", 1}});
+    BOOST_TEST(results["booking"].wrong.empty());
+}
+
 BOOST_AUTO_TEST_CASE(doubledAndLostRunsAreFound)
 {
     std::map<std::string, ClassResult> results;
