Daemon: tickets, membership, planned stops, logs, traces and metrics on the real path

Cause: the libraries for at most once, membership, stops and observation stood beside the daemon's path. Change: OnceTask (owner's table and forwards between daemons), FleetTask (membership over UDP), StopTask (phases of a planned stop), AnswerRecorder (class metrics, spans and decisions of each request); callers get a ticket with the entry addresses. Conclusion: non-idempotent requests now run under a ticket; stops go by phases.

--- a/libs/daemon/include/daemon/callerserver.h
+++ b/libs/daemon/include/daemon/callerserver.h
@@ -15,15 +15,26 @@
 namespace sassafrasvane
 {
 
+/// A copy of a non-idempotent request as a caller sent it.
+struct CallerOnce {
+    CallerRun run;
+    /// Header Idempotency-Key.
+    std::string key;
+    /// Header Request-Ticket, from the answer to GET /v1/entries.
+    std::string ticket;
+    /// Header Request-Sole-Copy: the caller sends no other copy before this one is answered.
+    bool isSoleCopy = false;
+};
+
 /// What the server asks for. All are called on its threads.
 struct CallerServerHooks {
-    /// Starts a query; \p reply is called once.
-    std::function<void(CallerQuery query, std::string traceparent, CallerReply reply)> query;
-    /// Starts a non-idempotent request; \p identity is the caller's idempotency key.
-    std::function<void(CallerRun run, std::string identity, std::string traceparent, CallerReply reply)> run;
+    /// Starts a query; \p reply is called once. \return the trace id.
+    std::function<std::string(CallerQuery query, const std::string &traceparent, CallerReply reply)> query;
+    /// Starts a non-idempotent request; as for query.
+    std::function<std::string(CallerOnce request, const std::string &traceparent, CallerReply reply)> run;
     /// The addresses to give to a caller in \p failureDomain, which is empty if it does not say.
-    std::function<EntriesAnswer(std::string failureDomain)> entries;
-    /// True if this daemon takes new work.
+    std::function<EntriesAnswer(const std::string &failureDomain)> entries;
+    /// True if callers should be sent here.
     std::function<bool()> isReady;
 };
 
--- a/libs/daemon/include/daemon/daemon.h
+++ b/libs/daemon/include/daemon/daemon.h
@@ -17,20 +17,25 @@
 ///
 /// \code
 /// const Result<std::unique_ptr<Daemon>> daemon = Daemon::Builder().settings(settings).build();
-/// daemon.value()->stop();
+/// daemon.value()->requestStop();
+/// const int exitCode = daemon.value()->waitForExit();
 /// \endcode
 class Daemon
 {
 public:
     class Builder;
 
+    /// Ends all tasks at once, if waitForExit() has not returned yet.
     ~Daemon();
 
     Daemon(const Daemon &) = delete;
     Daemon &operator=(const Daemon &) = delete;
 
-    /// Answers what has been taken in, then ends all tasks.
-    void stop();
+    /// Begins the planned stop; a second call shortens the wait that cuts nothing off. Callable from any thread.
+    void requestStop();
+
+    /// Returns when the planned stop has ended, with the exit code of the process.
+    int waitForExit();
 
 private:
     struct Implementation;
@@ -45,15 +50,11 @@
     /// The checked settings.
     Builder &settings(ProcessSettings settings);
 
-    /// Where errors are reported, as one line of text; called on any thread.
-    Builder &errorSink(std::function<void(const Error &error)> sink);
-
     /// \return the daemon, serving; or the error of the address that cannot be bound.
     Result<std::unique_ptr<Daemon>> build();
 
 private:
     ProcessSettings settings_;
-    std::function<void(const Error &error)> errorSink_ = [](const Error &) {};
 };
 
 } // namespace sassafrasvane
--- a/libs/daemon/include/daemon/entrytask.h
+++ b/libs/daemon/include/daemon/entrytask.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 
 /// \file
 /// The task that answers callers' requests.
@@ -34,6 +35,30 @@
     std::string conflict;
 };
 
+/// One attempt of a non-idempotent request.
+struct RunWork {
+    std::string className;
+    /// The caller's request, JSON.
+    std::string request;
+    /// What the server knows the request by; equal for all copies.
+    std::string identity;
+    std::string traceparent;
+    /// The attempt may be sent only before this time.
+    TimePoint deadline;
+};
+
+/// How an attempt ended.
+struct RunEnd {
+    /// Refused and WrongVersion mean that the attempt provably did not run.
+    CallOutcome outcome = CallOutcome::Failed;
+    Errc error = Errc::OutcomeUnknown;
+    /// The server's result, JSON; empty unless answered.
+    std::string result;
+};
+
+/// Called once with the end of an attempt, on the entry task's thread; must not block.
+using RunReply = std::function<void(RunEnd end)>;
+
 /// Called once with the outcome, on the entry task's thread; must not block.
 using CallerReply = std::function<void(CallerOutcome outcome)>;
 
@@ -71,11 +96,14 @@
     /// Takes new published values.
     void setView(std::shared_ptr<const PublishedView> view);
 
+    /// Sets the daemons that are not to be used as holders, such as suspected and leaving ones.
+    void setUnusableDaemons(std::unordered_set<DaemonId> daemons);
+
     /// Answers a query. \param traceparent of the caller's request, W3C.
     void query(CallerQuery query, std::string traceparent, CallerReply reply);
 
-    /// Runs a non-idempotent request. \param identity what makes two sendings the same request.
-    void run(CallerRun run, std::string identity, std::string traceparent, CallerReply reply);
+    /// Sends a non-idempotent request to one server, once.
+    void run(RunWork work, RunReply reply);
 
     /// Takes a reply of a leaf daemon.
     void onReply(LeafReply reply);
--- a/libs/daemon/include/daemon/leaftask.h
+++ b/libs/daemon/include/daemon/leaftask.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "daemon/peerlinks.h"
 #include "daemon/publishedview.h"
+#include "observe/trace.h"
 #include "wire/peermessages.h"
 
 #include <functional>
@@ -21,6 +22,8 @@
 /// What the leaf task tells. Called on its own thread.
 struct LeafHooks {
     std::function<void(LeafOrigin origin, LeafReply reply)> onReply;
+    /// The span of a call that has ended; only for sampled traces and calls that were not answered.
+    std::function<void(Span span)> onSpan;
 };
 
 /// Runs calls at the searchers that this daemon holds, within the limits that each searcher's gate sets.
@@ -49,6 +52,9 @@
     /// Drops calls of \p origin.
     void cancel(LeafOrigin origin, LeafCancel cancel);
 
+    /// Calls that wait or run. Callable from any thread.
+    std::size_t inFlight() const noexcept;
+
     /// Ends the thread and the connections.
     void stop();
 
--- a/libs/daemon/src/callerserver.cpp
+++ b/libs/daemon/src/callerserver.cpp
@@ -1,11 +1,8 @@
 #include "daemon/callerserver.h"
 
-#include "base/random.h"
-
 #include <httplib.h>
 
-#include <atomic>
-#include <cstdio>
+#include <algorithm>
 #include <future>
 #include <thread>
 
@@ -22,43 +19,10 @@
 /// Idle time after which a connection is closed, in seconds.
 constexpr time_t idleTimeout = 5;
 constexpr std::size_t maxRequestsPerConnection = 1'000'000;
-/// Longest idempotency key.
-constexpr std::size_t maxIdentity = 256;
+/// Longest idempotency key, in bytes.
+constexpr std::size_t maxKey = 128;
 constexpr const char *jsonType = "application/json";
 
-std::string hex(std::uint64_t value)
-{
-    char text[17];
-    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
-    return text;
-}
-
-/// Numbers the traces of this process.
-std::string newTraceparent()
-{
-    static const std::uint64_t base = mix(wallClockMicros());
-    static std::atomic<std::uint64_t> count{0};
-    const std::uint64_t number = ++count;
-    return "00-" + hex(base) + hex(mix(base, number)) + '-' + hex(mix(number)) + "-01";
-}
-
-/// The caller's traceparent if it has the form of one, else a new one.
-std::string traceparentOf(const httplib::Request &request)
-{
-    constexpr std::size_t traceparentSize = 55;
-    const std::string given = request.get_header_value("traceparent");
-    const bool isWellFormed
-        = given.size() == traceparentSize && given.find_first_not_of("0123456789abcdef-") == std::string::npos;
-    return isWellFormed ? given : newTraceparent();
-}
-
-std::string traceIdOf(const std::string &traceparent)
-{
-    constexpr std::size_t traceIdOffset = 3;
-    constexpr std::size_t traceIdSize = 32;
-    return traceparent.substr(traceIdOffset, traceIdSize);
-}
-
 void writeFailure(httplib::Response &response,
                   const Error &error,
                   Ran ran,
@@ -97,44 +61,43 @@
 
 void CallerServer::Implementation::serveQuery(const httplib::Request &request, httplib::Response &response) const
 {
-    const std::string traceparent = traceparentOf(request);
-    const std::string trace = traceIdOf(traceparent);
     Result<CallerQuery> query = readCallerQuery(request.body);
     if (query.has_error()) {
-        writeFailure(response, query.error(), Ran::No, trace);
+        writeFailure(response, query.error(), Ran::No, {});
         return;
     }
     const auto promise = std::make_shared<std::promise<CallerOutcome>>();
     std::future<CallerOutcome> outcome = promise->get_future();
-    hooks.query(std::move(query.value()), traceparent, [promise](CallerOutcome result) {
-        promise->set_value(std::move(result));
-    });
+    const std::string trace = hooks.query(std::move(query.value()),
+                                          request.get_header_value("traceparent"),
+                                          [promise](CallerOutcome result) { promise->set_value(std::move(result)); });
     writeOutcome(response, outcome.get(), trace);
 }
 
 void CallerServer::Implementation::serveRun(const httplib::Request &request, httplib::Response &response) const
 {
-    const std::string traceparent = traceparentOf(request);
-    const std::string trace = traceIdOf(traceparent);
     Result<CallerRun> run = readCallerRun(request.body);
     if (run.has_error()) {
-        writeFailure(response, run.error(), Ran::No, trace);
+        writeFailure(response, run.error(), Ran::No, {});
         return;
     }
-    const std::string identity = request.get_header_value("Idempotency-Key");
-    if (identity.empty() || identity.size() > maxIdentity) {
+    CallerOnce once{std::move(run.value()),
+                    request.get_header_value("Idempotency-Key"),
+                    request.get_header_value("Request-Ticket"),
+                    request.get_header_value("Request-Sole-Copy") == "true"};
+    if (once.key.empty() || once.key.size() > maxKey) {
         writeFailure(
             response,
-            Error(Errc::InvalidRequest, Step::Accept, {}, "the header Idempotency-Key must have 1 to 256 characters"),
+            Error(Errc::InvalidRequest, Step::Accept, {}, "the header Idempotency-Key must have 1 to 128 characters"),
             Ran::No,
-            trace);
+            {});
         return;
     }
     const auto promise = std::make_shared<std::promise<CallerOutcome>>();
     std::future<CallerOutcome> outcome = promise->get_future();
-    hooks.run(std::move(run.value()), identity, traceparent, [promise](CallerOutcome result) {
-        promise->set_value(std::move(result));
-    });
+    const std::string trace = hooks.run(std::move(once),
+                                        request.get_header_value("traceparent"),
+                                        [promise](CallerOutcome result) { promise->set_value(std::move(result)); });
     writeOutcome(response, outcome.get(), trace);
 }
 
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -1,14 +1,19 @@
 #include "daemon/daemon.h"
 
+#include "answerrecorder.h"
 #include "base/random.h"
 #include "daemon/callerserver.h"
 #include "daemon/entrytask.h"
+#include "daemon/fleettask.h"
 #include "daemon/leaftask.h"
+#include "daemon/oncetask.h"
 #include "daemon/peerlinks.h"
 #include "daemon/platformreader.h"
 #include "daemon/publishedview.h"
+#include "stoptask.h"
 
 #include <algorithm>
+#include <atomic>
 #include <mutex>
 
 namespace sassafrasvane
@@ -23,48 +28,114 @@
 constexpr Duration adviceLifetime = 10s;
 /// Addresses given to a caller.
 constexpr std::size_t adviceSize = 3;
+/// The longest deadline of accepted work.
+constexpr Duration longestWork = 10s;
+
+StopTimes stopTimes()
+{
+    StopTimes times;
+    times.longestAdvice = adviceLifetime;
+    times.longestTicket = OnceTask::ticketLifetime;
+    times.longestWork = longestWork;
+    return times;
+}
+
+std::uint64_t randomNonce()
+{
+    return hashBytes(makeNonce());
+}
 
 } // namespace
 
 struct Daemon::Implementation {
+    explicit Implementation(ProcessSettings settings)
+        : settings(std::move(settings)), self(daemonId(this->settings.peers)), recorder(observability, randomNonce())
+    {
+    }
+
     ProcessSettings settings;
-    std::function<void(const Error &error)> errorSink;
     DaemonId self;
     Incarnation incarnation{wallClockMicros()};
+    detail::Observability observability;
+    detail::AnswerRecorder recorder;
+    std::atomic<std::size_t> openRequests{0};
 
     std::mutex viewMutex;
     ViewBuilder viewBuilder;
     std::shared_ptr<const PublishedView> view;
-    Random adviceRandom{wallClockMicros()};
+    std::vector<Member> members;
+    Random adviceRandom{randomNonce()};
 
     std::unique_ptr<PeerLinks> links;
     std::unique_ptr<LeafTask> leaf;
     std::unique_ptr<EntryTask> entry;
+    std::unique_ptr<OnceTask> once;
+    std::unique_ptr<FleetTask> fleet;
     std::unique_ptr<CallerServer> callers;
     std::unique_ptr<PlatformReader> platform;
+    std::unique_ptr<detail::StopTask> stop;
 
     Result<void> startTasks();
+    Result<void> openObservability();
+    LeafHooks leafHooks();
     PeerLinkHooks linkHooks();
     EntryHooks entryHooks();
+    OnceHooks onceHooks();
+    FleetHooks fleetHooks();
     CallerServerHooks callerHooks();
+    detail::StopHooks stopHooks();
     void onMessage(LinkId link, PeerMessage message);
+    void onUnsent(DaemonId to, PeerMessage message);
     void onValue(const PublishedValue &value);
     template<typename Value>
-    bool takeValue(Result<Value> read);
+    bool takeValue(const PublishedValue &published, Result<Value> read);
+    void onMembers(const std::vector<Member> &changed);
+    void onPhase(StopPhase phase);
+    std::string startQuery(CallerQuery query, const std::string &traceparent, const CallerReply &reply);
+    std::string startRun(CallerOnce request, const std::string &traceparent, const CallerReply &reply);
+    CallerReply recorded(const detail::RequestTrace &request, CallerReply reply);
+    std::optional<RequestClass> findClass(const std::string &className);
+    std::optional<Error> refusalWhileStopping() const;
+    std::optional<Incarnation> knownIncarnation(DaemonId daemon);
     EntriesAnswer entries(const std::string &failureDomain);
+    void log(const Error &error);
+    void stopTasks();
 };
 
+void Daemon::Implementation::log(const Error &error)
+{
+    observability.logger->log(LogRecord::of(LogLevel::Warn, error));
+}
+
+LeafHooks Daemon::Implementation::leafHooks()
+{
+    LeafHooks hooks;
+    hooks.onReply = [this](const LeafOrigin &origin, LeafReply reply) {
+        if (origin) {
+            links->reply(*origin, std::move(reply));
+        } else {
+            entry->onReply(std::move(reply));
+        }
+    };
+    hooks.onSpan = [this](Span span) {
+        const TraceContext context = span.context;
+        const bool isRefused = span.status == SpanStatus::Error;
+        observability.traces->record(std::move(span));
+        observability.traces->finish(context, {false, false, isRefused});
+    };
+    return hooks;
+}
+
 PeerLinkHooks Daemon::Implementation::linkHooks()
 {
     PeerLinkHooks hooks;
     hooks.onMessage = [this](LinkId link, DaemonId, PeerMessage message) { onMessage(link, std::move(message)); };
-    hooks.onUnsent = [this](DaemonId to, PeerMessage message) {
-        if (LeafRequest *request = std::get_if<LeafRequest>(&message)) {
-            entry->onUnsent(to, std::move(*request));
-        }
+    hooks.onUnsent = [this](DaemonId to, PeerMessage message) { onUnsent(to, std::move(message)); };
+    hooks.onLost = [this](DaemonId to) {
+        entry->onLost(to);
+        once->onLost(to);
     };
-    hooks.onLost = [this](DaemonId to) { entry->onLost(to); };
-    hooks.onError = [this](const Error &error) { errorSink(error); };
+    hooks.onError = [this](const Error &error) { log(error); };
     return hooks;
 }
 
@@ -76,6 +147,19 @@
         entry->onReply(std::move(*reply));
     } else if (LeafCancel *cancel = std::get_if<LeafCancel>(&message)) {
         leaf->cancel(link, std::move(*cancel));
+    } else if (OnceForward *forward = std::get_if<OnceForward>(&message)) {
+        once->onForward(link, std::move(*forward));
+    } else if (OnceForwardReply *forwardReply = std::get_if<OnceForwardReply>(&message)) {
+        once->onForwardReply(std::move(*forwardReply));
+    }
+}
+
+void Daemon::Implementation::onUnsent(DaemonId to, PeerMessage message)
+{
+    if (LeafRequest *request = std::get_if<LeafRequest>(&message)) {
+        entry->onUnsent(to, std::move(*request));
+    } else if (const OnceForward *forward = std::get_if<OnceForward>(&message)) {
+        once->onUnsent(*forward);
     }
 }
 
@@ -99,59 +183,196 @@
     return hooks;
 }
 
+OnceHooks Daemon::Implementation::onceHooks()
+{
+    OnceHooks hooks;
+    hooks.run = [this](RunWork work, RunReply reply) { entry->run(std::move(work), std::move(reply)); };
+    hooks.sendForward = [this](DaemonId owner, OnceForward forward) { links->send(owner, std::move(forward)); };
+    hooks.sendReply = [this](LinkId link, OnceForwardReply reply) { links->reply(link, std::move(reply)); };
+    hooks.knownIncarnation = [this](DaemonId daemon) { return knownIncarnation(daemon); };
+    return hooks;
+}
+
+FleetHooks Daemon::Implementation::fleetHooks()
+{
+    FleetHooks hooks;
+    hooks.onMembers = [this](const std::vector<Member> &changed) { onMembers(changed); };
+    hooks.onError = [this](const Error &error) { log(error); };
+    return hooks;
+}
+
 CallerServerHooks Daemon::Implementation::callerHooks()
 {
     CallerServerHooks hooks;
-    hooks.query = [this](CallerQuery query, std::string traceparent, CallerReply reply) {
-        entry->query(std::move(query), std::move(traceparent), std::move(reply));
+    hooks.query = [this](CallerQuery query, const std::string &traceparent, const CallerReply &reply) {
+        return startQuery(std::move(query), traceparent, reply);
     };
-    hooks.run = [this](CallerRun run, std::string identity, std::string traceparent, CallerReply reply) {
-        entry->run(std::move(run), std::move(identity), std::move(traceparent), std::move(reply));
+    hooks.run = [this](CallerOnce request, const std::string &traceparent, const CallerReply &reply) {
+        return startRun(std::move(request), traceparent, reply);
     };
     hooks.entries = [this](const std::string &failureDomain) { return entries(failureDomain); };
     hooks.isReady = [this] {
         const std::lock_guard<std::mutex> lock(viewMutex);
-        return view != nullptr;
+        return view != nullptr && stop->phase() == StopPhase::Serving;
     };
     return hooks;
 }
 
-EntriesAnswer Daemon::Implementation::entries(const std::string &failureDomain)
+detail::StopHooks Daemon::Implementation::stopHooks()
+{
+    detail::StopHooks hooks;
+    hooks.inFlight = [this] { return openRequests + leaf->inFlight(); };
+    hooks.onPhase = [this](StopPhase phase) { onPhase(phase); };
+    return hooks;
+}
+
+// Counts the request as open until it is answered, and records its end.
+CallerReply Daemon::Implementation::recorded(const detail::RequestTrace &request, CallerReply reply)
+{
+    ++openRequests;
+    return [this, request, reply = std::move(reply)](CallerOutcome outcome) {
+        recorder.end(request, outcome);
+        reply(std::move(outcome));
+        --openRequests;
+    };
+}
+
+std::optional<RequestClass> Daemon::Implementation::findClass(const std::string &className)
 {
     const std::lock_guard<std::mutex> lock(viewMutex);
+    const std::optional<ClassIndex> index = view == nullptr ? std::nullopt : view->configuration->findClass(className);
+    return index ? std::optional<RequestClass>(view->configuration->classes[index->value]) : std::nullopt;
+}
+
+std::optional<Error> Daemon::Implementation::refusalWhileStopping() const
+{
+    if (stop->phase() <= StopPhase::Unadvised) {
+        return std::nullopt;
+    }
+    return Error(Errc::Draining, Step::Stop, {}, "the daemon is stopping; GET /v1/entries names others");
+}
+
+std::string Daemon::Implementation::startQuery(CallerQuery query,
+                                               const std::string &traceparent,
+                                               const CallerReply &reply)
+{
+    detail::RequestTrace request = recorder.begin(traceparent);
+    const std::optional<RequestClass> cls = findClass(query.className);
+    if (cls) {
+        request.className = cls->name;
+        request.target = cls->target.latency;
+    }
+    const CallerReply counted = recorded(request, reply);
+    if (std::optional<Error> refusal = refusalWhileStopping()) {
+        CallerOutcome outcome;
+        outcome.error = std::move(refusal);
+        counted(std::move(outcome));
+    } else {
+        entry->query(std::move(query), request.context.toTraceparent(), counted);
+    }
+    return request.context.trace.toString();
+}
+
+std::string Daemon::Implementation::startRun(CallerOnce once_, const std::string &traceparent, const CallerReply &reply)
+{
+    detail::RequestTrace request = recorder.begin(traceparent);
+    const std::optional<RequestClass> cls = findClass(once_.run.className);
+    std::optional<Error> refusal = refusalWhileStopping();
+    if (!refusal && (!cls || cls->isIdempotent)) {
+        refusal = Error(Errc::InvalidRequest, Step::Accept, {}, "/class names no class of non-idempotent requests");
+    }
+    if (cls) {
+        request.className = cls->name;
+        request.target = cls->target.latency;
+    }
+    const CallerReply counted = recorded(request, reply);
+    if (refusal) {
+        CallerOutcome outcome;
+        outcome.error = std::move(refusal);
+        counted(std::move(outcome));
+    } else {
+        const Duration target = cls->target.latency;
+        const Duration timeLeft = once_.run.timeLeft ? std::min(*once_.run.timeLeft, target) : target;
+        once->accept(std::move(once_), request.context.toTraceparent(), timeLeft, counted);
+    }
+    return request.context.trace.toString();
+}
+
+std::optional<Incarnation> Daemon::Implementation::knownIncarnation(DaemonId daemon)
+{
+    const std::lock_guard<std::mutex> lock(viewMutex);
+    for (const Member &member : members) {
+        if (member.record.daemon == daemon) {
+            return member.record.incarnation;
+        }
+    }
+    return std::nullopt;
+}
+
+void Daemon::Implementation::onMembers(const std::vector<Member> &changed)
+{
+    std::unordered_set<DaemonId> unusable;
+    for (const Member &member : changed) {
+        if (!member.takesWork()) {
+            unusable.insert(member.record.daemon);
+        }
+    }
+    entry->setUnusableDaemons(std::move(unusable));
+    const std::lock_guard<std::mutex> lock(viewMutex);
+    members = changed;
+}
+
+EntriesAnswer Daemon::Implementation::entries(const std::string &failureDomain)
+{
     EntriesAnswer answer;
     answer.lifetime = adviceLifetime;
-    std::vector<const Vm *> candidates;
-    if (view != nullptr) {
-        for (const Vm &vm : view->vms->vms) {
-            if (vm.state == ServerState::Live && !view->configuration->isOut(vm.failureDomain)) {
-                candidates.push_back(&vm);
+    const bool isServing = stop->phase() == StopPhase::Serving;
+    std::vector<std::pair<std::string, Address>> candidates;
+    {
+        const std::lock_guard<std::mutex> lock(viewMutex);
+        for (const Member &member : members) {
+            const bool isOut = view != nullptr && view->configuration->isOut(member.record.failureDomain);
+            if (member.takesWork() && !isOut) {
+                candidates.emplace_back(member.record.failureDomain, member.record.callers);
             }
         }
+        if (isServing) {
+            candidates.emplace_back(settings.failureDomain, settings.callers);
+        }
+        for (std::size_t i = 0; i + 1 < candidates.size(); ++i) {
+            std::swap(candidates[i], candidates[i + adviceRandom.below(candidates.size() - i)]);
+        }
     }
-    for (std::size_t i = 0; i + 1 < candidates.size(); ++i) {
-        std::swap(candidates[i], candidates[i + adviceRandom.below(candidates.size() - i)]);
-    }
-    std::stable_partition(candidates.begin(), candidates.end(), [&failureDomain](const Vm *vm) {
-        return vm->failureDomain == failureDomain;
+    std::stable_partition(candidates.begin(), candidates.end(), [&failureDomain](const auto &entry) {
+        return entry.first == failureDomain;
     });
     for (std::size_t i = 0; i < std::min(adviceSize, candidates.size()); ++i) {
-        answer.entries.push_back(candidates[i]->callers.toString());
+        answer.entries.push_back(candidates[i].second.toString());
     }
     if (answer.entries.empty()) {
         answer.entries.push_back(settings.callers.toString());
     }
+    if (isServing) {
+        answer.ticket = once->issueTicket();
+    }
     return answer;
 }
 
 template<typename Value>
-bool Daemon::Implementation::takeValue(Result<Value> read)
+bool Daemon::Implementation::takeValue(const PublishedValue &published, Result<Value> read)
 {
+    const std::string what = published.key + " version " + std::to_string(published.version.value);
     if (read.has_error()) {
-        errorSink(read.error());
+        log(read.error());
+        observability.journal.record(
+            {wallClockMicros(), DecisionKind::ConfigurationRejected, {}, {}, {}, what + ": " + read.error().detail});
         return false;
     }
-    return viewBuilder.take(std::move(read.value()));
+    const bool isTaken = viewBuilder.take(std::move(read.value()));
+    if (isTaken) {
+        observability.journal.record({wallClockMicros(), DecisionKind::ConfigurationAccepted, {}, {}, {}, what});
+    }
+    return isTaken;
 }
 
 void Daemon::Implementation::onValue(const PublishedValue &value)
@@ -159,11 +380,11 @@
     const std::lock_guard<std::mutex> lock(viewMutex);
     bool isTaken = false;
     if (value.key == "configuration") {
-        isTaken = takeValue(readConfiguration(value.value, value.version));
+        isTaken = takeValue(value, readConfiguration(value.value, value.version));
     } else if (value.key == "shardmap") {
-        isTaken = takeValue(readShardMap(value.value, value.version));
+        isTaken = takeValue(value, readShardMap(value.value, value.version));
     } else if (value.key == "vms") {
-        isTaken = takeValue(readVmList(value.value, value.version));
+        isTaken = takeValue(value, readVmList(value.value, value.version));
     }
     if (!isTaken) {
         return;
@@ -173,29 +394,70 @@
         view = next;
         leaf->setView(next);
         entry->setView(next);
+        fleet->setPublished(next->vms);
     }
 }
 
+void Daemon::Implementation::onPhase(StopPhase phase)
+{
+    observability.journal.record(
+        {wallClockMicros(), DecisionKind::Draining, {}, {}, {}, std::string("phase ") + name(phase)});
+    LogRecord record;
+    record.step = Step::Stop;
+    record.message = std::string("phase ") + name(phase);
+    observability.logger->log(record);
+    if (phase == StopPhase::Unadvised) {
+        fleet->leave();
+    } else if (phase == StopPhase::Refusing) {
+        once->stopAccepting();
+    } else if (phase == StopPhase::HandingOver) {
+        stop->handedOver();
+    }
+}
+
+Result<void> Daemon::Implementation::openObservability()
+{
+    Result<std::unique_ptr<Logger>> logger
+        = Logger::Builder().level(logLevel(settings.logLevel).value_or(LogLevel::Info)).build();
+    if (logger.has_error()) {
+        return logger.error();
+    }
+    observability.logger = std::move(logger.value());
+    TraceSink::Builder traces;
+    traces.instance(settings.peers.toString());
+    if (!settings.traceFile.empty()) {
+        traces.file(settings.traceFile);
+    }
+    Result<std::unique_ptr<TraceSink>> sink = traces.build();
+    if (sink.has_error()) {
+        return sink.error();
+    }
+    observability.traces = std::move(sink.value());
+    return boost::outcome_v2::success();
+}
+
 Result<void> Daemon::Implementation::startTasks()
 {
-    self = daemonId(settings.peers);
-    LeafHooks leafHooks;
-    leafHooks.onReply = [this](const LeafOrigin &origin, LeafReply reply) {
-        if (origin) {
-            links->reply(*origin, std::move(reply));
-        } else {
-            entry->onReply(std::move(reply));
-        }
-    };
-    leaf = std::make_unique<LeafTask>(self, std::move(leafHooks));
-    entry = std::make_unique<EntryTask>(EntryIdentity{self, incarnation, mix(self.value, incarnation.value)},
-                                        entryHooks());
+    if (const Result<void> opened = openObservability(); opened.has_error()) {
+        return opened.error();
+    }
+    stop = std::make_unique<detail::StopTask>(stopTimes(), stopHooks());
+    leaf = std::make_unique<LeafTask>(self, leafHooks());
+    entry = std::make_unique<EntryTask>(EntryIdentity{self, incarnation, randomNonce()}, entryHooks());
+    once = std::make_unique<OnceTask>(TicketOrigin{self, incarnation, randomNonce()}, settings.peerKeys, onceHooks());
     Result<std::unique_ptr<PeerLinks>> builtLinks
         = PeerLinks::Builder().identity({self, incarnation}).keys(settings.peerKeys).hooks(linkHooks()).build();
     if (builtLinks.has_error()) {
         return builtLinks.error();
     }
     links = std::move(builtLinks.value());
+    const FleetIdentity identity{
+        self, incarnation, settings.callers, settings.failureDomain, settings.region, settings.peerKeys};
+    Result<std::unique_ptr<FleetTask>> builtFleet = FleetTask::start(identity, fleetHooks());
+    if (builtFleet.has_error()) {
+        return builtFleet.error();
+    }
+    fleet = std::move(builtFleet.value());
     Result<std::unique_ptr<CallerServer>> builtCallers = CallerServer::start(settings.callers, callerHooks());
     if (builtCallers.has_error()) {
         return builtCallers.error();
@@ -203,54 +465,68 @@
     callers = std::move(builtCallers.value());
     PlatformHooks platformHooks;
     platformHooks.onValue = [this](const PublishedValue &value) { onValue(value); };
-    platformHooks.onError = [this](const Error &error) { errorSink(error); };
+    platformHooks.onError = [this](const Error &error) { log(error); };
     platform = std::make_unique<PlatformReader>(
         settings.platform, std::vector<std::string>{"configuration", "shardmap", "vms"}, std::move(platformHooks));
     return boost::outcome_v2::success();
 }
 
+// Ends the tasks in the order in which work flows, so that each can still hand on what it has.
+void Daemon::Implementation::stopTasks()
+{
+    if (callers != nullptr) {
+        callers->stop();
+    }
+    if (platform != nullptr) {
+        platform->stop();
+    }
+    if (fleet != nullptr) {
+        fleet->stop();
+    }
+    if (once != nullptr) {
+        once->stop();
+    }
+    if (entry != nullptr) {
+        entry->stop();
+    }
+    if (leaf != nullptr) {
+        leaf->stop();
+    }
+    if (links != nullptr) {
+        links->stop();
+    }
+}
+
 Daemon::Daemon(std::unique_ptr<Implementation> implementation) : implementation_(std::move(implementation))
 {
 }
 
 Daemon::~Daemon()
 {
-    stop();
+    implementation_->stopTasks();
 }
 
-void Daemon::stop()
+void Daemon::requestStop()
 {
-    if (implementation_->callers != nullptr) {
-        implementation_->callers->stop();
-    }
-    if (implementation_->platform != nullptr) {
-        implementation_->platform->stop();
-    }
-    implementation_->entry->stop();
-    implementation_->leaf->stop();
-    if (implementation_->links != nullptr) {
-        implementation_->links->stop();
-    }
+    implementation_->stop->request();
 }
 
-Daemon::Builder &Daemon::Builder::settings(ProcessSettings settings)
+int Daemon::waitForExit()
 {
-    settings_ = std::move(settings);
-    return *this;
+    const int exitCode = implementation_->stop->wait();
+    implementation_->stopTasks();
+    return exitCode;
 }
 
-Daemon::Builder &Daemon::Builder::errorSink(std::function<void(const Error &error)> sink)
+Daemon::Builder &Daemon::Builder::settings(ProcessSettings settings)
 {
-    errorSink_ = std::move(sink);
+    settings_ = std::move(settings);
     return *this;
 }
 
 Result<std::unique_ptr<Daemon>> Daemon::Builder::build()
 {
-    auto implementation = std::make_unique<Implementation>();
-    implementation->settings = settings_;
-    implementation->errorSink = errorSink_;
-    std::unique_ptr<Daemon> daemon(new Daemon(std::move(implementation)));
+    std::unique_ptr<Daemon> daemon(new Daemon(std::make_unique<Implementation>(settings_)));
     const Result<void> started = daemon->implementation_->startTasks();
     if (started.has_error()) {
         return started.error();
--- a/libs/daemon/src/entrytask.cpp
+++ b/libs/daemon/src/entrytask.cpp
@@ -27,6 +27,8 @@
 constexpr double maxExtraTokens = 50;
 /// A leaf has this much less time than the entry, for the way back.
 constexpr Duration replyMargin = 2ms;
+/// Time after its deadline for which the leaf's reply to an attempt is awaited.
+constexpr Duration runGrace = 5s;
 
 /// A fan-out query and its caller.
 struct OpenQuery {
@@ -37,11 +39,11 @@
     TimePoint deadline;
 };
 
-/// A non-idempotent request and its caller.
+/// An attempt of a non-idempotent request.
 struct OpenRun {
-    CallerReply reply;
-    LeafRequest request;
-    TimePoint deadline;
+    RunReply reply;
+    /// The leaf always answers before this time; afterwards the attempt is given up.
+    TimePoint giveUpAt;
 };
 
 /// A call that has been handed to a leaf daemon.
@@ -88,14 +90,14 @@
 
     void adopt(std::shared_ptr<const PublishedView> next);
     void startQuery(const CallerQuery &query, const std::string &traceparent, CallerReply reply);
-    void startRun(const CallerRun &run, const std::string &identity, const std::string &traceparent, CallerReply reply);
+    void startRun(const RunWork &work, const RunReply &reply);
     QueryHooks hooksFor(const std::string &className, double extraLoad);
     void apply(QueryId id, QueryActions &actions);
     void send(QueryId id, const LeafRequest &request, std::vector<SearchCall> sent);
     void cancel(const std::vector<CallId> &cancelled);
     void answer(QueryId id, QueryAnswer answer);
     void take(LeafReply reply);
-    void endRun(QueryId id, LeafReply reply);
+    void endRun(QueryId id, RunEnd end);
     void wake(QueryId id);
     void failCall(CallId call, CallOutcome outcome, Errc error);
     const RequestClass *findClass(std::string_view name) const;
@@ -282,7 +284,7 @@
     router.onReply(now, reply.reply, now - call.sentAt);
     const auto query = queries.find(call.query);
     if (query == queries.end()) {
-        endRun(call.query, std::move(reply));
+        endRun(call.query, {reply.reply.outcome, reply.reply.error, std::move(reply.result)});
         return;
     }
     QueryActions actions;
@@ -314,79 +316,58 @@
         return;
     }
     const auto run = runs.find(id);
-    if (run != runs.end() && now >= run->second.deadline) {
-        const CallerReply reply = std::move(run->second.reply);
-        runs.erase(run);
-        reply(failure(Error(Errc::OutcomeUnknown, Step::Run, {}, "no answer before the deadline"), Ran::Unknown));
+    if (run != runs.end() && now >= run->second.giveUpAt) {
+        endRun(id, {CallOutcome::Failed, Errc::Timeout, {}});
     }
 }
 
-void EntryTask::Implementation::startRun(const CallerRun &run,
-                                         const std::string &requestIdentity,
-                                         const std::string &traceparent,
-                                         CallerReply reply)
+void EntryTask::Implementation::startRun(const RunWork &work, const RunReply &reply)
 {
     const TimePoint now = BootClock::now();
-    const RequestClass *cls = view == nullptr ? nullptr : findClass(run.className);
+    const RequestClass *cls = view == nullptr ? nullptr : findClass(work.className);
     if (cls == nullptr || cls->isIdempotent) {
-        reply(failure(Error(Errc::InvalidRequest, Step::Accept, {}, "/class names no class of non-idempotent requests"),
-                      Ran::No));
+        reply({CallOutcome::Refused, Errc::InvalidRequest, {}});
         return;
     }
     const BackEndMap *backEnd = view->map->find(cls->backEnd);
     if (backEnd == nullptr || backEnd->versions.empty()) {
-        reply(failure(Error(Errc::NoSnapshot, Step::Route, {}, "the back end is not published"), Ran::No));
+        reply({CallOutcome::Refused, Errc::NoSnapshot, {}});
         return;
     }
     const IndexMap &index = backEnd->versions.front();
-    const std::uint64_t key = hashBytes(requestIdentity) % index.width + index.parts.front().begin;
+    const std::uint64_t key = hashBytes(work.identity) % index.width + index.parts.front().begin;
     const auto part = std::find_if(
         index.parts.begin(), index.parts.end(), [key](const Part &candidate) { return key < candidate.end; });
     const std::optional<SearcherId> searcher = router.choose(now, index.version, *part, {});
-    if (!searcher) {
-        reply(failure(Error(Errc::NoServer, Step::Route, {}, "no server may be used"), Ran::No));
+    if (!searcher || work.deadline <= now) {
+        reply({CallOutcome::Refused, searcher ? Errc::DeadlinePassed : Errc::NoServer, {}});
         return;
     }
-    const Duration timeLeft = run.timeLeft ? std::min(*run.timeLeft, cls->target.latency) : cls->target.latency;
     const QueryId id{++lastQuery};
     LeafRequest request;
     request.kind = WorkKind::Run;
     request.query = id;
     request.entryIncarnation = identity.incarnation;
     request.cls = *view->configuration->findClass(cls->name);
-    request.timeLeft = timeLeft - replyMargin;
-    request.traceparent = traceparent;
-    request.payload = run.request;
-    request.identity = requestIdentity;
-    runs.emplace(id, OpenRun{std::move(reply), request, now + timeLeft});
-    loop.at(now + timeLeft, [this, id] { wake(id); });
+    request.timeLeft = work.deadline - now;
+    request.traceparent = work.traceparent;
+    request.payload = work.request;
+    request.identity = work.identity;
+    const TimePoint giveUpAt = work.deadline + runGrace;
+    runs.emplace(id, OpenRun{reply, giveUpAt});
+    loop.at(giveUpAt, [this, id] { wake(id); });
     send(id, request, {SearchCall{CallId{++lastCall}, *searcher, index.version, {part->id}, false}});
 }
 
-void EntryTask::Implementation::endRun(QueryId id, LeafReply reply)
+void EntryTask::Implementation::endRun(QueryId id, RunEnd end)
 {
     const auto found = runs.find(id);
     if (found == runs.end()) {
         return;
     }
-    const CallerReply callerReply = std::move(found->second.reply);
+    const RunReply reply = std::move(found->second.reply);
     runs.erase(found);
-    switch (reply.reply.outcome) {
-    case CallOutcome::Answered: {
-        CallerOutcome outcome;
-        outcome.result = std::move(reply.result);
-        outcome.ran = Ran::Yes;
-        callerReply(std::move(outcome));
-        break;
-    }
-    case CallOutcome::Refused:
-    case CallOutcome::WrongVersion:
-        callerReply(failure(Error(reply.reply.error, Step::Run, {}, "refused without running"), Ran::No));
-        break;
-    case CallOutcome::Failed:
-        callerReply(failure(Error(Errc::OutcomeUnknown, Step::Run, {}, name(reply.reply.error)), Ran::Unknown));
-        break;
-    }
+    reply(std::move(end));
 }
 
 EntryTask::EntryTask(const EntryIdentity &identity, EntryHooks hooks)
@@ -405,6 +386,13 @@
         [implementation = implementation_.get(), view = std::move(view)] { implementation->adopt(view); });
 }
 
+void EntryTask::setUnusableDaemons(std::unordered_set<DaemonId> daemons)
+{
+    implementation_->loop.post([implementation = implementation_.get(), daemons = std::move(daemons)] {
+        implementation->router.setUnusableDaemons(daemons);
+    });
+}
+
 void EntryTask::query(CallerQuery query, std::string traceparent, CallerReply reply)
 {
     implementation_->loop.post([implementation = implementation_.get(),
@@ -413,14 +401,11 @@
                                 reply = std::move(reply)] { implementation->startQuery(query, traceparent, reply); });
 }
 
-void EntryTask::run(CallerRun run, std::string identity, std::string traceparent, CallerReply reply)
+void EntryTask::run(RunWork work, RunReply reply)
 {
-    implementation_->loop.post(
-        [implementation = implementation_.get(),
-         run = std::move(run),
-         identity = std::move(identity),
-         traceparent = std::move(traceparent),
-         reply = std::move(reply)] { implementation->startRun(run, identity, traceparent, reply); });
+    implementation_->loop.post([implementation = implementation_.get(),
+                                work = std::move(work),
+                                reply = std::move(reply)] { implementation->startRun(work, reply); });
 }
 
 void EntryTask::onReply(LeafReply reply)
@@ -462,7 +447,7 @@
         query.reply(failure(error, Ran::Unknown));
     }
     for (auto &[id, run] : implementation_->runs) {
-        run.reply(failure(error, Ran::Unknown));
+        run.reply({CallOutcome::Failed, Errc::Draining, {}});
     }
     implementation_->queries.clear();
     implementation_->runs.clear();
--- a/libs/daemon/src/leaftask.cpp
+++ b/libs/daemon/src/leaftask.cpp
@@ -1,10 +1,12 @@
 #include "daemon/leaftask.h"
 
 #include "admission/searchergate.h"
+#include "base/random.h"
 #include "daemon/eventloop.h"
 #include "searcherconnections.h"
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -24,9 +26,12 @@
     LeafOrigin origin;
     std::shared_ptr<const LeafRequest> request;
     SearchCall call;
+    /// Of this daemon's own span.
+    TraceContext trace;
     TimePoint deadline;
     TimePoint offeredAt;
     TimePoint startedAt;
+    std::uint64_t offeredMicros = 0;
     bool isRunning = false;
     bool isCancelled = false;
 };
@@ -66,7 +71,10 @@
 } // namespace
 
 struct LeafTask::Implementation {
-    Implementation(DaemonId self, LeafHooks hooks) : self(self), hooks(std::move(hooks)) { }
+    Implementation(DaemonId self, LeafHooks hooks)
+        : self(self), hooks(std::move(hooks)), random(mix(self.value, wallClockMicros()))
+    {
+    }
 
     DaemonId self;
     LeafHooks hooks;
@@ -74,6 +82,8 @@
     std::map<SearcherId, HeldSearcher> held;
     std::unordered_map<CallId, LeafCall> calls;
     std::uint64_t lastCall = 0;
+    Random random;
+    std::atomic<std::size_t> inFlight{0};
     EventLoop loop{"leaf"};
     /// Ends connections that are no longer used, which waits for their last jobs. Destroyed before the loop that the
     /// connections post to.
@@ -89,6 +99,7 @@
     void end(SearcherId searcher, const SearcherJobEnd &end);
     void refuse(CallId call, Errc reason);
     void reply(const LeafCall &call, SearchReply reply, std::string result, Duration served);
+    void recordSpan(const LeafCall &call, const SearchReply &reply, Duration queued);
     void cancel(const LeafOrigin &origin, const LeafCancel &cancel);
     bool mayReceiveWork(const Searcher &searcher) const;
 };
@@ -183,7 +194,10 @@
     const TimePoint now = BootClock::now();
     const CallId id{++lastCall};
     const TimePoint deadline = now + request->timeLeft;
-    calls.emplace(id, LeafCall{origin, request, call, deadline, now, now});
+    const Result<TraceContext> parent = TraceContext::parse(request->traceparent);
+    const TraceContext trace = parent.has_value() ? parent.value().child(random) : TraceContext();
+    calls.emplace(id, LeafCall{origin, request, call, trace, deadline, now, now, wallClockMicros()});
+    inFlight = calls.size();
     const auto found = held.find(call.searcher);
     if (found == held.end()) {
         refuse(id, Errc::NoServer);
@@ -237,7 +251,7 @@
         return;
     }
     searcher.connections->run(
-        SearcherJob{id, call.request->kind, bodyOf(call), call.request->traceparent, call.deadline});
+        SearcherJob{id, call.request->kind, bodyOf(call), call.trace.toTraceparent(), call.deadline});
 }
 
 void LeafTask::Implementation::end(SearcherId searcher, const SearcherJobEnd &jobEnd)
@@ -249,6 +263,7 @@
     }
     const LeafCall call = std::move(found->second);
     calls.erase(found);
+    inFlight = calls.size();
     const BackEndAnswer &answer = jobEnd.answer;
     const bool isWrongVersion = answer.outcome == CallOutcome::Answered && call.request->kind == WorkKind::Search
         && answer.version != call.call.version;
@@ -288,8 +303,29 @@
           Duration{0});
 }
 
+void LeafTask::Implementation::recordSpan(const LeafCall &call, const SearchReply &reply, Duration queued)
+{
+    const bool isAnswered = reply.outcome == CallOutcome::Answered;
+    if (!call.trace.trace.isValid() || (isAnswered && !call.trace.isSampled)) {
+        return;
+    }
+    const SpanId parent = TraceContext::parse(call.request->traceparent).value().span;
+    Span span{"searcher call", call.trace, parent, call.offeredMicros, wallClockMicros(), {}, SpanStatus::Ok, {}};
+    const Searcher *searcher = view == nullptr ? nullptr : view->map->searcher(reply.searcher);
+    span.attributes.push_back({"searcher", searcher == nullptr ? std::string() : searcher->address.toString()});
+    span.attributes.push_back({"parts", static_cast<std::int64_t>(call.call.parts.size())});
+    span.attributes.push_back({"queued_us", static_cast<std::int64_t>(queued.count())});
+    span.attributes.push_back({"extra", call.call.isExtra});
+    if (!isAnswered) {
+        span.status = SpanStatus::Error;
+        span.statusMessage = name(reply.error);
+    }
+    hooks.onSpan(std::move(span));
+}
+
 void LeafTask::Implementation::reply(const LeafCall &call, SearchReply reply, std::string result, Duration served)
 {
+    recordSpan(call, reply, call.startedAt - call.offeredAt);
     if (call.isCancelled) {
         return;
     }
@@ -328,6 +364,7 @@
         GateActions actions;
         found->second.gate.cancel(BootClock::now(), id, actions);
         calls.erase(id);
+        inFlight = calls.size();
         apply(searcher, actions);
     }
 }
@@ -365,6 +402,11 @@
     });
 }
 
+std::size_t LeafTask::inFlight() const noexcept
+{
+    return implementation_->inFlight;
+}
+
 void LeafTask::stop()
 {
     implementation_->loop.stop();
--- a/libs/wire/include/wire/peermessages.h
+++ b/libs/wire/include/wire/peermessages.h
@@ -83,7 +83,40 @@
     std::string digest;
 };
 
+/// A copy of a non-idempotent request on its way to the daemon whose ticket it carries.
+struct OnceForward {
+    /// Number of the forward, unique within a life of the sender.
+    std::uint64_t forward = 0;
+    /// Life of the sender.
+    Incarnation senderIncarnation;
+    /// The ticket as the caller sent it.
+    std::string ticket;
+    /// The caller's Idempotency-Key.
+    std::string key;
+    std::string className;
+    /// The caller's request, JSON.
+    std::string request;
+    /// Time left until the caller must be answered.
+    Duration timeLeft{0};
+    /// W3C traceparent of the sender's span.
+    std::string traceparent;
+};
+
+/// The owner's answer to a forwarded copy.
+struct OnceForwardReply {
+    std::uint64_t forward = 0;
+    Incarnation senderIncarnation;
+    Ran ran = Ran::Unknown;
+    /// The reason, unless it ran.
+    Errc error = Errc::OutcomeUnknown;
+    /// Result of the request, JSON; empty unless it ran.
+    std::string result;
+    /// When a refused caller may try again.
+    Duration retryAfter{0};
+};
+
 /// Any message on a TCP link between daemons.
-using PeerMessage = std::variant<LeafRequest, LeafReply, LeafCancel, PeerChallenge, PeerHello, PeerWelcome>;
+using PeerMessage = std::
+    variant<LeafRequest, LeafReply, LeafCancel, PeerChallenge, PeerHello, PeerWelcome, OnceForward, OnceForwardReply>;
 
 } // namespace sassafrasvane
--- a/libs/wire/src/peercodec.cpp
+++ b/libs/wire/src/peercodec.cpp
@@ -125,6 +125,30 @@
     packer.pack(message.digest);
 }
 
+void packBody(Packer &packer, const OnceForward &message)
+{
+    packer.pack_array(8);
+    packer.pack(message.forward);
+    packId(packer, message.senderIncarnation);
+    packer.pack(message.ticket);
+    packer.pack(message.key);
+    packer.pack(message.className);
+    packer.pack(message.request);
+    packer.pack(message.timeLeft.count());
+    packer.pack(message.traceparent);
+}
+
+void packBody(Packer &packer, const OnceForwardReply &message)
+{
+    packer.pack_array(6);
+    packer.pack(message.forward);
+    packId(packer, message.senderIncarnation);
+    packer.pack(static_cast<int>(message.ran));
+    packer.pack(static_cast<int>(message.error));
+    packer.pack(message.result);
+    packer.pack(message.retryAfter.count());
+}
+
 /// Reads the elements of a MessagePack array in order; throws on any mismatch.
 class ArrayReader
 {
@@ -290,6 +314,34 @@
     return message;
 }
 
+OnceForward readOnceForward(const msgpack::object &object)
+{
+    ArrayReader reader(object, 8);
+    OnceForward message;
+    message.forward = reader.read<std::uint64_t>();
+    message.senderIncarnation = reader.id<Incarnation>();
+    message.ticket = reader.read<std::string>();
+    message.key = reader.read<std::string>();
+    message.className = reader.read<std::string>();
+    message.request = reader.read<std::string>();
+    message.timeLeft = Duration(reader.read<Duration::rep>());
+    message.traceparent = reader.read<std::string>();
+    return message;
+}
+
+OnceForwardReply readOnceForwardReply(const msgpack::object &object)
+{
+    ArrayReader reader(object, 6);
+    OnceForwardReply message;
+    message.forward = reader.read<std::uint64_t>();
+    message.senderIncarnation = reader.id<Incarnation>();
+    message.ran = reader.choice(Ran::No, Ran::Unknown);
+    message.error = reader.choice(Errc::InvalidRequest, Errc::Internal);
+    message.result = reader.read<std::string>();
+    message.retryAfter = Duration(reader.read<Duration::rep>());
+    return message;
+}
+
 PeerMessage readMessage(std::size_t type, const msgpack::object &body)
 {
     switch (type) {
@@ -305,11 +357,15 @@
         return readPeerHello(body);
     case 5:
         return readPeerWelcome(body);
+    case 6:
+        return readOnceForward(body);
+    case 7:
+        return readOnceForwardReply(body);
     default:
         throw std::runtime_error("message type " + std::to_string(type) + " is unknown");
     }
 }
-static_assert(messageTypes == 6, "readMessage must know every message type");
+static_assert(messageTypes == 8, "readMessage must know every message type");
 
 Error badMessage(const std::string &detail)
 {
--- a/libs/wire/tests/peercodec_test.cpp
+++ b/libs/wire/tests/peercodec_test.cpp
@@ -58,10 +58,13 @@
     BOOST_REQUIRE(reply.has_value());
     BOOST_TEST(std::get<LeafReply>(reply.value()).reply.parts.at(0).hits.at(0).score == 0.5);
     BOOST_TEST((std::get<LeafReply>(reply.value()).served == Duration{1500}));
-    for (const PeerMessage &message : {PeerMessage(LeafCancel{Incarnation{1}, {CallId{2}}}),
-                                       PeerMessage(PeerChallenge{"n"}),
-                                       PeerMessage(PeerHello{DaemonId{1}, Incarnation{2}, "n", "d"}),
-                                       PeerMessage(PeerWelcome{DaemonId{1}, Incarnation{2}, "d"})}) {
+    for (const PeerMessage &message :
+         {PeerMessage(LeafCancel{Incarnation{1}, {CallId{2}}}),
+          PeerMessage(PeerChallenge{"n"}),
+          PeerMessage(PeerHello{DaemonId{1}, Incarnation{2}, "n", "d"}),
+          PeerMessage(PeerWelcome{DaemonId{1}, Incarnation{2}, "d"}),
+          PeerMessage(OnceForward{1, Incarnation{2}, "t", "k", "booking", "{}", Duration{5}, ""}),
+          PeerMessage(OnceForwardReply{1, Incarnation{2}, Ran::Yes, Errc::Internal, "{}", Duration{0}})}) {
         const Result<PeerMessage> again = decodeBody(bodyOf(message));
         BOOST_REQUIRE(again.has_value());
         BOOST_TEST(again.value().index() == message.index());
--- a/programs/sassafrasvaned/main.cpp
+++ b/programs/sassafrasvaned/main.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <thread>
 
 namespace
 {
@@ -80,10 +81,15 @@
     return signals;
 }
 
-void waitForStop(const sigset_t &signals)
+/// Passes each stop signal on; ends with the process.
+void passOnSignals(const sigset_t &signals, Daemon &daemon)
 {
-    int received = 0;
-    sigwait(&signals, &received);
+    std::thread([signals, &daemon] {
+        int received = 0;
+        while (sigwait(&signals, &received) == 0) {
+            daemon.requestStop();
+        }
+    }).detach();
 }
 
 } // namespace
@@ -101,14 +107,14 @@
         return EXIT_SUCCESS;
     }
     const sigset_t signals = blockStopSignals();
-    Daemon::Builder builder;
-    builder.settings(settings.value()).errorSink([](const Error &error) { std::cerr << error.message() + '\n'; });
-    const Result<std::unique_ptr<Daemon>> daemon = builder.build();
+    const Result<std::unique_ptr<Daemon>> daemon = Daemon::Builder().settings(settings.value()).build();
     if (daemon.has_error()) {
         std::cerr << daemon.error().message() << '\n';
         return exitFailure;
     }
-    waitForStop(signals);
-    daemon.value()->stop();
-    return EXIT_SUCCESS;
+    passOnSignals(signals, *daemon.value());
+    const int exitCode = daemon.value()->waitForExit();
+    // The signal thread still refers to the daemon, so the process ends before the daemon is destroyed.
+    std::cout.flush();
+    std::_Exit(exitCode);
 }
