Searcher gate with cold starts, adaptive concurrency and hold-off

Cause: the gate only divided the slots among the holders. A restarted server got its whole share at once, a takeover could overlap with the former holder, and a call that could not be served in time waited until its deadline.

Change: ColdStart keeps the allowance of a server over all holders, ramps it by counted answers and uses a level above the cold allowance only as long as the incarnation is confirmed. ConcurrencyLimit follows latency against its floor, refusals and failures. DeadlineQueue serves first calls by deadline and refuses what cannot be served in time. An added share waits for a hold-off. A result of a call that does not run no longer frees a place.

Found by the model of several gates at one server, each with a test now: a call started in the very instant of a lost connection counted as proof of the former incarnation; a daemon that slept through two holder tables took its old share back without a hold-off (suspend()).

--- /dev/null
+++ b/libs/admission/include/admission/concurrencylimit.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+
+/// \file
+/// A limit of concurrent calls that follows what the calls saw.
+
+namespace sassafrasvane
+{
+
+/// Additive increase, multiplicative decrease (Chiu and Jain, "Analysis of the increase and decrease algorithms for
+/// congestion avoidance in computer networks", 1989), driven by latency against its own floor, refusals and failures.
+///
+/// \code
+/// ConcurrencyLimit limit;
+/// limit.onAnswered(now, mean, floor, running);
+/// const std::uint32_t allowed = limit.within(share);
+/// \endcode
+class ConcurrencyLimit
+{
+public:
+    /// Takes an answer. \param mean the present latency. \param floor its least value lately.
+    /// \param running calls that ran, this one included: a limit that is not used does not rise.
+    /// \param mayRise false if the server says that it is full.
+    void onAnswered(TimePoint now, Duration mean, Duration floor, std::size_t running, bool mayRise) noexcept;
+
+    /// Takes a refusal by the server. \param mean the present latency. \param running as for onAnswered().
+    void onRefused(TimePoint now, Duration mean, std::size_t running) noexcept;
+
+    /// Takes a failure of a call. \param mean the present latency. \param running as for onAnswered().
+    void onFailed(TimePoint now, Duration mean, std::size_t running) noexcept;
+
+    /// The limit, at least 1 and at most \p share; 0 if \p share is 0.
+    std::uint32_t within(std::uint32_t share) const noexcept;
+
+    /// No call is sent before this time, because the server refused several in a row.
+    TimePoint pausedUntil() const noexcept { return pausedUntil_; }
+
+private:
+    void decrease(TimePoint now, Duration mean, std::size_t running, double factor) noexcept;
+
+    /// Above any published number of slots until the first decrease: the share is the bound then.
+    double limit_ = 1 << 20;
+    TimePoint lastDecrease_;
+    TimePoint pausedUntil_;
+    std::uint32_t refusalsInRow_ = 0;
+};
+
+} // namespace sassafrasvane
--- a/libs/admission/include/admission/searchergate.h
+++ b/libs/admission/include/admission/searchergate.h
@@ -1,8 +1,10 @@
 #pragma once
 
-#include "base/error.h"
-#include "base/ids.h"
-#include "base/time.h"
+#include "admission/coldstart.h"
+#include "admission/concurrencylimit.h"
+#include "admission/deadlinequeue.h"
+#include "admission/gatemessages.h"
+#include "admission/servicetime.h"
 #include "settings/published.h"
 #include "shardmap/holders.h"
 
@@ -15,63 +17,17 @@
 namespace sassafrasvane
 {
 
-/// A call that wants to be sent.
-struct GateRequest {
-    CallId call;
-    ClassIndex cls;
-    /// The call is worthless after this time.
-    TimePoint deadline;
-    /// A hedge or a retry: gives way to first calls.
-    bool isExtra = false;
-};
-
-/// How a call that was started came back.
-struct GateResult {
-    CallId call;
-    enum class End {
-        Answered,
-        Refused, ///< The server refused without running it.
-        Failed,  ///< Connection lost, timed out or undecodable.
-    };
-    End end = End::Failed;
-    /// Time from start to end.
-    Duration latency{0};
-    /// The server's incarnation as it says in the reply; 0 if it says none.
-    Incarnation incarnation;
-    /// True if the server's refusal says that it is cold.
-    bool saysCold = false;
-    /// The server's own load report, only a hint: requests running and waiting. Negative if none.
-    int reportedLoad = -1;
-};
-
-/// A call that is turned away without having been sent.
-struct GateRefusal {
-    CallId call;
-    Errc reason = Errc::Overloaded;
-    /// When it may be worth asking again.
-    Duration retryAfter{0};
-};
-
-/// What the gate wants done after an event. The caller clears it before the next one.
-struct GateActions {
-    /// Calls to send now, in this order.
-    std::vector<CallId> start;
-    std::vector<GateRefusal> refuse;
-    /// When onTimer() wants to be called.
-    std::optional<TimePoint> wakeAt;
-
-    /// Empties all lists.
-    void clear() noexcept;
-};
-
 /// Bounds the calls that this daemon runs at one searcher.
 ///
 /// The searcher's slots are divided among its holders by HolderShare, so that the sum over all holders stays within
-/// them without any message. Calls over the share wait in a bounded queue in the order of their deadlines; a call whose
-/// deadline passes while it waits is refused, which provably means that it did not run.
+/// them without any message. Within its share the gate follows the searcher: a cold one gets its cold allowance (see
+/// ColdStart), one that queues, refuses or fails gets fewer calls at a time (see ConcurrencyLimit). Calls over that
+/// wait in a bounded queue by deadline, first calls before extra ones. A call that cannot be served before its deadline
+/// is refused at once, one whose deadline passes while it waits is refused then; a refused call provably did not run.
+/// Every offered call gets exactly one start or one refusal, unless cancel() took it out.
 ///
 /// \code
-/// SearcherGate gate = SearcherGate::Builder().limits(limits).share(share).build();
+/// SearcherGate gate = SearcherGate::Builder().limits(limits).share(share).becameHolderAt(now).build();
 /// gate.offer(now, request, actions);
 /// gate.onResult(now, result, actions);
 /// \endcode
@@ -80,35 +36,85 @@
 public:
     class Builder;
 
+    /// Time for which an added share stays unused: longer than the 3 s within which the former holder stops starting
+    /// calls, plus the time for which its last calls may run.
+    static constexpr Duration holdOff() noexcept { return std::chrono::seconds(6); }
+
+    /// Longest transit of a peer's report that onPeerWarmth() assumes when it is not told.
+    static constexpr Duration maxReportAge() noexcept { return std::chrono::seconds(1); }
+
     /// Takes a call that wants to be sent.
     void offer(TimePoint now, const GateRequest &request, GateActions &actions);
 
-    /// Takes the end of a call that was started.
+    /// Takes the end of a call that was started. The end of a call that does not run is ignored.
     void onResult(TimePoint now, const GateResult &result, GateActions &actions);
 
-    /// Drops a waiting call. \return false if it is not waiting.
+    /// Drops a waiting call. \return false if it is not waiting. A running call ends by onResult() only.
     bool cancel(TimePoint now, CallId call, GateActions &actions);
 
-    /// Refuses waiting calls whose deadline has passed.
+    /// Refuses waiting calls whose deadline has passed and starts what may start by now.
     void onTimer(TimePoint now, GateActions &actions);
 
-    /// Takes new limits or a new share. Calls that run are not touched.
+    /// Takes new limits or a new share. A smaller share applies at once, a larger one after holdOff(). Calls that run
+    /// are not touched.
     void setShare(TimePoint now, const BackEndLimits &limits, HolderShare share, GateActions &actions);
 
+    /// Starts nothing before holdOff() is over. To be called when this daemon may have missed a published table, as it
+    /// slept or was cut off while more than one came out: another daemon may have been holder in between.
+    void suspend(TimePoint now) noexcept;
+
+    /// Takes another holder's report on the same searcher.
+    /// \param age upper bound of the time since WarmthReport::confirmedAt, transit included.
+    void onPeerWarmth(TimePoint now, Incarnation incarnation, std::uint32_t allowance, Duration age = maxReportAge());
+
+    /// An idle connection to the searcher was closed by its end or broke: it may have restarted.
+    void onConnectionLost(TimePoint now) noexcept;
+
+    /// What to tell the other holders, or nothing.
+    std::optional<WarmthReport> warmth() const noexcept { return cold_.warmth(); }
+
+    /// Refuses all waiting calls, for a daemon that stops or is no holder any more.
+    void refuseAll(Errc reason, GateActions &actions);
+
+    /// Calls that may run at \p now.
+    std::uint32_t concurrency(TimePoint now) const noexcept;
+
+    /// Why the searcher is not used in full; None if it is.
+    ColdCause coldCause(TimePoint now) const noexcept { return cold_.cause(now); }
+
     /// Calls that run now.
-    std::size_t running() const noexcept { return running_; }
+    std::size_t running() const noexcept { return running_.size(); }
 
     /// Calls that wait now.
     std::size_t waiting() const noexcept { return queue_.size(); }
 
 private:
-    SearcherGate() = default;
+    /// A share that counts for a time after it was replaced.
+    struct EarlierShare {
+        HolderShare share;
+        TimePoint until;
+    };
+
+    SearcherGate();
     void pump(TimePoint now, GateActions &actions);
+    void startNext(TimePoint now, std::uint32_t allowed, GateActions &actions);
+    void setWakeUp(TimePoint now, GateActions &actions) const;
+    bool canMeetDeadline(TimePoint now, const GateRequest &request, std::uint32_t allowed) const noexcept;
+    Duration queueTime(std::size_t ahead, std::uint32_t allowed) const noexcept;
+    Duration retryAfter(TimePoint now, std::uint32_t allowed) const noexcept;
+    void learn(TimePoint now, const GateResult &result);
+    void onAnswer(TimePoint now, const GateResult &result);
 
-    std::uint32_t concurrency_ = 1;
-    std::size_t running_ = 0;
-    /// Sorted by deadline, the latest first.
-    std::vector<GateRequest> queue_;
+    BackEndLimits limits_;
+    HolderShare share_;
+    std::vector<EarlierShare> earlierShares_;
+    /// No call starts before this time.
+    TimePoint heldOffUntil_;
+    ColdStart cold_;
+    ConcurrencyLimit limit_;
+    ServiceTime service_;
+    DeadlineQueue queue_;
+    std::vector<CallId> running_;
 };
 
 /// Collects what a SearcherGate needs.
@@ -121,12 +127,17 @@
     /// This daemon's share of them.
     Builder &share(HolderShare share) noexcept;
 
+    /// The daemon became a holder of the searcher at \p now: nothing starts before holdOff() is over, as the former
+    /// holder may still be sending.
+    Builder &becameHolderAt(TimePoint now) noexcept;
+
     /// \return the gate.
     SearcherGate build() const;
 
 private:
     BackEndLimits limits_;
     HolderShare share_;
+    std::optional<TimePoint> becameHolderAt_;
 };
 
 } // namespace sassafrasvane
--- /dev/null
+++ b/libs/admission/src/concurrencylimit.cpp
@@ -0,0 +1,73 @@
+#include "admission/concurrencylimit.h"
+
+#include <algorithm>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Latency over its floor at which the server is taken to be queueing.
+constexpr double queueingFactor = 2;
+constexpr double queueingDecrease = 0.9;
+constexpr double refusalDecrease = 0.7;
+constexpr double failureDecrease = 0.5;
+/// Refusals in a row after which the gate pauses.
+constexpr std::uint32_t refusalsToPause = 3;
+constexpr Duration firstPause = 10ms;
+constexpr Duration maxPause = 1s;
+/// Keeps the shift within its type; 10 ms doubled seven times is above the longest pause already.
+constexpr std::uint32_t maxDoublings = 16;
+
+} // namespace
+
+void ConcurrencyLimit::onAnswered(TimePoint now,
+                                  Duration mean,
+                                  Duration floor,
+                                  std::size_t running,
+                                  bool mayRise) noexcept
+{
+    refusalsInRow_ = 0;
+    if (static_cast<double>(mean.count()) > queueingFactor * static_cast<double>(floor.count())) {
+        decrease(now, mean, running, queueingDecrease);
+        return;
+    }
+    if (mayRise && static_cast<double>(running) + 1 > limit_) {
+        limit_ += 1 / limit_;
+    }
+}
+
+void ConcurrencyLimit::onRefused(TimePoint now, Duration mean, std::size_t running) noexcept
+{
+    decrease(now, mean, running, refusalDecrease);
+    ++refusalsInRow_;
+    if (refusalsInRow_ >= refusalsToPause) {
+        const std::uint32_t doublings = std::min<std::uint32_t>(refusalsInRow_ - refusalsToPause, maxDoublings);
+        pausedUntil_ = now + std::min(maxPause, firstPause * (1U << doublings));
+    }
+}
+
+void ConcurrencyLimit::onFailed(TimePoint now, Duration mean, std::size_t running) noexcept
+{
+    decrease(now, mean, running, failureDecrease);
+}
+
+std::uint32_t ConcurrencyLimit::within(std::uint32_t share) const noexcept
+{
+    return std::min(share, static_cast<std::uint32_t>(limit_));
+}
+
+void ConcurrencyLimit::decrease(TimePoint now, Duration mean, std::size_t running, double factor) noexcept
+{
+    // Once for each round trip: the calls already sent do not know of the decrease yet.
+    if (now - lastDecrease_ < mean) {
+        return;
+    }
+    lastDecrease_ = now;
+    limit_ = std::max(1.0, std::min(limit_, static_cast<double>(running)) * factor);
+}
+
+} // namespace sassafrasvane
--- a/libs/admission/src/searchergate.cpp
+++ b/libs/admission/src/searchergate.cpp
@@ -8,8 +8,20 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
 /// Most calls that wait for one searcher.
 constexpr std::size_t maxWaiting = 256;
+/// After this time a holder without a share may have learned that the searcher is warm.
+constexpr Duration coldRetry = 250ms;
+constexpr Duration minRetry = 1ms;
+/// Latency over its floor at which the answer of a warming searcher shows strain.
+constexpr int strainFactor = 2;
+
+bool isSame(HolderShare left, HolderShare right) noexcept
+{
+    return left.rank == right.rank && left.holders == right.holders;
+}
 
 } // namespace
 
@@ -20,35 +32,39 @@
     wakeAt.reset();
 }
 
+SearcherGate::SearcherGate() : cold_(1, 1), queue_(maxWaiting)
+{
+}
+
 void SearcherGate::offer(TimePoint now, const GateRequest &request, GateActions &actions)
 {
+    const std::uint32_t allowed = concurrency(now);
     if (request.deadline <= now) {
         actions.refuse.push_back({request.call, Errc::DeadlinePassed, Duration{0}});
-        return;
-    }
-    if (queue_.size() >= maxWaiting) {
-        actions.refuse.push_back({request.call, Errc::Overloaded, request.deadline - now});
-        return;
+    } else if (allowed == 0 || !canMeetDeadline(now, request, allowed)) {
+        actions.refuse.push_back({request.call, Errc::Overloaded, retryAfter(now, allowed)});
+    } else if (const std::optional<GateRequest> evicted = queue_.push(request)) {
+        actions.refuse.push_back({evicted->call, Errc::Overloaded, retryAfter(now, allowed)});
     }
-    const auto place = std::find_if(queue_.begin(), queue_.end(), [&request](const GateRequest &other) {
-        return other.deadline <= request.deadline;
-    });
-    queue_.insert(place, request);
     pump(now, actions);
 }
 
-void SearcherGate::onResult(TimePoint now, const GateResult &, GateActions &actions)
+void SearcherGate::onResult(TimePoint now, const GateResult &result, GateActions &actions)
 {
-    running_ -= running_ > 0 ? 1 : 0;
+    const auto found = std::find(running_.begin(), running_.end(), result.call);
+    if (found != running_.end()) {
+        learn(now, result);
+        *found = running_.back();
+        running_.pop_back();
+    }
     pump(now, actions);
 }
 
 bool SearcherGate::cancel(TimePoint now, CallId call, GateActions &actions)
 {
-    const std::size_t erased
-        = std::erase_if(queue_, [call](const GateRequest &request) { return request.call == call; });
+    const bool isErased = queue_.erase(call);
     pump(now, actions);
-    return erased > 0;
+    return isErased;
 }
 
 void SearcherGate::onTimer(TimePoint now, GateActions &actions)
@@ -58,26 +74,170 @@
 
 void SearcherGate::setShare(TimePoint now, const BackEndLimits &limits, HolderShare share, GateActions &actions)
 {
-    concurrency_ = std::min(share.of(limits.slots), share.of(limits.connections));
+    limits_ = limits;
+    cold_.setLimits(limits.slots, limits.coldAllowance);
+    std::erase_if(earlierShares_, [now, this](const EarlierShare &earlier) {
+        return earlier.until <= now || isSame(earlier.share, share_);
+    });
+    if (!isSame(share, share_)) {
+        earlierShares_.push_back({share_, now + holdOff()});
+        share_ = share;
+    }
     pump(now, actions);
 }
 
+void SearcherGate::suspend(TimePoint now) noexcept
+{
+    heldOffUntil_ = std::max(heldOffUntil_, now + holdOff());
+}
+
+void SearcherGate::onPeerWarmth(TimePoint now, Incarnation incarnation, std::uint32_t allowance, Duration age)
+{
+    const Incarnation before = cold_.incarnation();
+    cold_.onPeerWarmth(now, incarnation, allowance, age);
+    if (cold_.incarnation() != before) {
+        service_.reset();
+    }
+}
+
+void SearcherGate::onConnectionLost(TimePoint now) noexcept
+{
+    cold_.onConnectionLost(now);
+}
+
+void SearcherGate::refuseAll(Errc reason, GateActions &actions)
+{
+    while (const std::optional<GateRequest> waiting = queue_.pop()) {
+        actions.refuse.push_back({waiting->call, reason, coldRetry});
+    }
+}
+
+std::uint32_t SearcherGate::concurrency(TimePoint now) const noexcept
+{
+    if (now < heldOffUntil_) {
+        return 0;
+    }
+    const std::uint32_t total = std::min(cold_.allowance(now), limits_.slots);
+    std::uint32_t allowed = std::min(share_.of(total), share_.of(limits_.connections));
+    for (const EarlierShare &earlier : earlierShares_) {
+        if (now < earlier.until) {
+            allowed = std::min({allowed, earlier.share.of(total), earlier.share.of(limits_.connections)});
+        }
+    }
+    return limit_.within(allowed);
+}
+
 void SearcherGate::pump(TimePoint now, GateActions &actions)
 {
-    while (!queue_.empty() && queue_.back().deadline <= now) {
-        actions.refuse.push_back({queue_.back().call, Errc::DeadlinePassed, Duration{0}});
-        queue_.pop_back();
+    while (const std::optional<GateRequest> expired = queue_.popExpired(now)) {
+        actions.refuse.push_back({expired->call, Errc::DeadlinePassed, Duration{0}});
     }
-    while (!queue_.empty() && running_ < concurrency_) {
-        actions.start.push_back(queue_.back().call);
-        queue_.pop_back();
-        ++running_;
+    const std::uint32_t allowed = concurrency(now);
+    if (allowed == 0) {
+        refuseAll(Errc::Overloaded, actions);
+    } else if (now >= limit_.pausedUntil()) {
+        startNext(now, allowed, actions);
     }
-    if (!queue_.empty()) {
-        actions.wakeAt = queue_.back().deadline;
+    setWakeUp(now, actions);
+}
+
+void SearcherGate::startNext(TimePoint now, std::uint32_t allowed, GateActions &actions)
+{
+    const Duration least = service_.least(now);
+    while (running_.size() < allowed && !queue_.isEmpty()) {
+        const GateRequest next = *queue_.pop();
+        if (now + least > next.deadline) {
+            actions.refuse.push_back({next.call, Errc::Overloaded, retryAfter(now, allowed)});
+            continue;
+        }
+        actions.start.push_back(next.call);
+        running_.push_back(next.call);
+    }
+}
+
+void SearcherGate::setWakeUp(TimePoint now, GateActions &actions) const
+{
+    actions.wakeAt = queue_.earliestDeadline();
+    if (!actions.wakeAt) {
+        return;
+    }
+    if (now < limit_.pausedUntil()) {
+        actions.wakeAt = std::min(*actions.wakeAt, limit_.pausedUntil());
+    }
+    for (const EarlierShare &earlier : earlierShares_) {
+        if (now < earlier.until) {
+            actions.wakeAt = std::min(*actions.wakeAt, earlier.until);
+        }
+    }
+    const std::optional<TimePoint> doubtAt = cold_.doubtAt();
+    if (doubtAt && now <= *doubtAt) {
+        actions.wakeAt = std::min(*actions.wakeAt, *doubtAt + Duration{1});
     }
 }
 
+bool SearcherGate::canMeetDeadline(TimePoint now, const GateRequest &request, std::uint32_t allowed) const noexcept
+{
+    const Duration least = service_.least(now);
+    if (queue_.isEmpty() && running_.size() < allowed && now >= limit_.pausedUntil()) {
+        return now + least <= request.deadline;
+    }
+    const TimePoint resumedAt = std::max(now, limit_.pausedUntil());
+    return resumedAt + queueTime(queue_.ahead(request), allowed) + least <= request.deadline;
+}
+
+Duration SearcherGate::queueTime(std::size_t ahead, std::uint32_t allowed) const noexcept
+{
+    // A running call is half done on average; then the calls ahead are served by all places in turn.
+    const Duration mean = service_.mean();
+    return (mean / 2 + mean * ahead) / std::max<std::uint32_t>(allowed, 1);
+}
+
+Duration SearcherGate::retryAfter(TimePoint now, std::uint32_t allowed) const noexcept
+{
+    if (allowed == 0) {
+        return std::max(coldRetry, heldOffUntil_ - now);
+    }
+    const Duration pause = std::max(Duration{0}, limit_.pausedUntil() - now);
+    return std::max(minRetry, pause + queueTime(queue_.size(), allowed));
+}
+
+void SearcherGate::learn(TimePoint now, const GateResult &result)
+{
+    const Duration mean = service_.mean();
+    switch (result.end) {
+    case GateResult::End::Answered:
+        onAnswer(now, result);
+        break;
+    case GateResult::End::Refused:
+        limit_.onRefused(now, mean, running_.size());
+        cold_.onRefused(now, result.incarnation, result.saysCold);
+        break;
+    case GateResult::End::Failed:
+        limit_.onFailed(now, mean, running_.size());
+        cold_.onFailed(now);
+        break;
+    }
+    if (result.isConnectionLost) {
+        cold_.onConnectionLost(now);
+    }
+}
+
+void SearcherGate::onAnswer(TimePoint now, const GateResult &result)
+{
+    const Incarnation before = cold_.incarnation();
+    const bool isSlow
+        = service_.mean() > strainFactor * service_.meanFloor(now) && service_.meanFloor(now) > Duration{0};
+    cold_.onAnswered(now, now - result.latency, result.incarnation, isSlow);
+    if (cold_.incarnation() != before) {
+        service_.reset();
+    }
+    if (service_.add(now, result.latency)) {
+        cold_.onSlower(now);
+    }
+    const bool hasRoom = result.reportedLoad <= static_cast<int>(limits_.slots);
+    limit_.onAnswered(now, service_.mean(), service_.meanFloor(now), running_.size(), hasRoom);
+}
+
 SearcherGate::Builder &SearcherGate::Builder::limits(const BackEndLimits &limits)
 {
     limits_ = limits;
@@ -90,11 +250,21 @@
     return *this;
 }
 
+SearcherGate::Builder &SearcherGate::Builder::becameHolderAt(TimePoint now) noexcept
+{
+    becameHolderAt_ = now;
+    return *this;
+}
+
 SearcherGate SearcherGate::Builder::build() const
 {
     SearcherGate gate;
-    GateActions actions;
-    gate.setShare(TimePoint(), limits_, share_, actions);
+    gate.limits_ = limits_;
+    gate.share_ = share_;
+    gate.cold_ = ColdStart(limits_.slots, limits_.coldAllowance);
+    if (becameHolderAt_) {
+        gate.heldOffUntil_ = *becameHolderAt_ + holdOff();
+    }
     return gate;
 }
 
--- /dev/null
+++ b/libs/admission/src/servicetime.cpp
@@ -0,0 +1,89 @@
+#include "admission/servicetime.h"
+
+#include <algorithm>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Weights of a sample in the short and in the long moving average.
+constexpr double shortWeight = 1.0 / 8;
+constexpr double longWeight = 1.0 / 64;
+/// A sample counts for at most this multiple of the long average.
+constexpr double clipFactor = 8;
+/// The short average over the long one at which a server has suddenly become slower: six clipped samples in a row.
+constexpr double suddenFactor = 4;
+/// Samples before a sudden change can be told.
+constexpr std::uint32_t minSamples = 64;
+/// Length of one of the two windows of the floors.
+constexpr Duration windowLength = 30s;
+
+double leastOf(double left, double right) noexcept
+{
+    if (left == 0 || right == 0) {
+        return std::max(left, right);
+    }
+    return std::min(left, right);
+}
+
+Duration toDuration(double micros) noexcept
+{
+    return Duration(static_cast<Duration::rep>(micros));
+}
+
+} // namespace
+
+bool ServiceTime::add(TimePoint now, Duration latency) noexcept
+{
+    const double micros = std::max(1.0, static_cast<double>(latency.count()));
+    ++samples_;
+    if (samples_ == 1) {
+        shortMean_ = micros;
+        longMean_ = micros;
+    } else {
+        const double clipped = std::min(micros, clipFactor * longMean_);
+        // A plain average until the long window has filled, so that the first sample does not weigh too much.
+        const double weight = std::max(longWeight, 1.0 / samples_);
+        shortMean_ += std::max(shortWeight, 1.0 / samples_) * (clipped - shortMean_);
+        longMean_ += weight * (clipped - longMean_);
+    }
+    if (samples_ >= minSamples && shortMean_ > suddenFactor * longMean_) {
+        reset();
+        return true;
+    }
+    rotate(now);
+    current_.mean = leastOf(current_.mean, shortMean_);
+    current_.sample = leastOf(current_.sample, micros);
+    return false;
+}
+
+Duration ServiceTime::meanFloor(TimePoint now) const noexcept
+{
+    return isStale(now) ? Duration{0} : toDuration(leastOf(current_.mean, previous_.mean));
+}
+
+Duration ServiceTime::least(TimePoint now) const noexcept
+{
+    return isStale(now) ? Duration{0} : toDuration(leastOf(current_.sample, previous_.sample));
+}
+
+void ServiceTime::rotate(TimePoint now) noexcept
+{
+    if (now - windowStart_ < windowLength) {
+        return;
+    }
+    previous_ = isStale(now) ? Floors() : current_;
+    current_ = Floors();
+    windowStart_ = now;
+}
+
+bool ServiceTime::isStale(TimePoint now) const noexcept
+{
+    return now - windowStart_ >= 2 * windowLength;
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/admission/tests/gatefleet.h
@@ -0,0 +1,324 @@
+#pragma once
+
+#include "admission/searchergate.h"
+
+#include <algorithm>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sassafrasvane
+{
+
+/// Time within which a daemon that is awake applies a new table.
+constexpr Duration stopAfter = std::chrono::seconds(3);
+
+/// Several gates at one fake server in virtual time, and the oracle that counts what runs there.
+class GateFleet
+{
+public:
+    /// \param daemons may be more than \p holders; a daemon whose rank is not below \p holders is none at present.
+    GateFleet(std::uint32_t daemons, std::uint32_t holders, std::uint32_t slots, std::uint32_t coldAllowance)
+        : limits_{"riders", slots, 64, Duration{0}, coldAllowance}, holderCount_(holders)
+    {
+        for (std::uint32_t i = 0; i < daemons; ++i) {
+            holders_.push_back({SearcherGate::Builder().limits(limits_).share({i, holders}).build(), i, i < holders});
+        }
+    }
+
+    void offer(std::size_t holder, Duration timeLeft, bool isExtra)
+    {
+        if (holders_[holder].isPaused || !holders_[holder].isHolder) {
+            return;
+        }
+        const CallId call{++lastCall_};
+        outcomes_[call] = 0;
+        callOf_[call] = {holder, call, now_, now_ + timeLeft, 0, false};
+        act(holder, [&](GateActions &actions) {
+            holders_[holder].gate.offer(now_, {call, ClassIndex{0}, now_ + timeLeft, isExtra}, actions);
+        });
+    }
+
+    /// Ends the running call at \p index.
+    void end(std::size_t index, GateResult::End end, bool saysCold, bool isConnectionLost, bool isDelayed)
+    {
+        if (running_.empty()) {
+            return;
+        }
+        const Call call = running_[index % running_.size()];
+        running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(index % running_.size()));
+        answers_ += end == GateResult::End::Answered ? 1 : 0;
+        const bool tells = end != GateResult::End::Failed;
+        results_.push_back(
+            {call,
+             {call.id, end, Duration{0}, tells ? Incarnation{life_} : Incarnation{}, saysCold, -1, isConnectionLost}});
+        if (!isDelayed) {
+            deliverResult(results_.size() - 1);
+        }
+    }
+
+    void deliverResult(std::size_t index)
+    {
+        if (results_.empty()) {
+            return;
+        }
+        index %= results_.size();
+        const Result pending = results_[index];
+        if (holders_[pending.call.holder].isPaused) {
+            return;
+        }
+        results_.erase(results_.begin() + static_cast<std::ptrdiff_t>(index));
+        Holder &holder = holders_[pending.call.holder];
+        // A timeout tells nothing of a restart.
+        const bool isReply = pending.call.life == life_ && pending.result.end != GateResult::End::Failed;
+        const bool isOfThisLife = isReply || pending.result.isConnectionLost;
+        holder.informedLife = isOfThisLife ? life_ : holder.informedLife;
+        GateResult result = pending.result;
+        result.latency = now_ - pending.call.startedAt;
+        act(pending.call.holder, [&](GateActions &actions) { holder.gate.onResult(now_, result, actions); });
+    }
+
+    /// Many calls one after the other, so that the server warms up.
+    void serve(std::size_t holder, std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            offer(holder, std::chrono::milliseconds(100), false);
+            advance(std::chrono::milliseconds(1));
+            const auto own = std::find_if(
+                running_.begin(), running_.end(), [holder](const Call &call) { return call.holder == holder; });
+            if (own != running_.end()) {
+                end(static_cast<std::size_t>(own - running_.begin()), GateResult::End::Answered, false, false, false);
+            }
+        }
+    }
+
+    /// The server restarts without a word; its calls end, which the holders learn at once or late.
+    void restart(Duration downFor, bool isDelayed)
+    {
+        const std::size_t lost = running_.size();
+        for (std::size_t i = 0; i < lost; ++i) {
+            end(0, GateResult::End::Failed, false, true, true);
+        }
+        isDown_ = true;
+        advance(downFor);
+        isDown_ = false;
+        ++life_;
+        answers_ = 0;
+        restartedAt_ = now_;
+        for (std::size_t i = 0; !isDelayed && i < lost; ++i) {
+            deliverResult(results_.size() - 1);
+        }
+    }
+
+    void advance(Duration time)
+    {
+        const TimePoint end = now_ + time;
+        while (now_ < end) {
+            now_ = std::min(end, now_ + std::chrono::milliseconds(20));
+            dropExpired();
+            applyStaleTables();
+            for (std::size_t i = 0; i < holders_.size(); ++i) {
+                if (!holders_[i].isPaused) {
+                    act(i, [&](GateActions &actions) { holders_[i].gate.onTimer(now_, actions); });
+                }
+            }
+        }
+    }
+
+    void togglePause(std::size_t holder)
+    {
+        holders_[holder].isPaused = !holders_[holder].isPaused;
+        applyStaleTables();
+    }
+
+    void publish(std::size_t holder)
+    {
+        if (const std::optional<WarmthReport> report = holders_[holder].gate.warmth()) {
+            messages_.push_back(*report);
+        }
+    }
+
+    void deliverMessage(std::size_t index, std::size_t holder, bool isKept)
+    {
+        if (messages_.empty() || holders_[holder].isPaused) {
+            return;
+        }
+        index %= messages_.size();
+        const WarmthReport report = messages_[index];
+        holders_[holder].gate.onPeerWarmth(now_, report.incarnation, report.allowance, now_ - report.confirmedAt);
+        if (!isKept) {
+            messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+    }
+
+    /// A new holder table gives every daemon another rank; each applies it within stopAfter.
+    void changeTable(std::size_t rotation)
+    {
+        for (Holder &holder : holders_) {
+            holder.rank = (holder.rank + rotation) % holders_.size();
+            holder.staleSince = std::min(holder.staleSince, now_);
+            ++holder.missedTables;
+        }
+    }
+
+    /// Applies the newest table at \p index now.
+    void applyTableAt(std::size_t index)
+    {
+        Holder &holder = holders_[index];
+        if (holder.isPaused) {
+            return;
+        }
+        holder.staleSince = TimePoint::max();
+        if (std::exchange(holder.missedTables, 0) > 1) {
+            holder.gate.suspend(now_);
+        }
+        const bool wasHolder = holder.isHolder;
+        holder.isHolder = holder.rank < holderCount_;
+        const HolderShare share{static_cast<std::uint32_t>(holder.rank), holderCount_};
+        act(index, [&](GateActions &actions) {
+            if (!holder.isHolder) {
+                holder.gate.refuseAll(Errc::NoServer, actions);
+            } else if (!wasHolder) {
+                holder.gate = SearcherGate::Builder().limits(limits_).share(share).becameHolderAt(now_).build();
+            } else {
+                holder.gate.setShare(now_, limits_, share, actions);
+            }
+        });
+    }
+
+    /// Ends everything; afterwards each offered call must have had one outcome and no gate may count a running call.
+    void drain()
+    {
+        for (Holder &holder : holders_) {
+            holder.isPaused = false;
+        }
+        advance(std::chrono::seconds(4));
+        while (!results_.empty()) {
+            deliverResult(0);
+        }
+        for (const Holder &holder : holders_) {
+            require(holder.gate.running() == 0 && holder.gate.waiting() == 0, "a gate still counts calls");
+        }
+        for (const auto &[call, outcomes] : outcomes_) {
+            require(outcomes == 1, "call " + std::to_string(call.value) + " had not one outcome");
+        }
+    }
+
+    std::uint32_t earned() const
+    {
+        std::uint32_t level = limits_.coldAllowance;
+        for (std::size_t i = 0; i < answers_ / ColdStart::successesPerStep() && level < limits_.slots; ++i) {
+            level *= 2;
+        }
+        return std::min(level, limits_.slots);
+    }
+
+    std::uint32_t concurrency(std::size_t holder) const { return holders_[holder].gate.concurrency(now_); }
+    std::size_t daemons() const { return holders_.size(); }
+    std::size_t startedCalls() const { return startedCalls_; }
+
+private:
+    struct Holder {
+        SearcherGate gate;
+        std::size_t rank = 0;
+        bool isHolder = true;
+        bool isPaused = false;
+        /// When the first table was published that the daemon has not applied.
+        TimePoint staleSince = TimePoint::max();
+        std::size_t missedTables = 0;
+        std::uint64_t informedLife = 1;
+    };
+
+    struct Call {
+        std::size_t holder = 0;
+        CallId id;
+        TimePoint startedAt;
+        TimePoint deadline;
+        std::uint64_t life = 0;
+        bool wasInformed = false;
+    };
+
+    struct Result {
+        Call call;
+        GateResult result;
+    };
+
+    static void require(bool condition, const std::string &what)
+    {
+        if (!condition) {
+            throw std::runtime_error(what);
+        }
+    }
+
+    template<typename Event>
+    void act(std::size_t holder, Event event)
+    {
+        GateActions actions;
+        event(actions);
+        for (const GateRefusal &refusal : actions.refuse) {
+            ++outcomes_.at(refusal.call);
+        }
+        for (const CallId call : actions.start) {
+            start(holder, call);
+        }
+    }
+
+    void start(std::size_t holder, CallId id)
+    {
+        ++startedCalls_;
+        ++outcomes_.at(id);
+        Call call = callOf_.at(id);
+        require(call.holder == holder && now_ < call.deadline, "a call was started late or elsewhere");
+        call.startedAt = now_;
+        call.life = life_;
+        call.wasInformed = holders_[holder].informedLife == life_ || now_ > restartedAt_ + ColdStart::doubtAfter();
+        if (isDown_) {
+            results_.push_back({call, {id, GateResult::End::Failed, Duration{0}, {}, false, -1, true}});
+            return;
+        }
+        running_.push_back(call);
+        require(running_.size() <= limits_.slots, "more calls than slots");
+        const std::size_t informed = static_cast<std::size_t>(
+            std::count_if(running_.begin(), running_.end(), [](const Call &other) { return other.wasInformed; }));
+        require(informed <= earned(), "more calls than the server has earned");
+    }
+
+    /// The server drops calls at their deadline and the holders see them time out.
+    void dropExpired()
+    {
+        for (std::size_t i = running_.size(); i > 0; --i) {
+            if (running_[i - 1].deadline <= now_) {
+                end(i - 1, GateResult::End::Failed, false, false, false);
+            }
+        }
+    }
+
+    void applyStaleTables()
+    {
+        for (std::size_t i = 0; i < holders_.size(); ++i) {
+            if (holders_[i].staleSince != TimePoint::max() && now_ - holders_[i].staleSince >= stopAfter) {
+                applyTableAt(i);
+            }
+        }
+    }
+
+    BackEndLimits limits_;
+    std::uint32_t holderCount_ = 1;
+    std::vector<Holder> holders_;
+    TimePoint now_{std::chrono::seconds(100)};
+    TimePoint restartedAt_;
+    std::uint64_t life_ = 1;
+    std::size_t answers_ = 0;
+    bool isDown_ = false;
+    std::uint64_t lastCall_ = 0;
+    std::size_t startedCalls_ = 0;
+    std::vector<Call> running_;
+    std::vector<Result> results_;
+    std::vector<WarmthReport> messages_;
+    std::map<CallId, int> outcomes_;
+    std::map<CallId, Call> callOf_;
+};
+
+} // namespace sassafrasvane
--- a/libs/admission/tests/searchergate_test.cpp
+++ b/libs/admission/tests/searchergate_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <utility>
+
 namespace sassafrasvane
 {
 
@@ -47,4 +49,145 @@
     BOOST_TEST((actions.refuse[0].reason == Errc::DeadlinePassed));
 }
 
+BOOST_AUTO_TEST_CASE(callThatCannotBeServedInTimeIsRefusedAtOnce)
+{
+    SearcherGate gate = SearcherGate::Builder().limits({"riders", 1, 25, 6ms, 1}).share({0, 1}).build();
+    GateActions actions;
+    TimePoint now = origin;
+    for (std::uint64_t call = 1; call <= 20; ++call) {
+        gate.offer(now, {CallId{call}, ClassIndex{0}, now + 1s}, actions);
+        now += 10ms;
+        gate.onResult(now, {CallId{call}, GateResult::End::Answered, 10ms, Incarnation{1}}, actions);
+    }
+    actions.clear();
+    gate.offer(now, {CallId{100}, ClassIndex{0}, now + 5ms}, actions);
+    BOOST_REQUIRE(actions.refuse.size() == 1U);
+    BOOST_TEST((actions.refuse[0].reason == Errc::Overloaded));
+    actions.clear();
+    for (std::uint64_t call = 101; call <= 106; ++call) {
+        gate.offer(now, {CallId{call}, ClassIndex{0}, now + 42ms}, actions);
+    }
+    // One runs for 10 ms, then one after the other: the fourth that waits would end at 45 ms.
+    BOOST_TEST(gate.waiting() == 3U);
+    BOOST_TEST(actions.refuse.size() == 2U);
+    BOOST_TEST((actions.refuse[0].retryAfter >= 20ms));
+}
+
+BOOST_AUTO_TEST_CASE(firstCallsGoBeforeExtraOnes)
+{
+    SearcherGate gate = SearcherGate::Builder().limits({"riders", 1, 25, 6ms, 1}).share({0, 1}).build();
+    GateActions actions;
+    gate.offer(origin, request(1, 50ms), actions);
+    gate.offer(origin, {CallId{2}, ClassIndex{0}, origin + 60ms, true}, actions);
+    gate.offer(origin, request(3, 90ms), actions);
+    actions.clear();
+    gate.onResult(origin + 5ms, {CallId{1}, GateResult::End::Answered, 5ms, Incarnation{1}}, actions);
+    BOOST_TEST((actions.start == std::vector<CallId>{CallId{3}}));
+}
+
+BOOST_AUTO_TEST_CASE(doubledAndForeignResultsDoNotFreeAPlace)
+{
+    SearcherGate gate = SearcherGate::Builder().limits({"riders", 1, 25, 6ms, 1}).share({0, 1}).build();
+    GateActions actions;
+    for (std::uint64_t call = 1; call <= 3; ++call) {
+        gate.offer(origin, request(call, 50ms), actions);
+    }
+    const GateResult result{CallId{1}, GateResult::End::Answered, 5ms, Incarnation{1}};
+    gate.onResult(origin + 5ms, result, actions);
+    gate.onResult(origin + 5ms, result, actions);
+    gate.onResult(origin + 5ms, {CallId{77}, GateResult::End::Answered, 5ms, Incarnation{1}}, actions);
+    BOOST_TEST(gate.running() == 1U);
+    BOOST_TEST(gate.waiting() == 1U);
+    BOOST_TEST(!gate.cancel(origin + 6ms, CallId{2}, actions));
+    BOOST_TEST(gate.cancel(origin + 6ms, CallId{3}, actions));
+}
+
+BOOST_AUTO_TEST_CASE(fullQueueTurnsAwayTheLastInOrder)
+{
+    SearcherGate gate = SearcherGate::Builder().limits({"riders", 1, 25, 6ms, 1}).share({0, 1}).build();
+    GateActions actions;
+    gate.offer(origin, request(1, 1s), actions);
+    gate.offer(origin, {CallId{2}, ClassIndex{0}, origin + 10ms, true}, actions);
+    for (std::uint64_t call = 3; actions.refuse.empty(); ++call) {
+        gate.offer(origin, request(call, 1s), actions);
+    }
+    BOOST_TEST((actions.refuse[0].call == CallId{2}));
+    BOOST_TEST((actions.refuse[0].reason == Errc::Overloaded));
+}
+
+BOOST_AUTO_TEST_CASE(refusalsInRowPauseTheGate)
+{
+    SearcherGate gate = SearcherGate::Builder().limits({"riders", 1, 25, 6ms, 1}).share({0, 1}).build();
+    GateActions actions;
+    for (std::uint64_t call = 1; call <= 4; ++call) {
+        gate.offer(origin, request(call, 500ms), actions);
+    }
+    for (std::uint64_t call = 1; call <= 3; ++call) {
+        gate.onResult(origin + 1ms, {CallId{call}, GateResult::End::Refused, 1ms, Incarnation{1}}, actions);
+    }
+    BOOST_TEST(gate.running() == 0U);
+    BOOST_TEST(gate.waiting() == 1U);
+    BOOST_REQUIRE(actions.wakeAt.has_value());
+    const TimePoint wakeAt = *actions.wakeAt;
+    BOOST_TEST((wakeAt > origin + 1ms && wakeAt < origin + 500ms));
+    gate.onTimer(wakeAt, actions);
+    BOOST_TEST(gate.running() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(largerShareWaitsAndSmallerOneAppliesAtOnce)
+{
+    const BackEndLimits limits{"riders", 4, 25, 6ms, 4};
+    SearcherGate gate = SearcherGate::Builder().limits(limits).share({0, 4}).build();
+    GateActions actions;
+    gate.setShare(origin, limits, {0, 1}, actions);
+    BOOST_TEST(gate.concurrency(origin + SearcherGate::holdOff() - 1us) == 1U);
+    BOOST_TEST(gate.concurrency(origin + SearcherGate::holdOff()) == 4U);
+    gate.setShare(origin + 10s, limits, {1, 2}, actions);
+    BOOST_TEST(gate.concurrency(origin + 10s) == 2U);
+    gate.suspend(origin + 20s);
+    BOOST_TEST(gate.concurrency(origin + 20s + SearcherGate::holdOff() - 1us) == 0U);
+    BOOST_TEST(gate.concurrency(origin + 20s + SearcherGate::holdOff()) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(newHolderHoldsOff)
+{
+    SearcherGate gate
+        = SearcherGate::Builder().limits({"riders", 1, 25, 6ms, 1}).share({0, 1}).becameHolderAt(origin).build();
+    GateActions actions;
+    gate.offer(origin, request(1, 1s), actions);
+    BOOST_REQUIRE(actions.refuse.size() == 1U);
+    BOOST_TEST((actions.refuse[0].retryAfter == SearcherGate::holdOff()));
+    gate.offer(origin + SearcherGate::holdOff(), request(2, 10s), actions);
+    BOOST_TEST((actions.start == std::vector<CallId>{CallId{2}}));
+}
+
+BOOST_AUTO_TEST_CASE(concurrencyFollowsWhatTheServerBears)
+{
+    const BackEndLimits limits{"riders", 32, 64, 6ms, 32};
+    SearcherGate gate = SearcherGate::Builder().limits(limits).share({0, 1}).build();
+    TimePoint now = origin;
+    std::uint64_t lastCall = 0;
+    GateActions actions;
+    std::vector<CallId> open;
+    // The server bears eight calls in 4 ms; more of them share its speed.
+    for (int round = 0; round < 400; ++round) {
+        actions.clear();
+        while (gate.running() < gate.concurrency(now)) {
+            gate.offer(now, {CallId{++lastCall}, ClassIndex{0}, now + 10s}, actions);
+        }
+        open.insert(open.end(), actions.start.begin(), actions.start.end());
+        const Duration latency = round < 20 ? Duration{4ms} : 4ms * std::max<std::size_t>(8, open.size()) / 8;
+        now += latency;
+        const std::vector<CallId> ended = std::exchange(open, {});
+        actions.clear();
+        for (const CallId call : ended) {
+            gate.onResult(now, {call, GateResult::End::Answered, latency, Incarnation{1}}, actions);
+        }
+        open = actions.start;
+    }
+    // At least what it bears; at most twice that, where latency is twice its floor, and the two calls of two increases.
+    BOOST_TEST(gate.concurrency(now) >= 8U);
+    BOOST_TEST(gate.concurrency(now) <= 18U);
+}
+
 } // namespace sassafrasvane
