--- /dev/null
+++ b/libs/admission/include/admission/outcomewindow.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <cstdint>
+
+/// \file
+/// Share of bad outcomes in the recent past.
+
+namespace sassafrasvane
+{
+
+/// Counts good and bad outcomes over the present and the previous window of time.
+///
+/// \code
+/// OutcomeWindow window(std::chrono::seconds(1));
+/// window.add(now, isGood);
+/// const double bad = window.badShare(now);
+/// \endcode
+class OutcomeWindow
+{
+public:
+    /// \param length of one window.
+    explicit OutcomeWindow(Duration length) noexcept : length_(length) { }
+
+    /// Notes an outcome.
+    void add(TimePoint now, bool isGood) noexcept;
+
+    /// Share of bad outcomes, in [0, 1]; 0 if there is none.
+    double badShare(TimePoint now) const noexcept;
+
+    /// Number of outcomes.
+    std::uint64_t total(TimePoint now) const noexcept;
+
+private:
+    struct Counts {
+        std::uint64_t good = 0;
+        std::uint64_t bad = 0;
+    };
+
+    Counts sum(TimePoint now) const noexcept;
+
+    Duration length_;
+    TimePoint start_;
+    Counts current_;
+    Counts previous_;
+};
+
+} // namespace sassafrasvane
