Spread of published values from peer to peer, with versions that only rise

Cause: a configuration must be in force everywhere within seconds, never revert, and outlive the platform's service. Change: ConfigSpread has two readers a failure domain and key, chosen by rendezvous hashing, watch the service; accepted versions are announced to three random peers, who fetch a block-hash difference checked by XXH3-128; whoever missed that sees the version in the next membership message. Newcomers ask peers before they trust the service. Invalid versions are refused whole and remembered. Predecessors are kept as reverse differences, so an hour's partition needs no whole texts. A fake fleet in virtual time drives membership, codec and spread together.

--- a/libs/fleet/include/fleet/messages.h
+++ b/libs/fleet/include/fleet/messages.h
@@ -84,8 +84,8 @@
 struct SpreadStatus {
     /// Accepted version of each ConfigKey; 0 for none.
     std::array<ConfigVersion, configKeyCount> versions;
-    /// Time since the service confirmed these versions to any daemon that this one heard of, in milliseconds.
-    std::uint32_t serviceAgeMs = UINT32_MAX;
+    /// Time since the service confirmed each version to any daemon that this one heard of, in milliseconds.
+    std::array<std::uint32_t, configKeyCount> serviceAgeMs{UINT32_MAX, UINT32_MAX, UINT32_MAX};
 
     bool operator==(const SpreadStatus &) const = default;
 };
--- a/libs/fleet/src/messageformat.cpp
+++ b/libs/fleet/src/messageformat.cpp
@@ -91,7 +91,9 @@
     for (const ConfigVersion version : message.status.versions) {
         writer.number(version.value);
     }
-    writer.number(message.status.serviceAgeMs);
+    for (const std::uint32_t age : message.status.serviceAgeMs) {
+        writer.number(age);
+    }
     writer.number(message.records.size());
     for (const MemberRecord &record : message.records) {
         writeRecord(writer, record);
@@ -111,7 +113,9 @@
     for (ConfigVersion &version : message.status.versions) {
         version = ConfigVersion{reader.number()};
     }
-    message.status.serviceAgeMs = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
+    for (std::uint32_t &age : message.status.serviceAgeMs) {
+        age = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
+    }
     // Grows with what was read, never by a count that was only claimed.
     for (std::uint64_t left = reader.number(maxRecordsPerMessage); left > 0 && reader.isGood(); --left) {
         message.records.push_back(readRecord(reader));
--- /dev/null
+++ b/libs/fleet/src/publishedvalue.cpp
@@ -0,0 +1,95 @@
+#include "publishedvalue.h"
+
+#include <algorithm>
+
+namespace sassafrasvane::detail
+{
+
+namespace
+{
+
+/// Predecessors kept: more than the changes of an hour at 2,300 a day, so that a healed partition needs no whole texts.
+constexpr std::size_t maxHistory = 256;
+
+/// Bytes of differences kept.
+constexpr std::size_t maxHistoryBytes = std::size_t{4} << 20;
+
+/// Prepared bodies kept.
+constexpr std::size_t maxBodies = 8;
+
+/// Refused versions remembered.
+constexpr std::size_t maxRefused = 32;
+
+} // namespace
+
+void PublishedValue::accept(ConfigVersion version, std::string text)
+{
+    std::shared_ptr<const std::string> next = std::make_shared<const std::string>(std::move(text));
+    if (text_) {
+        history_.push_back({version_, digest_, makeDelta(*next, *text_)});
+        historyBytes_ += history_.back().backwards.size();
+    }
+    while (history_.size() > maxHistory || historyBytes_ > maxHistoryBytes) {
+        historyBytes_ -= history_.front().backwards.size();
+        history_.pop_front();
+    }
+    version_ = version;
+    text_ = std::move(next);
+    digest_ = textDigest(*text_);
+    bodies_.clear();
+}
+
+void PublishedValue::refuse(ConfigVersion version)
+{
+    if (isRefused(version)) {
+        return;
+    }
+    if (refused_.size() >= maxRefused) {
+        refused_.erase(std::min_element(refused_.begin(), refused_.end()));
+    }
+    refused_.push_back(version);
+}
+
+bool PublishedValue::isRefused(ConfigVersion version) const noexcept
+{
+    return std::find(refused_.begin(), refused_.end(), version) != refused_.end();
+}
+
+ConfigVersion PublishedValue::highestSeen() const noexcept
+{
+    const auto highest = std::max_element(refused_.begin(), refused_.end());
+    return highest == refused_.end() ? version_ : std::max(version_, *highest);
+}
+
+ValueBody PublishedValue::bodyFor(ConfigVersion base, const TextDigest &digest)
+{
+    if (const auto prepared = bodies_.find(base); prepared != bodies_.end()) {
+        return prepared->second;
+    }
+    ValueBody whole{ConfigVersion{0}, text_};
+    const auto found = std::find_if(history_.begin(), history_.end(), [base, &digest](const Predecessor &predecessor) {
+        return predecessor.version == base && predecessor.digest == digest;
+    });
+    if (found == history_.end()) {
+        return whole;
+    }
+    std::string text = *text_;
+    for (auto step = history_.rbegin(); step != std::make_reverse_iterator(found); ++step) {
+        std::optional<std::string> former = applyDelta(text, step->backwards);
+        if (!former) {
+            return whole;
+        }
+        text = std::move(*former);
+    }
+    ValueBody body{base, std::make_shared<const std::string>(makeDelta(text, *text_))};
+    if (body.bytes->size() >= text_->size()) {
+        body = whole;
+    }
+    if (bodies_.size() >= maxBodies) {
+        bodies_.erase(bodies_.begin());
+    }
+    bodies_.emplace(base, body);
+    return body;
+}
+
+} // namespace sassafrasvane::detail
--- /dev/null
+++ b/libs/fleet/tests/fakefleet.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "fleet/configspread.h"
+#include "fleet/gossipcodec.h"
+#include "fleet/membership.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \file
+/// Daemons' fleet machines joined by a message queue in virtual time, and a fake of the platform's service.
+
+namespace sassafrasvane
+{
+
+/// What the fake network does to datagrams.
+struct FakeNetwork {
+    Duration latency = std::chrono::microseconds(1'500);
+    /// One way between regions.
+    Duration regionLatency = std::chrono::milliseconds(30);
+    double loss = 0;
+    /// True if nothing passes from one daemon to another, by their numbers.
+    std::function<bool(std::size_t, std::size_t)> isCut;
+};
+
+/// What a daemon has sent.
+struct FakeTraffic {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+    /// The second that is being counted, and the most bytes and messages of any second.
+    std::int64_t second = -1;
+    std::uint64_t secondBytes = 0;
+    std::uint64_t secondMessages = 0;
+    std::uint64_t peakBytes = 0;
+    std::uint64_t peakMessages = 0;
+};
+
+/// One daemon of the fake fleet.
+struct FakeDaemon {
+    MemberRecord record;
+    std::unique_ptr<Membership> membership;
+    std::unique_ptr<GossipCodec> codec;
+    std::unique_ptr<ConfigSpread> spread;
+    bool isRunning = false;
+    bool isPaused = false;
+    /// Counts the lives, so that events of an earlier one are dropped.
+    std::uint64_t life = 0;
+    TimePoint startedAt;
+    TimePoint timerAt = TimePoint::max();
+    FakeTraffic traffic;
+    /// When each version came into force in this life.
+    std::map<std::pair<ConfigKey, ConfigVersion>, TimePoint> inForceSince;
+};
+
+/// Changes of the state of members, as seen by others.
+struct FakeCounters {
+    /// Declared dead while running, unpaused and not cut off.
+    std::uint64_t falseDeaths = 0;
+    std::uint64_t deaths = 0;
+    /// A daemon took a version that was not above its former one.
+    std::uint64_t reverts = 0;
+    std::uint64_t serviceCalls = 0;
+    std::uint64_t peakServiceCalls = 0;
+    std::uint64_t refusedDatagrams = 0;
+};
+
+/// A fleet in virtual time.
+///
+/// \code
+/// FakeFleet fleet(8, seed);
+/// fleet.startAll();
+/// fleet.publish(ConfigKey::Configuration, "one");
+/// fleet.run(std::chrono::seconds(5));
+/// \endcode
+class FakeFleet
+{
+public:
+    /// \param count daemons, spread over two regions with \p domains failure domains each.
+    FakeFleet(std::size_t count, std::uint64_t seed, std::size_t domains = 4);
+
+    void start(std::size_t number);
+    void startAll();
+    /// Ends a daemon without a word.
+    void kill(std::size_t number);
+    void setPaused(std::size_t number, bool isPaused);
+    /// Publishes \p text as the next version of \p key. \return the version.
+    ConfigVersion publish(ConfigKey key, std::string text);
+    /// Publishes the list of all daemons.
+    void publishVms();
+    /// Makes the service fail every read.
+    void setServiceDown(bool isDown);
+    /// Makes the service serve what it served \p versionsBack versions ago.
+    void setServiceStale(std::uint64_t versionsBack) { versionsBack_ = versionsBack; }
+    void run(Duration duration);
+
+    TimePoint now() const noexcept { return now_; }
+    std::size_t size() const noexcept { return daemons_.size(); }
+    FakeDaemon &daemon(std::size_t number) { return daemons_[number]; }
+    FakeNetwork &network() noexcept { return network_; }
+    const FakeCounters &counters() const noexcept { return counters_; }
+    Random &random() noexcept { return random_; }
+    void resetCounters();
+
+    /// The state of daemon \p other as \p number sees it; Left if it does not know it.
+    MemberState seen(std::size_t number, std::size_t other) const;
+    /// True if every running daemon sees every running one alive and no other one reachable.
+    bool isAgreed() const;
+    /// True if every running daemon has the newest version of \p key.
+    bool isInForce(ConfigKey key) const;
+    /// Calls a membership function of \p number with its actions carried out.
+    void act(std::size_t number, const std::function<void(Membership &, MembershipActions &)> &function);
+
+    static bool isValid(std::string_view text) { return !text.starts_with("invalid"); }
+
+private:
+    enum class Kind { Datagram, Timer, Reply, WatchEnd };
+    struct Event {
+        TimePoint at;
+        std::uint64_t number = 0;
+        Kind kind = Kind::Timer;
+        std::size_t to = 0;
+        std::uint64_t life = 0;
+        std::size_t from = 0;
+        std::string bytes;
+        ConfigKey key = ConfigKey::Configuration;
+        std::uint64_t watch = 0;
+
+        bool operator>(const Event &other) const { return std::tie(at, number) > std::tie(other.at, other.number); }
+    };
+    struct Watch {
+        ConfigKey key = ConfigKey::Configuration;
+        ConfigVersion after;
+        std::size_t daemon = 0;
+        std::uint64_t life = 0;
+    };
+
+    void push(Event event);
+    void handle(Event &event);
+    void deliver(Event &event);
+    void reply(const Event &event);
+    void onTimer(std::size_t number);
+    void send(std::size_t from, DaemonId to, const FleetMessage &message);
+    void carryOut(std::size_t number, MembershipActions &actions);
+    void carryOut(std::size_t number, SpreadActions &actions);
+    void read(std::size_t number, const ServiceRead &read);
+    void schedule(std::size_t number, std::optional<TimePoint> wakeAt);
+    void noteChange(std::size_t number, const MemberChange &change);
+    ConfigVersion served(ConfigKey key) const;
+    bool canTalk(std::size_t from, std::size_t to) const;
+    VmList allVms(ConfigVersion version) const;
+
+    Random random_;
+    FakeNetwork network_;
+    TimePoint now_{std::chrono::hours(1)};
+    std::uint64_t lastEvent_ = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+    std::vector<FakeDaemon> daemons_;
+    std::map<DaemonId, std::size_t> numbers_;
+    std::array<std::vector<std::string>, configKeyCount> texts_;
+    std::map<std::uint64_t, Watch> watches_;
+    bool isServiceDown_ = false;
+    std::uint64_t versionsBack_ = 0;
+    std::int64_t callSecond_ = -1;
+    std::uint64_t callsThisSecond_ = 0;
+    FakeCounters counters_;
+};
+
+} // namespace sassafrasvane
