Entry advice for callers

Cause: callers ask which daemons to use and keep the answer; load must stay even without a balancer. Change: EntryAdvice gives three addresses of different failure domains, the caller's own first while that is not overloaded, each daemon equally often within a lifetime, starting with itself in an order that all share; suspected, leaving and taken-out daemons are left out, unless nobody else is there; lifetimes differ by a fifth either way.

--- /dev/null
+++ b/libs/fleet/src/entryadvice.cpp
@@ -0,0 +1,177 @@
+#include "fleet/entryadvice.h"
+
+#include <algorithm>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+/// Advices over the mean's multiple that a near daemon may have got, so that the first ones are not counted too finely.
+constexpr double nearAllowance = 2;
+
+bool isOut(std::span<const std::string> domainsOut, const std::string &failureDomain) noexcept
+{
+    return std::find(domainsOut.begin(), domainsOut.end(), failureDomain) != domainsOut.end();
+}
+
+} // namespace
+
+void EntryAdvice::setMembers(const MemberRecord &self,
+                             std::span<const Member> members,
+                             std::span<const std::string> domainsOut)
+{
+    std::vector<Member> all(members.begin(), members.end());
+    all.push_back({self, TimePoint(), false});
+    const auto isUsable = [&domainsOut](const Member &member) {
+        return member.takesWork() && !isOut(domainsOut, member.record.failureDomain);
+    };
+    // Advice must not be empty: then those that are only suspected or leaving serve too.
+    const bool isAnyUsable = std::any_of(all.begin(), all.end(), isUsable);
+    std::erase_if(all, [isAnyUsable, &isUsable](const Member &member) {
+        const bool isReachable
+            = member.record.state == MemberState::Alive || member.record.state == MemberState::Suspect;
+        return isAnyUsable ? !isUsable(member) : !isReachable;
+    });
+    if (all.empty()) {
+        all.push_back({self, TimePoint(), false});
+    }
+    std::vector<Candidate> next;
+    for (const Member &member : all) {
+        const MemberRecord &record = member.record;
+        next.push_back({record.daemon, record.callers, record.failureDomain, 0, mix(record.daemon.value)});
+    }
+    std::sort(next.begin(), next.end(), [](const Candidate &first, const Candidate &second) {
+        return first.order < second.order;
+    });
+    total_ = 0;
+    for (Candidate &candidate : next) {
+        const auto former = std::find_if(candidates_.begin(), candidates_.end(), [&candidate](const Candidate &other) {
+            return other.daemon == candidate.daemon;
+        });
+        candidate.given = former == candidates_.end() ? 0 : former->given;
+        total_ += candidate.given;
+    }
+    candidates_ = std::move(next);
+}
+
+void EntryAdvice::startWindow(TimePoint now)
+{
+    if (now < windowEnd_) {
+        return;
+    }
+    windowEnd_ = now + limits_.lifetime;
+    total_ = 0;
+    for (Candidate &candidate : candidates_) {
+        candidate.given = 0;
+    }
+}
+
+std::size_t EntryAdvice::leastGiven(std::string_view failureDomain) const
+{
+    const std::uint64_t ownOrder = mix(self_.value);
+    std::size_t best = candidates_.size();
+    for (std::size_t place = 0; place < candidates_.size(); ++place) {
+        const Candidate &candidate = candidates_[place];
+        if (!failureDomain.empty() && candidate.failureDomain != failureDomain) {
+            continue;
+        }
+        // Distances from the own place on the ring of 64-bit numbers.
+        const bool isBetter = best == candidates_.size()
+            || std::pair(candidate.given, candidate.order - ownOrder)
+                < std::pair(candidates_[best].given, candidates_[best].order - ownOrder);
+        best = isBetter ? place : best;
+    }
+    return best;
+}
+
+std::size_t EntryAdvice::choose(std::string_view failureDomain) const
+{
+    const std::size_t near = leastGiven(failureDomain);
+    if (failureDomain.empty() || near == candidates_.size()) {
+        return leastGiven({});
+    }
+    const double mean = static_cast<double>(total_) / static_cast<double>(candidates_.size());
+    const bool isOverloaded = candidates_[near].given > limits_.nearExcess * mean + nearAllowance;
+    return isOverloaded ? leastGiven({}) : near;
+}
+
+void EntryAdvice::addOthers(std::size_t first, std::vector<Address> &addresses)
+{
+    std::vector<std::size_t> others;
+    for (std::size_t place = 0; place < candidates_.size(); ++place) {
+        if (place != first) {
+            others.push_back(place);
+        }
+    }
+    for (std::size_t place = others.size(); place > 1; --place) {
+        std::swap(others[place - 1], others[random_.below(place)]);
+    }
+    std::vector<std::string_view> domains{candidates_[first].failureDomain};
+    // Other failure domains first; then any daemon.
+    std::stable_partition(others.begin(), others.end(), [this, &domains](std::size_t place) {
+        const std::string_view domain = candidates_[place].failureDomain;
+        const bool isNew = std::find(domains.begin(), domains.end(), domain) == domains.end();
+        if (isNew) {
+            domains.push_back(domain);
+        }
+        return isNew;
+    });
+    for (const std::size_t place : others) {
+        if (addresses.size() >= limits_.addresses) {
+            break;
+        }
+        addresses.push_back(candidates_[place].callers);
+    }
+}
+
+Duration EntryAdvice::drawLifetime() noexcept
+{
+    const double factor = 1 + limits_.lifetimeJitter * (2 * random_.unit() - 1);
+    return Duration(static_cast<Duration::rep>(static_cast<double>(limits_.lifetime.count()) * factor));
+}
+
+Advice EntryAdvice::advise(TimePoint now, std::string_view failureDomain)
+{
+    startWindow(now);
+    const std::size_t first = choose(failureDomain);
+    ++candidates_[first].given;
+    ++total_;
+    Advice advice;
+    advice.addresses.push_back(candidates_[first].callers);
+    addOthers(first, advice.addresses);
+    advice.lifetime = drawLifetime();
+    return advice;
+}
+
+EntryAdvice::Builder &EntryAdvice::Builder::self(const MemberRecord &record)
+{
+    self_ = record;
+    return *this;
+}
+
+EntryAdvice::Builder &EntryAdvice::Builder::seed(std::uint64_t seed) noexcept
+{
+    seed_ = seed;
+    return *this;
+}
+
+EntryAdvice::Builder &EntryAdvice::Builder::limits(const AdviceLimits &limits) noexcept
+{
+    limits_ = limits;
+    return *this;
+}
+
+EntryAdvice EntryAdvice::Builder::build(TimePoint now) const
+{
+    EntryAdvice advice;
+    advice.limits_ = limits_;
+    advice.random_ = Random(seed_);
+    advice.self_ = self_.daemon;
+    advice.windowEnd_ = now;
+    advice.setMembers(self_, {}, {});
+    return advice;
+}
+
+} // namespace sassafrasvane
