--- a/libs/once/include/once/messages.h
+++ b/libs/once/include/once/messages.h
@@ -36,8 +36,8 @@
 struct OnceAnswer {
     /// Ran::No is final: the request has not run and will not run under this identity.
     Ran ran = Ran::Unknown;
-    /// The reason, unless it ran. With Ran::Unknown, Errc::StaleIncarnation and Errc::TicketExpired mean that this copy
-    /// started nothing and that only another copy can have run.
+    /// The reason, unless it ran. With Ran::Unknown, Errc::StaleIncarnation means that this copy started nothing and
+    /// that only another copy can have run.
     Errc error = Errc::OutcomeUnknown;
     /// The server's HTTP status; 0 unless it ran.
     int status = 0;
--- a/libs/once/src/onceforwarder.cpp
+++ b/libs/once/src/onceforwarder.cpp
@@ -50,8 +50,8 @@
 
 OnceAnswer OnceForwarder::onOwnerAnswer(const OnceCopy &copy, OnceAnswer answer) const
 {
-    const bool hasStartedNothing = answer.error == Errc::StaleIncarnation || answer.error == Errc::TicketExpired;
-    if (answer.ran == Ran::Unknown && hasStartedNothing) {
+    // Not so for Errc::TicketExpired: a doubled forward may outlive the record of the first one.
+    if (answer.ran == Ran::Unknown && answer.error == Errc::StaleIncarnation) {
         return nothingStarted(copy, answer.error);
     }
     return answer;
--- a/libs/once/tests/onceforwarder_test.cpp
+++ b/libs/once/tests/onceforwarder_test.cpp
@@ -68,6 +68,7 @@
     const OnceForwarder entry = forwarder();
     const OnceCopy sole{"", true};
     BOOST_TEST((entry.onOwnerAnswer(sole, {Ran::Unknown, Errc::StaleIncarnation, 0, nullptr, 0s}).ran == Ran::No));
+    BOOST_TEST((entry.onOwnerAnswer(sole, {Ran::Unknown, Errc::TicketExpired, 0, nullptr, 0s}).ran == Ran::Unknown));
     BOOST_TEST((entry.onOwnerAnswer(sole, {Ran::Unknown, Errc::OutcomeUnknown, 0, nullptr, 0s}).ran == Ran::Unknown));
     BOOST_TEST((entry.onOwnerAnswer(sole, {Ran::Yes, Errc::Internal, 200, nullptr, 0s}).ran == Ran::Yes));
 }
