State test: a table that is full for a while and has room again

Change: the bound is on bytes of answers. Conclusion: removing the fence now fails the test; the test passes with it.

--- a/libs/once/tests/once_state_test.cpp
+++ b/libs/once/tests/once_state_test.cpp
@@ -162,7 +162,8 @@
 {
     OnceWorldLimits limits;
     limits.table.keepAfterExpiry = 15s;
-    limits.table.records = 1;
+    limits.table.largestAnswer = 100;
+    limits.table.answerBytes = 150;
     limits.table.refusals = 0;
     limits.table.waiters = 2;
     checkWorld(limits);
