Bar for requests that crash their servers

Cause: a request that crashes its server would be fanned out, hedged and sent again by its caller to other daemons.

Change: CrashBar lets an unknown request probe one server first, chosen by its fingerprint, so that all daemons' copies meet at one holder. The only request in doubt at a lost server gets strong evidence, its neighbours weak evidence; two strong crashes bar it for ten minutes, a success clears it. Entries merge by union, "or" and the earlier expiry, and are bounded to 1,024 fingerprints.

--- /dev/null
+++ b/libs/admission/src/crashbar.cpp
@@ -0,0 +1,233 @@
+#include "admission/crashbar.h"
+
+#include "base/random.h"
+
+#include <algorithm>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Events kept for one fingerprint. Weak ones are dropped first, as they never bar.
+constexpr std::size_t maxEvents = 8;
+/// Successful fingerprints that are remembered; 64 KiB.
+constexpr std::size_t maxSuccesses = 4096;
+/// Servers lost within lossWindow at which none of the requests is the likely cause.
+constexpr std::size_t manyServers = 3;
+constexpr Duration lossWindow = 1s;
+/// Weights in the order in which entries are dropped.
+constexpr std::uint32_t strongWeight = 16;
+
+} // namespace
+
+CrashBar::CrashBar(std::uint64_t seed) : seed_(seed), successes_(maxSuccesses)
+{
+}
+
+CrashVerdict CrashBar::check(TimePoint now, Fingerprint fingerprint) const noexcept
+{
+    const auto found = suspects_.find(fingerprint);
+    const std::uint32_t evidence = found == suspects_.end() ? 0 : weight(now, found->second);
+    if (evidence >= strongCrashesToBar() * strongWeight) {
+        return CrashVerdict::Barred;
+    }
+    if (evidence > 0) {
+        return now < found->second.lastCrash + suspectPause() ? CrashVerdict::Wait : CrashVerdict::Suspect;
+    }
+    return successes_.contains(now, fingerprint) ? CrashVerdict::Run : CrashVerdict::ProbeFirst;
+}
+
+bool CrashBar::mayJoin(TimePoint now, Fingerprint fingerprint, std::span<const Fingerprint> running) const noexcept
+{
+    if (!isSuspect(now, fingerprint)) {
+        return true;
+    }
+    return std::none_of(running.begin(), running.end(), [this, now, fingerprint](Fingerprint other) {
+        return other != fingerprint && isSuspect(now, other);
+    });
+}
+
+std::optional<SearcherId> CrashBar::probeServer(Fingerprint fingerprint,
+                                                std::span<const SearcherId> candidates) noexcept
+{
+    std::optional<SearcherId> best;
+    std::uint64_t bestHash = 0;
+    for (const SearcherId candidate : candidates) {
+        const std::uint64_t hash = mix(fingerprint.value, candidate.value);
+        if (!best || hash > bestHash) {
+            best = candidate;
+            bestHash = hash;
+        }
+    }
+    return best;
+}
+
+void CrashBar::onServerLost(TimePoint now, SearcherId searcher, std::span<const Fingerprint> running)
+{
+    std::vector<Fingerprint> all(running.begin(), running.end());
+    std::sort(all.begin(), all.end());
+    all.erase(std::unique(all.begin(), all.end()), all.end());
+    const auto isUnproven
+        = [this, now](Fingerprint fingerprint) { return check(now, fingerprint) != CrashVerdict::Run; };
+    const auto isSuspected = [this, now](Fingerprint fingerprint) { return isSuspect(now, fingerprint); };
+    // The likely causes: the suspects, or else those of which no success is known.
+    std::vector<Fingerprint> causes;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(causes), isSuspected);
+    if (causes.empty()) {
+        std::copy_if(all.begin(), all.end(), std::back_inserter(causes), isUnproven);
+    }
+    const bool isOneServer = !isManyLost(now, searcher);
+    const bool isCauseClear = isOneServer && causes.size() == 1;
+    for (const Fingerprint fingerprint : all) {
+        record(now, fingerprint, isCauseClear && fingerprint == causes.front());
+    }
+    makeRoom(now);
+}
+
+void CrashBar::onSuccess(TimePoint now, Fingerprint fingerprint) noexcept
+{
+    successes_.add(fingerprint, now + successLifetime());
+    const auto found = suspects_.find(fingerprint);
+    if (found == suspects_.end()) {
+        return;
+    }
+    for (Event &event : found->second.events) {
+        if (!event.isCleared) {
+            event.isCleared = true;
+            event.version = ++version_;
+        }
+    }
+}
+
+std::vector<CrashEntry> CrashBar::changes(TimePoint now, std::uint64_t since) const
+{
+    std::vector<CrashEntry> changed;
+    for (const auto &[fingerprint, suspect] : suspects_) {
+        for (const Event &event : suspect.events) {
+            if (event.version > since && now < event.expiresAt) {
+                changed.push_back({fingerprint, event.id, event.isStrong, event.isCleared, event.expiresAt - now});
+            }
+        }
+    }
+    return changed;
+}
+
+bool CrashBar::merge(TimePoint now, std::span<const CrashEntry> entries)
+{
+    bool isChanged = false;
+    for (const CrashEntry &entry : entries) {
+        if (entry.timeLeft <= Duration{0}) {
+            continue;
+        }
+        const TimePoint expiresAt = now + std::min(entry.timeLeft, entryLifetime());
+        const Event event{entry.event, entry.isStrong, entry.isCleared, expiresAt, 0};
+        isChanged = mergeEvent(suspects_[entry.fingerprint], event) || isChanged;
+    }
+    makeRoom(now);
+    return isChanged;
+}
+
+void CrashBar::onTimer(TimePoint now)
+{
+    for (auto &[fingerprint, suspect] : suspects_) {
+        std::erase_if(suspect.events, [now](const Event &event) { return event.expiresAt <= now; });
+    }
+    std::erase_if(suspects_, [](const auto &item) { return item.second.events.empty(); });
+    std::erase_if(losses_, [now](const Loss &loss) { return now - loss.at >= lossWindow; });
+}
+
+std::uint32_t CrashBar::weight(TimePoint now, const Suspect &suspect) const noexcept
+{
+    std::uint32_t sum = 0;
+    for (const Event &event : suspect.events) {
+        if (!event.isCleared && now < event.expiresAt) {
+            sum += event.isStrong ? strongWeight : 1;
+        }
+    }
+    return sum;
+}
+
+bool CrashBar::isSuspect(TimePoint now, Fingerprint fingerprint) const noexcept
+{
+    const auto found = suspects_.find(fingerprint);
+    return found != suspects_.end() && weight(now, found->second) > 0;
+}
+
+bool CrashBar::isManyLost(TimePoint now, SearcherId searcher)
+{
+    std::erase_if(losses_, [now, searcher](const Loss &loss) {
+        return now - loss.at >= lossWindow || loss.searcher == searcher;
+    });
+    losses_.push_back({searcher, now});
+    return losses_.size() >= manyServers;
+}
+
+void CrashBar::record(TimePoint now, Fingerprint fingerprint, bool isStrong)
+{
+    Suspect &suspect = suspects_[fingerprint];
+    const bool isSameCrash = !suspect.events.empty() && now < suspect.lastCrash + suspectPause();
+    if (isSameCrash) {
+        return;
+    }
+    suspect.lastCrash = now;
+    mergeEvent(suspect, {mix(seed_, ++events_), isStrong, false, now + entryLifetime(), 0});
+}
+
+// The union of both sets by id; what is known of one event is joined by "or" and the earlier expiry. All of these are
+// commutative, associative and idempotent.
+bool CrashBar::mergeEvent(Suspect &suspect, const Event &event)
+{
+    const auto place = std::lower_bound(suspect.events.begin(),
+                                        suspect.events.end(),
+                                        event.id,
+                                        [](const Event &left, std::uint64_t id) { return left.id < id; });
+    if (place == suspect.events.end() || place->id != event.id) {
+        suspect.events.insert(place, event)->version = ++version_;
+        dropLeastEvent(suspect);
+        return true;
+    }
+    const bool isChanged = (event.isCleared && !place->isCleared) || (event.isStrong && !place->isStrong);
+    place->isCleared = place->isCleared || event.isCleared;
+    place->isStrong = place->isStrong || event.isStrong;
+    place->expiresAt = std::min(place->expiresAt, event.expiresAt);
+    if (isChanged) {
+        place->version = ++version_;
+    }
+    return isChanged;
+}
+
+void CrashBar::dropLeastEvent(Suspect &suspect)
+{
+    if (suspect.events.size() <= maxEvents) {
+        return;
+    }
+    const auto rank = [](const Event &event) { return (event.isStrong ? 2 : 0) + (event.isCleared ? 0 : 1); };
+    const auto least
+        = std::min_element(suspect.events.begin(), suspect.events.end(), [rank](const Event &left, const Event &right) {
+              return rank(left) != rank(right) ? rank(left) < rank(right) : left.id > right.id;
+          });
+    suspect.events.erase(least);
+}
+
+void CrashBar::makeRoom(TimePoint now)
+{
+    if (suspects_.size() <= maxSuspects()) {
+        return;
+    }
+    onTimer(now);
+    while (suspects_.size() > maxSuspects()) {
+        const auto least
+            = std::min_element(suspects_.begin(), suspects_.end(), [this, now](const auto &left, const auto &right) {
+                  const std::uint32_t leftWeight = weight(now, left.second);
+                  const std::uint32_t rightWeight = weight(now, right.second);
+                  return leftWeight != rightWeight ? leftWeight < rightWeight : left.first < right.first;
+              });
+        suspects_.erase(least);
+    }
+}
+
+} // namespace sassafrasvane
