--- a/libs/daemon/include/daemon/peerlinks.h
+++ b/libs/daemon/include/daemon/peerlinks.h
@@ -48,6 +48,9 @@
     PeerLinks(const PeerLinks &) = delete;
     PeerLinks &operator=(const PeerLinks &) = delete;
 
+    /// Begins to accept the others' links.
+    void run();
+
     /// Sends \p message to \p to. Callable from any thread.
     void send(DaemonId to, PeerMessage message);
 
@@ -76,7 +79,7 @@
     /// All must be set.
     Builder &hooks(PeerLinkHooks hooks);
 
-    /// \return the links, listening; or Errc::Unavailable if the address cannot be bound.
+    /// \return the links, bound to their address; or Errc::Unavailable if the address cannot be bound.
     Result<std::unique_ptr<PeerLinks>> build();
 
 private:
--- a/libs/daemon/include/daemon/platformreader.h
+++ b/libs/daemon/include/daemon/platformreader.h
@@ -2,45 +2,46 @@
 
 #include "base/address.h"
 #include "base/error.h"
-#include "base/ids.h"
+#include "base/time.h"
+#include "fleet/configspread.h"
 
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 /// \file
-/// Reads and watches values of the platform's configuration service.
+/// Reads values of the platform's configuration service.
 
 namespace sassafrasvane
 {
 
-/// A value as the service gave it.
-struct PublishedValue {
-    std::string key;
+/// The service's answer to a read.
+struct PlatformValue {
+    ConfigKey key = ConfigKey::Configuration;
     ConfigVersion version;
-    /// JSON text.
-    std::string value;
+    /// JSON text; empty if the version is not above the one that the read named.
+    std::string text;
+    /// When the read was sent.
+    TimePoint askedAt;
 };
 
-/// What the reader tells; called on its threads.
+/// What the reader tells; called on its threads, one of them for each read.
 struct PlatformHooks {
-    /// A value was read, newer than the last one read here or not.
-    std::function<void(PublishedValue value)> onValue;
-    /// A call failed; for the log.
-    std::function<void(const Error &error)> onError;
+    std::function<void(PlatformValue value)> onValue;
+    std::function<void(ConfigKey key, const Error &error)> onFailed;
 };
 
-/// Watches each key with one waiting call at a time.
+/// Makes the reads that it is told to, one at a time for each key, each on a connection that is kept.
 ///
 /// \code
-/// PlatformReader reader(address, {"configuration"}, hooks);
+/// PlatformReader reader(address, hooks);
+/// reader.read({ConfigKey::Configuration, version, 1s});
 /// \endcode
 class PlatformReader
 {
 public:
-    /// \param keys names of the values. \param hooks both must be set.
-    PlatformReader(const Address &address, const std::vector<std::string> &keys, PlatformHooks hooks);
+    /// \param address of the service. \param hooks both must be set.
+    PlatformReader(const Address &address, PlatformHooks hooks);
 
     /// Ends the threads.
     ~PlatformReader();
@@ -48,7 +49,10 @@
     PlatformReader(const PlatformReader &) = delete;
     PlatformReader &operator=(const PlatformReader &) = delete;
 
-    /// Ends the threads; called once.
+    /// Makes a read; answered once by a hook, unless the reader stops before. Callable from any thread.
+    void read(const ServiceRead &read);
+
+    /// Ends the threads.
     void stop();
 
 private:
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include "admission/searchergate.h"
 #include "answerrecorder.h"
 #include "base/random.h"
 #include "daemon/callerserver.h"
@@ -24,17 +25,13 @@
 
 using namespace std::chrono_literals;
 
-/// How long callers may keep the addresses that they were given.
-constexpr Duration adviceLifetime = 10s;
-/// Addresses given to a caller.
-constexpr std::size_t adviceSize = 3;
 /// The longest deadline of accepted work.
 constexpr Duration longestWork = 10s;
 
 StopTimes stopTimes()
 {
     StopTimes times;
-    times.longestAdvice = adviceLifetime;
+    times.longestAdvice = FleetTask::longestAdvice();
     times.longestTicket = OnceTask::ticketLifetime;
     times.longestWork = longestWork;
     return times;
@@ -64,7 +61,7 @@
     ViewBuilder viewBuilder;
     std::shared_ptr<const PublishedView> view;
     std::vector<Member> members;
-    Random adviceRandom{randomNonce()};
+    TimePoint readyAt;
 
     std::unique_ptr<PeerLinks> links;
     std::unique_ptr<LeafTask> leaf;
@@ -86,9 +83,8 @@
     detail::StopHooks stopHooks();
     void onMessage(LinkId link, PeerMessage message);
     void onUnsent(DaemonId to, PeerMessage message);
-    void onValue(const PublishedValue &value);
-    template<typename Value>
-    bool takeValue(const PublishedValue &published, Result<Value> read);
+    void onAccepted(const AcceptedValue &value);
+    void onRefused(const RefusedValue &value);
     void onMembers(const std::vector<Member> &changed);
     void onPhase(StopPhase phase);
     std::string startQuery(CallerQuery query, const std::string &traceparent, const CallerReply &reply);
@@ -117,6 +113,9 @@
             entry->onReply(std::move(reply));
         }
     };
+    hooks.checkLease = [this] { return fleet->checkLease(); };
+    hooks.sendWarmthQuery = [this](DaemonId to, WarmthQuery query) { links->send(to, std::move(query)); };
+    hooks.sendWarmthReply = [this](LinkId link, WarmthReply reply) { links->reply(link, std::move(reply)); };
     hooks.onSpan = [this](Span span) {
         const TraceContext context = span.context;
         const bool isRefused = span.status == SpanStatus::Error;
@@ -151,6 +150,10 @@
         once->onForward(link, std::move(*forward));
     } else if (OnceForwardReply *forwardReply = std::get_if<OnceForwardReply>(&message)) {
         once->onForwardReply(std::move(*forwardReply));
+    } else if (WarmthQuery *query = std::get_if<WarmthQuery>(&message)) {
+        leaf->onWarmthQuery(link, std::move(*query));
+    } else if (WarmthReply *warmth = std::get_if<WarmthReply>(&message)) {
+        leaf->onWarmthReply(std::move(*warmth));
     }
 }
 
@@ -197,6 +200,9 @@
 {
     FleetHooks hooks;
     hooks.onMembers = [this](const std::vector<Member> &changed) { onMembers(changed); };
+    hooks.onAccepted = [this](const AcceptedValue &value) { onAccepted(value); };
+    hooks.onRefused = [this](const RefusedValue &value) { onRefused(value); };
+    hooks.read = [this](const ServiceRead &read) { platform->read(read); };
     hooks.onError = [this](const Error &error) { log(error); };
     return hooks;
 }
@@ -213,7 +219,7 @@
     hooks.entries = [this](const std::string &failureDomain) { return entries(failureDomain); };
     hooks.isReady = [this] {
         const std::lock_guard<std::mutex> lock(viewMutex);
-        return view != nullptr && stop->phase() == StopPhase::Serving;
+        return view != nullptr && BootClock::now() >= readyAt && stop->phase() == StopPhase::Serving;
     };
     return hooks;
 }
@@ -324,80 +330,55 @@
 
 EntriesAnswer Daemon::Implementation::entries(const std::string &failureDomain)
 {
+    const Advice advice = fleet->advise(failureDomain);
     EntriesAnswer answer;
-    answer.lifetime = adviceLifetime;
-    const bool isServing = stop->phase() == StopPhase::Serving;
-    std::vector<std::pair<std::string, Address>> candidates;
-    {
-        const std::lock_guard<std::mutex> lock(viewMutex);
-        for (const Member &member : members) {
-            const bool isOut = view != nullptr && view->configuration->isOut(member.record.failureDomain);
-            if (member.takesWork() && !isOut) {
-                candidates.emplace_back(member.record.failureDomain, member.record.callers);
-            }
-        }
-        if (isServing) {
-            candidates.emplace_back(settings.failureDomain, settings.callers);
-        }
-        for (std::size_t i = 0; i + 1 < candidates.size(); ++i) {
-            std::swap(candidates[i], candidates[i + adviceRandom.below(candidates.size() - i)]);
-        }
-    }
-    std::stable_partition(candidates.begin(), candidates.end(), [&failureDomain](const auto &entry) {
-        return entry.first == failureDomain;
-    });
-    for (std::size_t i = 0; i < std::min(adviceSize, candidates.size()); ++i) {
-        answer.entries.push_back(candidates[i].second.toString());
+    answer.lifetime = advice.lifetime;
+    for (const Address &address : advice.addresses) {
+        answer.entries.push_back(address.toString());
     }
-    if (answer.entries.empty()) {
-        answer.entries.push_back(settings.callers.toString());
-    }
-    if (isServing) {
+    if (stop->phase() == StopPhase::Serving) {
         answer.ticket = once->issueTicket();
     }
     return answer;
 }
 
-template<typename Value>
-bool Daemon::Implementation::takeValue(const PublishedValue &published, Result<Value> read)
-{
-    const std::string what = published.key + " version " + std::to_string(published.version.value);
-    if (read.has_error()) {
-        log(read.error());
-        observability.journal.record(
-            {wallClockMicros(), DecisionKind::ConfigurationRejected, {}, {}, {}, what + ": " + read.error().detail});
-        return false;
-    }
-    const bool isTaken = viewBuilder.take(std::move(read.value()));
-    if (isTaken) {
-        observability.journal.record({wallClockMicros(), DecisionKind::ConfigurationAccepted, {}, {}, {}, what});
-    }
-    return isTaken;
-}
-
-void Daemon::Implementation::onValue(const PublishedValue &value)
+void Daemon::Implementation::onAccepted(const AcceptedValue &value)
 {
     const std::lock_guard<std::mutex> lock(viewMutex);
-    bool isTaken = false;
-    if (value.key == "configuration") {
-        isTaken = takeValue(value, readConfiguration(value.value, value.version));
-    } else if (value.key == "shardmap") {
-        isTaken = takeValue(value, readShardMap(value.value, value.version));
-    } else if (value.key == "vms") {
-        isTaken = takeValue(value, readVmList(value.value, value.version));
-    }
-    if (!isTaken) {
-        return;
-    }
+    switch (value.key) {
+    case ConfigKey::Configuration:
+        viewBuilder.take(readConfiguration(*value.text, value.version).value());
+        break;
+    case ConfigKey::ShardMap:
+        viewBuilder.take(readShardMap(*value.text, value.version).value());
+        break;
+    case ConfigKey::Vms:
+        viewBuilder.take(readVmList(*value.text, value.version).value());
+        break;
+    }
+    const std::string text = std::string(name(value.key)) + " version " + std::to_string(value.version.value);
+    observability.journal.record({wallClockMicros(), DecisionKind::ConfigurationAccepted, {}, {}, {}, text});
     const std::shared_ptr<const PublishedView> next = viewBuilder.view();
     if (next != nullptr) {
+        if (view == nullptr) {
+            // Until then the searchers that this daemon holds may still be used by a former holder.
+            readyAt = BootClock::now() + SearcherGate::holdOff();
+        }
         view = next;
         leaf->setView(next);
         entry->setView(next);
-        fleet->setPublished(next->vms);
+        fleet->setDomainsOut(next->configuration->domainsOut);
     }
 }
 
+void Daemon::Implementation::onRefused(const RefusedValue &value)
+{
+    log(value.error);
+    const std::string text
+        = std::string(name(value.key)) + " version " + std::to_string(value.version.value) + ": " + value.error.detail;
+    observability.journal.record({wallClockMicros(), DecisionKind::ConfigurationRejected, {}, {}, {}, text});
+}
+
 void Daemon::Implementation::onPhase(StopPhase phase)
 {
     observability.journal.record(
@@ -451,9 +432,16 @@
         return builtLinks.error();
     }
     links = std::move(builtLinks.value());
+    PlatformHooks platformHooks;
+    platformHooks.onValue = [this](PlatformValue value) { fleet->onServiceValue(std::move(value)); };
+    platformHooks.onFailed = [this](ConfigKey key, const Error &error) {
+        log(error);
+        fleet->onServiceFailed(key);
+    };
+    platform = std::make_unique<PlatformReader>(settings.platform, std::move(platformHooks));
     const FleetIdentity identity{
         self, incarnation, settings.callers, settings.failureDomain, settings.region, settings.peerKeys};
-    Result<std::unique_ptr<FleetTask>> builtFleet = FleetTask::start(identity, fleetHooks());
+    Result<std::unique_ptr<FleetTask>> builtFleet = FleetTask::create(identity, fleetHooks());
     if (builtFleet.has_error()) {
         return builtFleet.error();
     }
@@ -463,11 +451,8 @@
         return builtCallers.error();
     }
     callers = std::move(builtCallers.value());
-    PlatformHooks platformHooks;
-    platformHooks.onValue = [this](const PublishedValue &value) { onValue(value); };
-    platformHooks.onError = [this](const Error &error) { log(error); };
-    platform = std::make_unique<PlatformReader>(
-        settings.platform, std::vector<std::string>{"configuration", "shardmap", "vms"}, std::move(platformHooks));
+    links->run();
+    fleet->run();
     return boost::outcome_v2::success();
 }
 
--- a/libs/daemon/src/fleettask.cpp
+++ b/libs/daemon/src/fleettask.cpp
@@ -3,12 +3,15 @@
 #include "base/random.h"
 #include "daemon/eventloop.h"
 #include "fleet/gossipcodec.h"
+#include "settings/published.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include <algorithm>
 #include <array>
 #include <future>
+#include <mutex>
 
 namespace sassafrasvane
 {
@@ -16,16 +19,19 @@
 namespace
 {
 
+using namespace std::chrono_literals;
 using boost::asio::ip::udp;
 
 constexpr std::size_t receiveBufferSize = 2048;
+/// Mean lifetime of the addresses given to callers. It bounds how long a planned stop takes.
+constexpr Duration adviceLifetime = 20s;
 
 udp::endpoint endpointOf(const Address &address)
 {
     return {boost::asio::ip::address_v4(address.ip), address.port};
 }
 
-Membership makeMembership(const FleetIdentity &identity, TimePoint now)
+MemberRecord recordOf(const FleetIdentity &identity)
 {
     MemberRecord record;
     record.daemon = identity.daemon;
@@ -33,14 +39,50 @@
     record.callers = identity.callers;
     record.failureDomain = identity.failureDomain;
     record.region = identity.region;
-    return Membership::Builder().self(record).seed(mix(identity.daemon.value, identity.incarnation.value)).build(now);
+    return record;
+}
+
+Result<void> validate(ConfigKey key, ConfigVersion version, std::string_view text)
+{
+    switch (key) {
+    case ConfigKey::Configuration:
+        if (const Result<Configuration> read = readConfiguration(text, version); read.has_error()) {
+            return read.error();
+        }
+        break;
+    case ConfigKey::ShardMap:
+        if (const Result<ShardMap> read = readShardMap(text, version); read.has_error()) {
+            return read.error();
+        }
+        break;
+    case ConfigKey::Vms:
+        if (const Result<VmList> read = readVmList(text, version); read.has_error()) {
+            return read.error();
+        }
+        break;
+    }
+    return boost::outcome_v2::success();
+}
+
+AdviceLimits adviceLimits()
+{
+    AdviceLimits limits;
+    limits.lifetime = adviceLifetime;
+    return limits;
 }
 
 } // namespace
 
 struct FleetTask::Implementation {
     Implementation(const FleetIdentity &identity, GossipCodec codec, FleetHooks hooks)
-        : hooks(std::move(hooks)), codec(std::move(codec)), membership(makeMembership(identity, BootClock::now()))
+        : hooks(std::move(hooks))
+        , codec(std::move(codec))
+        , seed(mix(identity.daemon.value, identity.incarnation.value))
+        , startedAt(BootClock::now())
+        , membership(Membership::Builder().self(recordOf(identity)).seed(seed).build(startedAt))
+        , spread(ConfigSpread::Builder().self(recordOf(identity)).validator(validate).seed(mix(seed)).build(startedAt))
+        , lease(startedAt)
+        , advice(EntryAdvice::Builder().self(recordOf(identity)).seed(seed).limits(adviceLimits()).build(startedAt))
     {
     }
 
@@ -50,16 +92,36 @@
     udp::endpoint sender;
     FleetHooks hooks;
     GossipCodec codec;
+    std::uint64_t seed;
+    TimePoint startedAt;
     Membership membership;
-    MembershipActions actions;
-    /// Of the timer that counts; earlier ones that still fire are ignored.
-    TimePoint wakeAt;
+    ConfigSpread spread;
+    MembershipActions memberActions;
+    SpreadActions spreadActions;
+    std::vector<std::string> domainsOut;
+    /// When the service was last asked for each key with success. What is known is as old as the oldest of them.
+    std::array<TimePoint, configKeyCount> serviceAskedAt;
+    /// The timers that count; earlier ones that still fire are ignored.
+    TimePoint membershipWake;
+    TimePoint spreadWake;
+    TimePoint leaseWake;
+
+    mutable std::mutex sharedMutex;
+    KnowledgeLease lease;
+    EntryAdvice advice;
+    FleetCounters counters;
 
     void receive();
     void take(std::string_view bytes);
     void apply();
+    void applyMembership();
+    void applySpread();
+    void adoptMembers();
+    void onContact(const PeerContact &contact);
+    void applyLease(const LeaseActions &actions);
     void send(DaemonId to, const FleetMessage &message);
-    void tick();
+    void schedule(TimePoint &slot, const std::optional<TimePoint> &wakeAt, const std::function<void()> &work);
+    void confirm(TimePoint askedAt, bool isCurrent);
 };
 
 void FleetTask::Implementation::receive()
@@ -79,40 +141,146 @@
 void FleetTask::Implementation::take(std::string_view bytes)
 {
     const Address from{sender.address().to_v4().to_uint(), sender.port()};
+    const TimePoint now = BootClock::now();
     const Result<FleetMessage> message = codec.decode(from, bytes);
+    Result<void> taken = boost::outcome_v2::success();
     if (message.has_error()) {
-        hooks.onError(message.error());
-        return;
+        taken = message.error();
+    } else if (const GossipMessage *gossip = std::get_if<GossipMessage>(&message.value())) {
+        taken = membership.handle(now, *gossip, memberActions);
+    } else {
+        taken = spread.handle(now, std::get<ConfigMessage>(message.value()), spreadActions);
     }
-    if (const GossipMessage *gossip = std::get_if<GossipMessage>(&message.value())) {
-        const Result<void> taken = membership.handle(BootClock::now(), *gossip, actions);
-        if (taken.has_error()) {
-            hooks.onError(taken.error());
-        }
-        apply();
+    if (taken.has_error()) {
+        hooks.onError(taken.error());
+    }
+    {
+        const std::lock_guard<std::mutex> lock(sharedMutex);
+        counters.bytesReceived += bytes.size();
+        counters.datagramsRefused += taken.has_error() ? 1 : 0;
     }
+    apply();
 }
 
+// Applies what the machines want done, until they want no more: each may give the other something to do.
 void FleetTask::Implementation::apply()
 {
+    applyMembership();
+    applySpread();
+    membership.setStatus(spread.status(BootClock::now()));
+}
+
+void FleetTask::Implementation::applyMembership()
+{
+    MembershipActions actions = std::move(memberActions);
+    memberActions.clear();
     if (actions.ownIncarnation) {
         codec.setIncarnation(*actions.ownIncarnation);
     }
     for (const GossipSend &out : actions.sends) {
         send(out.to, out.message);
     }
+    for (const PeerContact &contact : actions.contacts) {
+        onContact(contact);
+    }
     if (!actions.changes.empty()) {
-        hooks.onMembers(membership.members());
+        adoptMembers();
     }
-    if (actions.wakeAt && (wakeAt <= BootClock::now() || *actions.wakeAt < wakeAt)) {
-        wakeAt = *actions.wakeAt;
-        loop.at(wakeAt, [this, due = wakeAt] {
-            if (due == wakeAt) {
-                tick();
-            }
-        });
+    schedule(membershipWake, actions.wakeAt, [this] { membership.onTimer(BootClock::now(), memberActions); });
+}
+
+void FleetTask::Implementation::adoptMembers()
+{
+    const std::vector<Member> members = membership.members();
+    spread.setMembers(BootClock::now(), members);
+    {
+        const std::lock_guard<std::mutex> lock(sharedMutex);
+        advice.setMembers(membership.self(), members, domainsOut);
+    }
+    hooks.onMembers(members);
+}
+
+void FleetTask::Implementation::onContact(const PeerContact &contact)
+{
+    spread.onPeerStatus(BootClock::now(), contact.peer, contact.status, spreadActions);
+    if (contact.probedAt) {
+        confirm(*contact.probedAt, !spread.isBehind(contact.status));
+    }
+}
+
+void FleetTask::Implementation::confirm(TimePoint askedAt, bool isCurrent)
+{
+    const std::lock_guard<std::mutex> lock(sharedMutex);
+    lease.onAnswer(BootClock::now(), askedAt, isCurrent);
+}
+
+void FleetTask::Implementation::applySpread()
+{
+    SpreadActions actions = std::move(spreadActions);
+    spreadActions.clear();
+    for (const ConfigSend &out : actions.sends) {
+        send(out.to, out.message);
+    }
+    for (const ServiceRead &read : actions.reads) {
+        hooks.read(read);
+    }
+    for (const AcceptedValue &value : actions.accepted) {
+        hooks.onAccepted(value);
+    }
+    for (const RefusedValue &value : actions.refused) {
+        hooks.onRefused(value);
+    }
+    for (const AcceptedValue &value : actions.accepted) {
+        if (value.key == ConfigKey::Vms) {
+            membership.setPublished(BootClock::now(), readVmList(*value.text, value.version).value(), memberActions);
+        }
+    }
+    if (actions.peersToTry) {
+        membership.setPublished(BootClock::now(),
+                                readVmList(*actions.peersToTry->text, actions.peersToTry->version).value(),
+                                memberActions);
+    }
+    schedule(spreadWake, actions.wakeAt, [this] { spread.onTimer(BootClock::now(), spreadActions); });
+    if (!memberActions.sends.empty() || !memberActions.changes.empty()) {
+        applyMembership();
+    }
+}
+
+void FleetTask::Implementation::applyLease(const LeaseActions &actions)
+{
+    if (actions.refresh) {
+        const TimePoint now = BootClock::now();
+        membership.probeNow(now, memberActions);
+        for (const ConfigKey key : {ConfigKey::Configuration, ConfigKey::ShardMap, ConfigKey::Vms}) {
+            spread.readNow(now, key, spreadActions);
+        }
+        apply();
     }
-    actions.clear();
+    schedule(leaseWake, actions.wakeAt, [this] {
+        LeaseActions next;
+        {
+            const std::lock_guard<std::mutex> lock(sharedMutex);
+            lease.onTimer(BootClock::now(), next);
+        }
+        applyLease(next);
+    });
+}
+
+// Keeps one timer for each machine: an earlier wish replaces a later one.
+void FleetTask::Implementation::schedule(TimePoint &slot,
+                                         const std::optional<TimePoint> &wakeAt,
+                                         const std::function<void()> &work)
+{
+    if (!wakeAt || (slot > BootClock::now() && slot <= *wakeAt)) {
+        return;
+    }
+    slot = *wakeAt;
+    loop.at(*wakeAt, [this, &slot, due = *wakeAt, work] {
+        if (due == slot) {
+            work();
+            apply();
+        }
+    });
 }
 
 void FleetTask::Implementation::send(DaemonId to, const FleetMessage &message)
@@ -123,15 +291,12 @@
         hooks.onError(encoded.error());
         return;
     }
-    boost::system::error_code error;
-    socket.send_to(boost::asio::buffer(bytes), endpointOf(peerAddress(to)), 0, error);
-    // A datagram that is lost here is one more that the network lost; the exchange allows for it.
-}
-
-void FleetTask::Implementation::tick()
-{
-    membership.onTimer(BootClock::now(), actions);
-    apply();
+    // A datagram that cannot be sent is one more that the network lost; the exchange allows for it.
+    boost::system::error_code ignored;
+    socket.send_to(boost::asio::buffer(bytes), endpointOf(peerAddress(to)), 0, ignored);
+    const std::lock_guard<std::mutex> lock(sharedMutex);
+    counters.bytesSent += bytes.size();
+    ++counters.datagramsSent;
 }
 
 FleetTask::FleetTask(std::unique_ptr<Implementation> implementation) : implementation_(std::move(implementation))
@@ -143,7 +308,12 @@
     stop();
 }
 
-Result<std::unique_ptr<FleetTask>> FleetTask::start(const FleetIdentity &identity, FleetHooks hooks)
+Duration FleetTask::longestAdvice() noexcept
+{
+    return adviceLimits().longestLifetime();
+}
+
+Result<std::unique_ptr<FleetTask>> FleetTask::create(const FleetIdentity &identity, FleetHooks hooks)
 {
     Result<GossipCodec> codec
         = GossipCodec::Builder().self(identity.daemon).incarnation(identity.incarnation).keys(identity.keys).build();
@@ -163,27 +333,86 @@
     if (error) {
         return Error{Errc::Unavailable, Step::Gossip, address.toString(), error.message()};
     }
-    Implementation *const raw = implementation.get();
-    raw->loop.post([raw] {
-        raw->receive();
-        raw->tick();
-    });
     return std::unique_ptr<FleetTask>(new FleetTask(std::move(implementation)));
 }
 
-void FleetTask::setPublished(std::shared_ptr<const VmList> vms)
+void FleetTask::run()
 {
-    implementation_->loop.post([implementation = implementation_.get(), vms = std::move(vms)] {
-        implementation->membership.setPublished(BootClock::now(), *vms, implementation->actions);
+    implementation_->loop.post([implementation = implementation_.get()] {
+        implementation->receive();
+        implementation->membership.onTimer(BootClock::now(), implementation->memberActions);
+        implementation->spread.onTimer(BootClock::now(), implementation->spreadActions);
         implementation->apply();
+        LeaseActions actions;
+        {
+            const std::lock_guard<std::mutex> lock(implementation->sharedMutex);
+            implementation->lease.onTimer(BootClock::now(), actions);
+        }
+        implementation->applyLease(actions);
     });
 }
 
+void FleetTask::onServiceValue(PlatformValue value)
+{
+    implementation_->loop.post([implementation = implementation_.get(), value = std::move(value)]() mutable {
+        implementation->serviceAskedAt.at(static_cast<std::size_t>(value.key)) = value.askedAt;
+        implementation->spread.onServiceReply(
+            BootClock::now(), value.key, value.version, std::move(value.text), implementation->spreadActions);
+        implementation->apply();
+        const std::array<TimePoint, configKeyCount> &asked = implementation->serviceAskedAt;
+        implementation->confirm(*std::min_element(asked.begin(), asked.end()), true);
+    });
+}
+
+void FleetTask::onServiceFailed(ConfigKey key)
+{
+    implementation_->loop.post([implementation = implementation_.get(), key] {
+        implementation->spread.onServiceFailed(BootClock::now(), key, implementation->spreadActions);
+        implementation->apply();
+    });
+}
+
+void FleetTask::setDomainsOut(std::vector<std::string> domainsOut)
+{
+    implementation_->loop.post([implementation = implementation_.get(), domainsOut = std::move(domainsOut)] {
+        implementation->domainsOut = domainsOut;
+        implementation->adoptMembers();
+    });
+}
+
+Advice FleetTask::advise(std::string_view failureDomain)
+{
+    const std::lock_guard<std::mutex> lock(implementation_->sharedMutex);
+    return implementation_->advice.advise(BootClock::now(), failureDomain);
+}
+
+LeaseState FleetTask::checkLease()
+{
+    LeaseActions actions;
+    LeaseState state = LeaseState::Held;
+    {
+        const std::lock_guard<std::mutex> lock(implementation_->sharedMutex);
+        state = implementation_->lease.check(BootClock::now(), actions);
+    }
+    if (actions.refresh || actions.wakeAt) {
+        implementation_->loop.post(
+            [implementation = implementation_.get(), actions] { implementation->applyLease(actions); });
+    }
+    return state;
+}
+
+FleetCounters FleetTask::counters() const
+{
+    const std::lock_guard<std::mutex> lock(implementation_->sharedMutex);
+    return implementation_->counters;
+}
+
 void FleetTask::leave()
 {
     implementation_->loop.post([implementation = implementation_.get()] {
-        implementation->membership.leave(BootClock::now(), implementation->actions);
+        implementation->membership.leave(BootClock::now(), implementation->memberActions);
         implementation->apply();
+        implementation->adoptMembers();
     });
 }
 
@@ -194,7 +423,7 @@
     }
     std::promise<void> departed;
     implementation_->loop.post([implementation = implementation_.get(), &departed] {
-        implementation->membership.depart(BootClock::now(), implementation->actions);
+        implementation->membership.depart(BootClock::now(), implementation->memberActions);
         implementation->apply();
         departed.set_value();
     });
--- a/libs/daemon/src/leaftask.cpp
+++ b/libs/daemon/src/leaftask.cpp
@@ -1,12 +1,12 @@
 #include "daemon/leaftask.h"
 
-#include "admission/searchergate.h"
 #include "base/random.h"
 #include "daemon/eventloop.h"
-#include "searcherconnections.h"
+#include "heldsearcher.h"
 
 #include <algorithm>
 #include <atomic>
+#include <future>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -17,6 +17,8 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+using detail::HeldSearcher;
 using detail::SearcherConnections;
 using detail::SearcherJob;
 using detail::SearcherJobEnd;
@@ -36,17 +38,23 @@
     bool isCancelled = false;
 };
 
-/// A searcher that this daemon holds a share of.
-struct HeldSearcher {
-    Searcher published;
-    BackEndLimits limits;
-    HolderShare share;
-    SearcherGate gate;
-    std::unique_ptr<SearcherConnections> connections;
-};
+/// Time between two looks at connections, warmth and lost time.
+constexpr Duration tickInterval = 100ms;
+/// Time between two questions to the other holders about searchers that are not known to be warm.
+constexpr Duration warmthInterval = 300ms;
+/// A pause of this process beyond which another daemon may have held the searchers meanwhile.
+constexpr Duration longestPause = 3s;
+/// Time between two looks at calls that the lease holds back.
+constexpr Duration leaseRetry = 10ms;
+/// Questions whose answers are awaited.
+constexpr std::size_t maxWarmthQuestions = 64;
 
 GateResult::End endOf(const BackEndAnswer &answer)
 {
+    if (answer.error == Errc::Cancelled) {
+        // The searcher did as it was told.
+        return GateResult::End::Answered;
+    }
     switch (answer.outcome) {
     case CallOutcome::Answered:
     case CallOutcome::WrongVersion:
@@ -83,6 +91,10 @@
     std::unordered_map<CallId, LeafCall> calls;
     std::uint64_t lastCall = 0;
     Random random;
+    TimePoint lastTick = BootClock::now();
+    TimePoint nextWarmth;
+    std::uint64_t lastWarmthQuery = 0;
+    std::map<std::uint64_t, TimePoint> warmthAskedAt;
     std::atomic<std::size_t> inFlight{0};
     EventLoop loop{"leaf"};
     /// Ends connections that are no longer used, which waits for their last jobs. Destroyed before the loop that the
@@ -97,6 +109,12 @@
     void apply(SearcherId searcher, const GateActions &actions);
     void start(HeldSearcher &searcher, CallId call);
     void end(SearcherId searcher, const SearcherJobEnd &end);
+    void endUnsent(SearcherId searcher, CallId id, Errc reason);
+    void tick();
+    void askWarmth(TimePoint now);
+    WarmthReply answerWarmth(const WarmthQuery &query) const;
+    void takeWarmth(const WarmthReply &reply);
+    std::vector<HeldStatus> status() const;
     void refuse(CallId call, Errc reason);
     void reply(const LeafCall &call, SearchReply reply, std::string result, Duration served);
     void recordSpan(const LeafCall &call, const SearchReply &reply, Duration queued);
@@ -132,27 +150,34 @@
         release(id);
         found = held.end();
     }
-    const auto connect = [this, id, &searcher, &limits, share] {
-        const std::uint32_t count
-            = std::max<std::uint32_t>(std::min(share.of(limits.slots), share.of(limits.connections)), 1);
-        return std::make_unique<SearcherConnections>(searcher.address, count, [this, id](SearcherJobEnd jobEnd) {
+    if (found == held.end()) {
+        const TimePoint now = BootClock::now();
+        auto connections = std::make_unique<SearcherConnections>(searcher.address, [this, id](SearcherJobEnd jobEnd) {
             loop.post([this, id, jobEnd = std::move(jobEnd)] { end(id, jobEnd); });
         });
-    };
-    if (found == held.end()) {
-        SearcherGate gate = SearcherGate::Builder().limits(limits).share(share).build();
-        held.emplace(id, HeldSearcher{searcher, limits, share, std::move(gate), connect()});
-        return;
+        SearcherGate gate = SearcherGate::Builder().limits(limits).share(share).becameHolderAt(now).build();
+        ConnectionPacer pacer = ConnectionPacer::Builder().limits(limits).share(share).build();
+        found
+            = held.emplace(id,
+                           HeldSearcher{
+                               searcher, limits, share, {}, std::move(gate), std::move(pacer), std::move(connections)})
+                  .first;
     }
     HeldSearcher &present = found->second;
+    present.published = searcher;
+    present.otherHolders.clear();
+    for (const DaemonId holder : view->holders->holders(id)) {
+        if (holder != self) {
+            present.otherHolders.push_back(holder);
+        }
+    }
     const bool isSame = present.limits.slots == limits.slots && present.limits.connections == limits.connections
         && present.limits.coldAllowance == limits.coldAllowance && present.share.rank == share.rank
         && present.share.holders == share.holders;
-    present.published = searcher;
     if (!isSame) {
         present.limits = limits;
         present.share = share;
-        close(std::exchange(present.connections, connect()));
+        present.pacer.setShare(limits, share);
         GateActions actions;
         present.gate.setShare(BootClock::now(), limits, share, actions);
         apply(id, actions);
@@ -232,6 +257,8 @@
     }
 }
 
+// Everything that this daemon knows is checked here once more, at the moment of sending: it may have changed while the
+// call waited, or while this process did not run.
 void LeafTask::Implementation::start(HeldSearcher &searcher, CallId id)
 {
     const auto found = calls.find(id);
@@ -239,21 +266,126 @@
         return;
     }
     LeafCall &call = found->second;
+    const TimePoint now = BootClock::now();
     call.isRunning = true;
-    call.startedAt = BootClock::now();
-    if (!mayReceiveWork(searcher.published)) {
-        // Knowledge may have changed while the call waited, so it is checked again at the moment of sending.
-        SearcherJobEnd jobEnd;
-        jobEnd.call = id;
-        jobEnd.answer.outcome = CallOutcome::Refused;
-        jobEnd.answer.error = Errc::NoServer;
-        loop.post([this, target = searcher.published.id, jobEnd] { end(target, jobEnd); });
+    call.startedAt = now;
+    const bool mayBeSent = mayReceiveWork(searcher.published) && call.deadline > now;
+    if (mayBeSent && hooks.checkLease() == LeaseState::Held) {
+        loop.at(now + leaseRetry, [this, target = searcher.published.id, id] {
+            const auto again = held.find(target);
+            if (again != held.end()) {
+                start(again->second, id);
+            } else {
+                endUnsent(target, id, Errc::NoServer);
+            }
+        });
+        return;
+    }
+    if (!mayBeSent) {
+        const Errc reason = call.deadline > now ? Errc::NoServer : Errc::DeadlinePassed;
+        loop.post([this, target = searcher.published.id, id, reason] { endUnsent(target, id, reason); });
         return;
     }
     searcher.connections->run(
         SearcherJob{id, call.request->kind, bodyOf(call), call.trace.toTraceparent(), call.deadline});
 }
 
+void LeafTask::Implementation::endUnsent(SearcherId searcher, CallId id, Errc reason)
+{
+    SearcherJobEnd jobEnd;
+    jobEnd.call = id;
+    jobEnd.answer.outcome = CallOutcome::Refused;
+    jobEnd.answer.error = reason;
+    end(searcher, jobEnd);
+}
+
+void LeafTask::Implementation::tick()
+{
+    const TimePoint now = BootClock::now();
+    const bool hasSlept = now - lastTick > longestPause;
+    lastTick = now;
+    for (auto &[id, searcher] : held) {
+        if (hasSlept) {
+            searcher.gate.suspend(now);
+        }
+        searcher.openConnection(now);
+    }
+    if (now >= nextWarmth) {
+        nextWarmth = now + warmthInterval;
+        askWarmth(now);
+    }
+    loop.at(now + tickInterval, [this] { tick(); });
+}
+
+// Asks the other holders about the searchers that are not known to be warm. Asking, rather than being told, bounds the
+// age of the answer by this daemon's own clock.
+void LeafTask::Implementation::askWarmth(TimePoint now)
+{
+    std::map<DaemonId, WarmthQuery> queries;
+    for (const auto &[id, searcher] : held) {
+        if (searcher.gate.coldCause(now) == ColdCause::None) {
+            continue;
+        }
+        for (const DaemonId holder : searcher.otherHolders) {
+            queries[holder].searchers.push_back(id);
+        }
+    }
+    for (auto &[holder, query] : queries) {
+        query.number = ++lastWarmthQuery;
+        warmthAskedAt[query.number] = now;
+        hooks.sendWarmthQuery(holder, std::move(query));
+    }
+    while (warmthAskedAt.size() > maxWarmthQuestions) {
+        warmthAskedAt.erase(warmthAskedAt.begin());
+    }
+}
+
+WarmthReply LeafTask::Implementation::answerWarmth(const WarmthQuery &query) const
+{
+    WarmthReply reply;
+    reply.number = query.number;
+    const TimePoint now = BootClock::now();
+    for (const SearcherId id : query.searchers) {
+        const auto found = held.find(id);
+        const std::optional<WarmthReport> report = found == held.end() ? std::nullopt : found->second.gate.warmth();
+        if (report) {
+            reply.entries.push_back({id, report->incarnation, report->allowance, now - report->confirmedAt});
+        }
+    }
+    return reply;
+}
+
+void LeafTask::Implementation::takeWarmth(const WarmthReply &reply)
+{
+    const auto asked = warmthAskedAt.find(reply.number);
+    if (asked == warmthAskedAt.end()) {
+        return;
+    }
+    const TimePoint now = BootClock::now();
+    for (const WarmthEntry &entry : reply.entries) {
+        const auto found = held.find(entry.searcher);
+        if (found != held.end() && entry.age >= Duration{0}) {
+            found->second.gate.onPeerWarmth(now, entry.incarnation, entry.allowance, entry.age + (now - asked->second));
+        }
+    }
+    warmthAskedAt.erase(asked);
+}
+
+std::vector<HeldStatus> LeafTask::Implementation::status() const
+{
+    std::vector<HeldStatus> list;
+    const TimePoint now = BootClock::now();
+    for (const auto &[id, searcher] : held) {
+        list.push_back({id,
+                        searcher.gate.coldCause(now),
+                        searcher.gate.running(),
+                        searcher.gate.waiting(),
+                        searcher.gate.concurrency(now),
+                        searcher.connections->count()});
+    }
+    return list;
+}
+
 void LeafTask::Implementation::end(SearcherId searcher, const SearcherJobEnd &jobEnd)
 {
     const TimePoint now = BootClock::now();
@@ -282,8 +414,13 @@
     const auto holder = held.find(searcher);
     if (holder != held.end()) {
         GateActions actions;
-        const GateResult result{
-            jobEnd.call, endOf(answer), now - call.startedAt, answer.incarnation, answer.saysCold, answer.reportedLoad};
+        const GateResult result{jobEnd.call,
+                                endOf(answer),
+                                now - call.startedAt,
+                                answer.incarnation,
+                                answer.saysCold,
+                                answer.reportedLoad,
+                                jobEnd.isConnectionLost || answer.error == Errc::ConnectFailed};
         holder->second.gate.onResult(now, result, actions);
         apply(searcher, actions);
     }
@@ -372,6 +509,7 @@
 LeafTask::LeafTask(DaemonId self, LeafHooks hooks)
     : implementation_(std::make_unique<Implementation>(self, std::move(hooks)))
 {
+    implementation_->loop.post([implementation = implementation_.get()] { implementation->tick(); });
 }
 
 LeafTask::~LeafTask()
@@ -402,6 +540,27 @@
     });
 }
 
+void LeafTask::onWarmthQuery(LinkId link, WarmthQuery query)
+{
+    implementation_->loop.post([implementation = implementation_.get(), link, query = std::move(query)] {
+        implementation->hooks.sendWarmthReply(link, implementation->answerWarmth(query));
+    });
+}
+
+void LeafTask::onWarmthReply(WarmthReply reply)
+{
+    implementation_->loop.post(
+        [implementation = implementation_.get(), reply = std::move(reply)] { implementation->takeWarmth(reply); });
+}
+
+std::vector<HeldStatus> LeafTask::status() const
+{
+    std::promise<std::vector<HeldStatus>> promise;
+    implementation_->loop.post(
+        [implementation = implementation_.get(), &promise] { promise.set_value(implementation->status()); });
+    return promise.get_future().get();
+}
+
 std::size_t LeafTask::inFlight() const noexcept
 {
     return implementation_->inFlight;
--- a/libs/daemon/src/peerlinks.cpp
+++ b/libs/daemon/src/peerlinks.cpp
@@ -135,6 +135,11 @@
     stop();
 }
 
+void PeerLinks::run()
+{
+    implementation_->loop.post([implementation = implementation_.get()] { implementation->accept(); });
+}
+
 void PeerLinks::send(DaemonId to, PeerMessage message)
 {
     implementation_->loop.post([implementation = implementation_.get(), to, message = std::move(message)]() mutable {
@@ -196,8 +201,6 @@
     if (error) {
         return Error{Errc::Unavailable, Step::Accept, address.toString(), error.message()};
     }
-    Implementation *const raw = implementation.get();
-    raw->loop.post([raw] { raw->accept(); });
     return std::unique_ptr<PeerLinks>(new PeerLinks(std::move(implementation)));
 }
 
--- a/libs/daemon/src/platformreader.cpp
+++ b/libs/daemon/src/platformreader.cpp
@@ -2,10 +2,9 @@
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
+#include <oneapi/tbb/concurrent_queue.h>
 
-#include <atomic>
-#include <condition_variable>
-#include <mutex>
+#include <array>
 #include <thread>
 
 namespace sassafrasvane
@@ -16,25 +15,49 @@
 
 using namespace std::chrono_literals;
 
-/// Time that a watch waits at the service.
-constexpr std::chrono::milliseconds watchTime = 10s;
-/// Time beyond it until the call counts as failed.
-constexpr std::chrono::milliseconds watchGrace = 2s;
-constexpr std::chrono::milliseconds connectTimeout = 1s;
-/// Pause after a failed call.
-constexpr std::chrono::milliseconds retryPause = 500ms;
+/// Time in which the service must answer, beyond what a watch waits.
+constexpr std::chrono::milliseconds answerTime = 1s;
+constexpr std::chrono::milliseconds connectTimeout = 500ms;
+/// Largest answer that is read: a value of a megabyte with its frame.
+constexpr std::size_t maxAnswer = std::size_t{1'200} * 1024;
 constexpr int statusOk = 200;
 constexpr int statusNotModified = 304;
 
-Result<PublishedValue> readValue(const std::string &key, const std::string &body)
+/// Ends the thread of a key.
+struct StopThread {
+};
+
+using Job = std::variant<ServiceRead, StopThread>;
+
+/// The thread, connection and queue of one key.
+struct KeyReader {
+    std::unique_ptr<httplib::Client> client;
+    oneapi::tbb::concurrent_bounded_queue<Job> jobs;
+    std::thread thread;
+};
+
+std::string pathOf(const ServiceRead &read)
+{
+    std::string path = std::string("/v1/values/") + name(read.key);
+    if (read.after.value > 0) {
+        path += "?after=" + std::to_string(read.after.value) + "&waitMs=" + std::to_string(read.wait.count() / 1000);
+    }
+    return path;
+}
+
+Result<PlatformValue> readAnswer(const ServiceRead &read, const std::string &body)
 {
     const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
-    if (!document.is_object() || !document.contains("version") || !document["version"].is_number_unsigned()
-        || !document.contains("value")) {
-        return Error{
-            Errc::BadMessage, Step::Configuration, {}, "the service's answer for " + key + " has no version and value"};
+    const bool isComplete = document.is_object() && document.contains("version")
+        && document["version"].is_number_unsigned() && document.contains("value");
+    if (!isComplete) {
+        return Error{Errc::BadMessage,
+                     Step::Configuration,
+                     {},
+                     std::string("the service's answer for ") + name(read.key) + " has no version and value"};
     }
-    return PublishedValue{key, ConfigVersion{document["version"].get<std::uint64_t>()}, document["value"].dump()};
+    return PlatformValue{
+        read.key, ConfigVersion{document["version"].get<std::uint64_t>()}, document["value"].dump(), {}};
 }
 
 } // namespace
@@ -42,91 +65,66 @@
 struct PlatformReader::Implementation {
     Address address;
     PlatformHooks hooks;
-    std::mutex mutex;
-    std::condition_variable stopping;
-    bool isStopping = false;
-    std::vector<std::unique_ptr<httplib::Client>> clients;
-    std::vector<std::thread> threads;
-
-    void watch(const std::string &key, httplib::Client &client);
-    Result<ConfigVersion> readOnce(const std::string &key, ConfigVersion known, httplib::Client &client) const;
-    bool pause();
+    std::array<KeyReader, configKeyCount> readers;
+
+    void run(KeyReader &reader);
+    Result<PlatformValue> fetch(const ServiceRead &read, httplib::Client &client) const;
 };
 
-Result<ConfigVersion> PlatformReader::Implementation::readOnce(const std::string &key,
-                                                               ConfigVersion known,
-                                                               httplib::Client &client) const
+Result<PlatformValue> PlatformReader::Implementation::fetch(const ServiceRead &read, httplib::Client &client) const
 {
-    std::string path = "/v1/values/" + key;
-    if (known.value > 0) {
-        path += "?after=" + std::to_string(known.value) + "&waitMs=" + std::to_string(watchTime.count());
-    }
-    const httplib::Result result = client.Get(path);
+    client.set_read_timeout(read.wait + answerTime);
+    std::string body;
+    const httplib::Result result = client.Get(pathOf(read), [&body](const char *data, std::size_t size) {
+        body.append(data, size);
+        return body.size() <= maxAnswer;
+    });
     if (!result) {
         return Error{Errc::Unavailable, Step::Configuration, address.toString(), httplib::to_string(result.error())};
     }
     if (result->status == statusNotModified) {
-        return known;
+        return PlatformValue{read.key, read.after, {}, {}};
     }
     if (result->status != statusOk) {
         return Error{Errc::Unavailable,
                      Step::Configuration,
                      address.toString(),
-                     key + ": status " + std::to_string(result->status)};
-    }
-    Result<PublishedValue> value = readValue(key, result->body);
-    if (value.has_error()) {
-        return value.error();
+                     std::string(name(read.key)) + ": status " + std::to_string(result->status)};
     }
-    const ConfigVersion version = value.value().version;
-    hooks.onValue(std::move(value.value()));
-    return version;
+    return readAnswer(read, body);
 }
 
-void PlatformReader::Implementation::watch(const std::string &key, httplib::Client &client)
+void PlatformReader::Implementation::run(KeyReader &reader)
 {
-    ConfigVersion known;
     while (true) {
-        const Result<ConfigVersion> read = readOnce(key, known, client);
-        if (read.has_value()) {
-            known = std::max(known, read.value());
-        }
-        {
-            const std::lock_guard<std::mutex> lock(mutex);
-            if (isStopping) {
-                return;
-            }
+        Job job;
+        reader.jobs.pop(job);
+        if (std::holds_alternative<StopThread>(job)) {
+            return;
         }
-        if (read.has_error()) {
-            hooks.onError(read.error());
-            if (pause()) {
-                return;
-            }
+        const ServiceRead &read = std::get<ServiceRead>(job);
+        const TimePoint askedAt = BootClock::now();
+        Result<PlatformValue> value = fetch(read, *reader.client);
+        if (value.has_error()) {
+            hooks.onFailed(read.key, value.error());
+        } else {
+            value.value().askedAt = askedAt;
+            hooks.onValue(std::move(value.value()));
         }
     }
 }
 
-// Returns true if the reader stops meanwhile.
-bool PlatformReader::Implementation::pause()
-{
-    std::unique_lock<std::mutex> lock(mutex);
-    return stopping.wait_for(lock, retryPause, [this] { return isStopping; });
-}
-
-PlatformReader::PlatformReader(const Address &address, const std::vector<std::string> &keys, PlatformHooks hooks)
+PlatformReader::PlatformReader(const Address &address, PlatformHooks hooks)
     : implementation_(std::make_unique<Implementation>())
 {
     implementation_->address = address;
     implementation_->hooks = std::move(hooks);
-    for (const std::string &key : keys) {
-        auto client = std::make_unique<httplib::Client>(address.host(), address.port);
-        client->set_keep_alive(true);
-        client->set_tcp_nodelay(true);
-        client->set_connection_timeout(connectTimeout);
-        client->set_read_timeout(watchTime + watchGrace);
-        httplib::Client *const raw = client.get();
-        implementation_->clients.push_back(std::move(client));
-        implementation_->threads.emplace_back([this, key, raw] { implementation_->watch(key, *raw); });
+    for (KeyReader &reader : implementation_->readers) {
+        reader.client = std::make_unique<httplib::Client>(address.host(), address.port);
+        reader.client->set_keep_alive(true);
+        reader.client->set_tcp_nodelay(true);
+        reader.client->set_connection_timeout(connectTimeout);
+        reader.thread = std::thread([this, &reader] { implementation_->run(reader); });
     }
 }
 
@@ -135,19 +133,18 @@
     stop();
 }
 
+void PlatformReader::read(const ServiceRead &read)
+{
+    implementation_->readers.at(static_cast<std::size_t>(read.key)).jobs.push(read);
+}
+
 void PlatformReader::stop()
 {
-    {
-        const std::lock_guard<std::mutex> lock(implementation_->mutex);
-        implementation_->isStopping = true;
-    }
-    implementation_->stopping.notify_all();
-    for (const std::unique_ptr<httplib::Client> &client : implementation_->clients) {
-        client->stop();
-    }
-    for (std::thread &thread : implementation_->threads) {
-        if (thread.joinable()) {
-            thread.join();
+    for (KeyReader &reader : implementation_->readers) {
+        if (reader.thread.joinable()) {
+            reader.jobs.push(StopThread());
+            reader.client->stop();
+            reader.thread.join();
         }
     }
 }
--- a/libs/daemon/src/searcherconnections.cpp
+++ b/libs/daemon/src/searcherconnections.cpp
@@ -93,6 +93,7 @@
     Queue<SearcherJob> jobs;
     Queue<CallId> cancels;
     std::vector<std::thread> threads;
+    std::thread cancelThread;
 
     void runJobs();
     void runCancels();
@@ -129,21 +130,17 @@
     }
 }
 
-SearcherConnections::SearcherConnections(const Address &address, std::uint32_t count, EndHook onEnd)
+SearcherConnections::SearcherConnections(const Address &address, EndHook onEnd)
     : implementation_(std::make_unique<Implementation>())
 {
     implementation_->address = address;
     implementation_->onEnd = std::move(onEnd);
     implementation_->cancels.set_capacity(maxCancels);
-    for (std::uint32_t i = 0; i < count; ++i) {
-        implementation_->threads.emplace_back([this] { implementation_->runJobs(); });
-    }
-    implementation_->threads.emplace_back([this] { implementation_->runCancels(); });
+    implementation_->cancelThread = std::thread([this] { implementation_->runCancels(); });
 }
 
 SearcherConnections::~SearcherConnections()
 {
-    const std::size_t workers = implementation_->threads.size() - 1;
     std::variant<SearcherJob, StopThread> waiting;
     while (implementation_->jobs.try_pop(waiting)) {
         SearcherJobEnd end;
@@ -152,7 +149,7 @@
         end.answer.error = Errc::NoServer;
         implementation_->onEnd(std::move(end));
     }
-    for (std::size_t i = 0; i < workers; ++i) {
+    for (std::size_t i = 0; i < implementation_->threads.size(); ++i) {
         implementation_->jobs.push(StopThread());
     }
     std::variant<CallId, StopThread> cancel;
@@ -162,6 +159,17 @@
     for (std::thread &thread : implementation_->threads) {
         thread.join();
     }
+    implementation_->cancelThread.join();
+}
+
+void SearcherConnections::add()
+{
+    implementation_->threads.emplace_back([this] { implementation_->runJobs(); });
+}
+
+std::size_t SearcherConnections::count() const noexcept
+{
+    return implementation_->threads.size();
 }
 
 void SearcherConnections::run(SearcherJob job)
--- a/libs/daemon/src/searcherconnections.h
+++ b/libs/daemon/src/searcherconnections.h
@@ -37,16 +37,17 @@
     Duration served{0};
 };
 
-/// A fixed number of threads, each of which owns one connection to the searcher and takes jobs from a queue, and one
-/// more connection for cancellations. Connections are opened before the first job and again after a failure.
+/// Threads, each of which owns one connection to the searcher and takes jobs from a queue, and one more for
+/// cancellations, which is opened when first needed. A connection is opened when its thread is added, before it has a
+/// job, and again after a failure.
 class SearcherConnections
 {
 public:
     /// Called on a thread of the connections with the end of each job.
     using EndHook = std::function<void(SearcherJobEnd end)>;
 
-    /// \param count connections for jobs; at least 1.
-    SearcherConnections(const Address &address, std::uint32_t count, EndHook onEnd);
+    /// Without connections; see add().
+    SearcherConnections(const Address &address, EndHook onEnd);
 
     /// Ends the threads once the jobs that run have ended; waiting jobs end as not sent.
     ~SearcherConnections();
@@ -54,6 +55,12 @@
     SearcherConnections(const SearcherConnections &) = delete;
     SearcherConnections &operator=(const SearcherConnections &) = delete;
 
+    /// Opens one more connection.
+    void add();
+
+    /// Connections for jobs.
+    std::size_t count() const noexcept;
+
     /// Queues a job.
     void run(SearcherJob job);
 
--- a/libs/daemon/tests/peerlinks_test.cpp
+++ b/libs/daemon/tests/peerlinks_test.cpp
@@ -37,6 +37,7 @@
         hooks.onLost = [this](DaemonId) { note([&] { ++lost; }); };
         hooks.onError = [this](const Error &error) { note([&] { errors.push_back(error.errc()); }); };
         links = std::move(PeerLinks::Builder().identity(identity).keys({key}).hooks(hooks).build().value());
+        links->run();
     }
 
     template<typename Change>
--- a/libs/wire/include/wire/peermessages.h
+++ b/libs/wire/include/wire/peermessages.h
@@ -115,8 +115,38 @@
     Duration retryAfter{0};
 };
 
+/// Asks another holder of some searchers how much work they can bear.
+struct WarmthQuery {
+    /// Echoed by the reply, so that the asker knows when it asked.
+    std::uint64_t number = 0;
+    std::vector<SearcherId> searchers;
+};
+
+/// How much work one searcher can bear over all its holders, as one holder has found.
+struct WarmthEntry {
+    SearcherId searcher;
+    Incarnation incarnation;
+    std::uint32_t allowance = 0;
+    /// Time since the start of the latest call that the searcher answered in this incarnation.
+    Duration age{0};
+};
+
+/// Answers a WarmthQuery; searchers of which nothing is known are left out.
+struct WarmthReply {
+    std::uint64_t number = 0;
+    std::vector<WarmthEntry> entries;
+};
+
 /// Any message on a TCP link between daemons.
-using PeerMessage = std::
-    variant<LeafRequest, LeafReply, LeafCancel, PeerChallenge, PeerHello, PeerWelcome, OnceForward, OnceForwardReply>;
+using PeerMessage = std::variant<LeafRequest,
+                                 LeafReply,
+                                 LeafCancel,
+                                 PeerChallenge,
+                                 PeerHello,
+                                 PeerWelcome,
+                                 OnceForward,
+                                 OnceForwardReply,
+                                 WarmthQuery,
+                                 WarmthReply>;
 
 } // namespace sassafrasvane
--- a/libs/wire/src/backendapi.cpp
+++ b/libs/wire/src/backendapi.cpp
@@ -13,6 +13,7 @@
 constexpr int statusOk = 200;
 constexpr int statusConflict = 409;
 constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
 
 BackEndAnswer failed(Errc error)
 {
@@ -105,6 +106,9 @@
         if (httpStatus == statusUnavailable || httpStatus == statusConflict) {
             return readRefusal(httpStatus, document);
         }
+        if (httpStatus == statusTimeout && document.value("cancelled", false)) {
+            return failed(Errc::Cancelled);
+        }
     } catch (const json::exception &) {
         return failed(Errc::BadMessage);
     }
--- a/libs/wire/src/peercodec.cpp
+++ b/libs/wire/src/peercodec.cpp
@@ -149,6 +149,30 @@
     packer.pack(message.retryAfter.count());
 }
 
+void packBody(Packer &packer, const WarmthQuery &message)
+{
+    packer.pack_array(2);
+    packer.pack(message.number);
+    packer.pack_array(static_cast<std::uint32_t>(message.searchers.size()));
+    for (const SearcherId searcher : message.searchers) {
+        packId(packer, searcher);
+    }
+}
+
+void packBody(Packer &packer, const WarmthReply &message)
+{
+    packer.pack_array(2);
+    packer.pack(message.number);
+    packer.pack_array(static_cast<std::uint32_t>(message.entries.size()));
+    for (const WarmthEntry &entry : message.entries) {
+        packer.pack_array(4);
+        packId(packer, entry.searcher);
+        packId(packer, entry.incarnation);
+        packer.pack(entry.allowance);
+        packer.pack(entry.age.count());
+    }
+}
+
 /// Reads the elements of a MessagePack array in order; throws on any mismatch.
 class ArrayReader
 {
@@ -342,6 +366,35 @@
     return message;
 }
 
+WarmthQuery readWarmthQuery(const msgpack::object &object)
+{
+    ArrayReader reader(object, 2);
+    WarmthQuery message;
+    message.number = reader.read<std::uint64_t>();
+    message.searchers = reader.list<SearcherId>(readId<SearcherId>);
+    return message;
+}
+
+WarmthEntry readWarmthEntry(const msgpack::object &object)
+{
+    ArrayReader reader(object, 4);
+    WarmthEntry entry;
+    entry.searcher = reader.id<SearcherId>();
+    entry.incarnation = reader.id<Incarnation>();
+    entry.allowance = reader.read<std::uint32_t>();
+    entry.age = Duration(reader.read<Duration::rep>());
+    return entry;
+}
+
+WarmthReply readWarmthReply(const msgpack::object &object)
+{
+    ArrayReader reader(object, 2);
+    WarmthReply message;
+    message.number = reader.read<std::uint64_t>();
+    message.entries = reader.list<WarmthEntry>(readWarmthEntry);
+    return message;
+}
+
 PeerMessage readMessage(std::size_t type, const msgpack::object &body)
 {
     switch (type) {
@@ -361,11 +414,15 @@
         return readOnceForward(body);
     case 7:
         return readOnceForwardReply(body);
+    case 8:
+        return readWarmthQuery(body);
+    case 9:
+        return readWarmthReply(body);
     default:
         throw std::runtime_error("message type " + std::to_string(type) + " is unknown");
     }
 }
-static_assert(messageTypes == 8, "readMessage must know every message type");
+static_assert(messageTypes == 10, "readMessage must know every message type");
 
 Error badMessage(const std::string &detail)
 {
--- a/libs/wire/tests/httpapi_test.cpp
+++ b/libs/wire/tests/httpapi_test.cpp
@@ -57,6 +57,7 @@
     BOOST_TEST((cold.outcome == CallOutcome::Refused));
     BOOST_TEST(cold.saysCold);
     BOOST_TEST((readBackEndAnswer(409, R"({"refused": "version"})").outcome == CallOutcome::WrongVersion));
+    BOOST_TEST((readBackEndAnswer(504, R"({"cancelled": true})").error == Errc::Cancelled));
     for (const char *text : {"", "[]", "{\"parts\": 3}", "{\"index\": \"x\"}", "{\"parts\": [{}]}"}) {
         BOOST_TEST((readBackEndAnswer(200, text).outcome == CallOutcome::Failed), text);
     }
