Steady latency floor for the searcher gate

Cause: the floor was the least of a short moving average. With exponential service times that lies far below the true mean by chance, so an idle server was taken to queue: the gate used 4.6 of 8 places, and an entry limit fell to one query at a time.

Change: strain is judged by a long average against its own floor, which counts only from 32 samples on, and the limit waits until the average has followed the last decrease. A limit may begin small and double until its first decrease.

Conclusion: uneven latency alone no longer lowers the limit.

--- a/libs/admission/include/admission/concurrencylimit.h
+++ b/libs/admission/include/admission/concurrencylimit.h
@@ -22,11 +22,19 @@
 class ConcurrencyLimit
 {
 public:
-    /// Takes an answer. \param mean the present latency. \param floor its least value lately.
+    ConcurrencyLimit() noexcept = default;
+
+    /// \param initial the limit to begin with; it doubles each round trip until the first decrease.
+    explicit ConcurrencyLimit(std::uint32_t initial) noexcept : limit_(initial), isSlowStart_(true) { }
+
+    /// Takes an answer. \param mean the present latency. \param floor its least value lately; 0 if unknown.
     /// \param running calls that ran, this one included: a limit that is not used does not rise.
     /// \param mayRise false if the server says that it is full.
     void onAnswered(TimePoint now, Duration mean, Duration floor, std::size_t running, bool mayRise) noexcept;
 
+    /// Takes an answer that shows that the server queues; onAnswered() calls it by itself.
+    void onStrain(TimePoint now, Duration mean, std::size_t running) noexcept;
+
     /// Takes a refusal by the server. \param mean the present latency. \param running as for onAnswered().
     void onRefused(TimePoint now, Duration mean, std::size_t running) noexcept;
 
@@ -40,10 +48,11 @@
     TimePoint pausedUntil() const noexcept { return pausedUntil_; }
 
 private:
-    void decrease(TimePoint now, Duration mean, std::size_t running, double factor) noexcept;
+    void decrease(TimePoint now, Duration pause, std::size_t running, double factor) noexcept;
 
     /// Above any published number of slots until the first decrease: the share is the bound then.
     double limit_ = 1 << 20;
+    bool isSlowStart_ = false;
     TimePoint lastDecrease_;
     TimePoint pausedUntil_;
     std::uint32_t refusalsInRow_ = 0;
--- a/libs/admission/include/admission/servicetime.h
+++ b/libs/admission/include/admission/servicetime.h
@@ -29,7 +29,14 @@
     /// The short moving average; 0 before the first sample.
     Duration mean() const noexcept { return Duration(static_cast<Duration::rep>(shortMean_)); }
 
-    /// The least short average within about a minute; 0 if there is none.
+    /// The long moving average, steady enough to be compared with its floor; 0 before the first sample.
+    Duration steadyMean() const noexcept { return Duration(static_cast<Duration::rep>(longMean_)); }
+
+    /// A latency that about 19 of 20 calls stay below, by the mean deviation (Jacobson, "Congestion avoidance and
+    /// control", 1988); 0 before the first sample.
+    Duration upperBound() const noexcept;
+
+    /// The least long average within about a minute; 0 before there are enough samples.
     Duration meanFloor(TimePoint now) const noexcept;
 
     /// The least single latency within about a minute; 0 if there is none.
@@ -50,6 +57,8 @@
 
     double shortMean_ = 0;
     double longMean_ = 0;
+    /// Moving average of the distance from the long average.
+    double deviation_ = 0;
     std::uint32_t samples_ = 0;
     TimePoint windowStart_;
     Floors current_;
--- a/libs/admission/src/concurrencylimit.cpp
+++ b/libs/admission/src/concurrencylimit.cpp
@@ -12,6 +12,8 @@
 
 /// Latency over its floor at which the server is taken to be queueing.
 constexpr double queueingFactor = 2;
+/// Answers that the average latency spans.
+constexpr std::size_t averageLength = 64;
 constexpr double queueingDecrease = 0.9;
 constexpr double refusalDecrease = 0.7;
 constexpr double failureDecrease = 0.5;
@@ -31,15 +33,23 @@
                                   bool mayRise) noexcept
 {
     refusalsInRow_ = 0;
-    if (static_cast<double>(mean.count()) > queueingFactor * static_cast<double>(floor.count())) {
-        decrease(now, mean, running, queueingDecrease);
+    const bool hasFloor = floor > Duration{0};
+    if (hasFloor && static_cast<double>(mean.count()) > queueingFactor * static_cast<double>(floor.count())) {
+        onStrain(now, mean, running);
         return;
     }
     if (mayRise && static_cast<double>(running) + 1 > limit_) {
-        limit_ += 1 / limit_;
+        limit_ += isSlowStart_ ? 1 : 1 / limit_;
     }
 }
 
+void ConcurrencyLimit::onStrain(TimePoint now, Duration mean, std::size_t running) noexcept
+{
+    // The average follows a decrease only after as many answers as it is long; until then it shows the past.
+    const std::size_t roundTrips = 1 + averageLength / std::max<std::size_t>(running, 1);
+    decrease(now, mean * roundTrips, running, queueingDecrease);
+}
+
 void ConcurrencyLimit::onRefused(TimePoint now, Duration mean, std::size_t running) noexcept
 {
     decrease(now, mean, running, refusalDecrease);
@@ -60,13 +70,14 @@
     return std::min(share, static_cast<std::uint32_t>(limit_));
 }
 
-void ConcurrencyLimit::decrease(TimePoint now, Duration mean, std::size_t running, double factor) noexcept
+void ConcurrencyLimit::decrease(TimePoint now, Duration pause, std::size_t running, double factor) noexcept
 {
-    // Once for each round trip: the calls already sent do not know of the decrease yet.
-    if (now - lastDecrease_ < mean) {
+    // The calls already sent do not know of the decrease yet.
+    if (now - lastDecrease_ < pause) {
         return;
     }
     lastDecrease_ = now;
+    isSlowStart_ = false;
     limit_ = std::max(1.0, std::min(limit_, static_cast<double>(running)) * factor);
 }
 
--- a/libs/admission/src/searchergate.cpp
+++ b/libs/admission/src/searchergate.cpp
@@ -225,8 +225,8 @@
 void SearcherGate::onAnswer(TimePoint now, const GateResult &result)
 {
     const Incarnation before = cold_.incarnation();
-    const bool isSlow
-        = service_.mean() > strainFactor * service_.meanFloor(now) && service_.meanFloor(now) > Duration{0};
+    const Duration floor = service_.meanFloor(now);
+    const bool isSlow = floor > Duration{0} && service_.steadyMean() > strainFactor * floor;
     cold_.onAnswered(now, now - result.latency, result.incarnation, isSlow);
     if (cold_.incarnation() != before) {
         service_.reset();
@@ -235,7 +235,7 @@
         cold_.onSlower(now);
     }
     const bool hasRoom = result.reportedLoad <= static_cast<int>(limits_.slots);
-    limit_.onAnswered(now, service_.mean(), service_.meanFloor(now), running_.size(), hasRoom);
+    limit_.onAnswered(now, service_.steadyMean(), service_.meanFloor(now), running_.size(), hasRoom);
 }
 
 SearcherGate::Builder &SearcherGate::Builder::limits(const BackEndLimits &limits)
--- a/libs/admission/src/servicetime.cpp
+++ b/libs/admission/src/servicetime.cpp
@@ -1,6 +1,7 @@
 #include "admission/servicetime.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sassafrasvane
 {
@@ -17,8 +18,13 @@
 constexpr double clipFactor = 8;
 /// The short average over the long one at which a server has suddenly become slower: six clipped samples in a row.
 constexpr double suddenFactor = 4;
+/// Mean deviations above the mean: 19 of 20 exponential latencies are below.
+constexpr double boundDeviations = 3;
 /// Samples before a sudden change can be told.
 constexpr std::uint32_t minSamples = 64;
+/// Samples before the long average may be a floor: the average of a few falls far below the true one by chance, and a
+/// floor that is too low makes every later latency look long.
+constexpr std::uint32_t minFloorSamples = 32;
 /// Length of one of the two windows of the floors.
 constexpr Duration windowLength = 30s;
 
@@ -50,17 +56,25 @@
         const double weight = std::max(longWeight, 1.0 / samples_);
         shortMean_ += std::max(shortWeight, 1.0 / samples_) * (clipped - shortMean_);
         longMean_ += weight * (clipped - longMean_);
+        deviation_ += weight * (std::abs(clipped - longMean_) - deviation_);
     }
     if (samples_ >= minSamples && shortMean_ > suddenFactor * longMean_) {
         reset();
         return true;
     }
     rotate(now);
-    current_.mean = leastOf(current_.mean, shortMean_);
+    if (samples_ >= minFloorSamples) {
+        current_.mean = leastOf(current_.mean, longMean_);
+    }
     current_.sample = leastOf(current_.sample, micros);
     return false;
 }
 
+Duration ServiceTime::upperBound() const noexcept
+{
+    return toDuration(longMean_ + boundDeviations * deviation_);
+}
+
 Duration ServiceTime::meanFloor(TimePoint now) const noexcept
 {
     return isStale(now) ? Duration{0} : toDuration(leastOf(current_.mean, previous_.mean));
--- a/libs/admission/tests/searchergate_test.cpp
+++ b/libs/admission/tests/searchergate_test.cpp
@@ -1,8 +1,12 @@
 #include "admission/searchergate.h"
+#include "base/random.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
+#include <vector>
 
 namespace sassafrasvane
 {
@@ -190,4 +194,34 @@
     BOOST_TEST(gate.concurrency(now) <= 18U);
 }
 
+BOOST_AUTO_TEST_CASE(unevenLatencyIsNotTakenForQueueing)
+{
+    SearcherGate gate = SearcherGate::Builder().limits({"riders", 8, 64, 6ms, 1}).share({0, 1}).build();
+    Random random(1);
+    TimePoint now = origin;
+    std::uint64_t lastCall = 0;
+    std::vector<std::pair<TimePoint, GateResult>> open;
+    GateActions actions;
+    double sum = 0;
+    constexpr int answers = 20'000;
+    for (int i = 0; i < answers; ++i) {
+        actions.clear();
+        while (gate.running() < gate.concurrency(now)) {
+            gate.offer(now, {CallId{++lastCall}, ClassIndex{0}, now + 10s}, actions);
+        }
+        for (const CallId call : actions.start) {
+            const Duration latency{static_cast<Duration::rep>(-std::log(1 - random.unit()) * 10'000)};
+            open.push_back({now + latency, {call, GateResult::End::Answered, latency, Incarnation{1}}});
+        }
+        const auto next = std::min_element(
+            open.begin(), open.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+        now = next->first;
+        gate.onResult(now, next->second, actions);
+        open.erase(next);
+        sum += gate.concurrency(now);
+    }
+    // The server never queues, so the share should be in use but for chance.
+    BOOST_TEST(sum / answers >= 0.9 * 8);
+}
+
 } // namespace sassafrasvane
