--- a/libs/control/include/control/controlclient.h
+++ b/libs/control/include/control/controlclient.h
@@ -24,7 +24,7 @@
 {
 public:
     /// Largest reply that is read, in bytes.
-    static constexpr std::size_t maxReplyBytes = 8 * 1024 * 1024;
+    static constexpr std::size_t maxReplyBytes = 8'388'608;
 
     /// \param address the daemon's address for operators. \param timeout for connecting, and again for the reply.
     ControlClient(const Address &address, Duration timeout) noexcept;
--- a/libs/control/include/control/controlserver.h
+++ b/libs/control/include/control/controlserver.h
@@ -40,9 +40,9 @@
 public:
     class Builder;
     /// Largest body of a request, in bytes.
-    static constexpr std::size_t maxRequestBytes = 16 * 1024;
+    static constexpr std::size_t maxRequestBytes = 16'384;
     /// Memory for the headers of one connection, in bytes.
-    static constexpr std::size_t maxHeaderBytes = 16 * 1024;
+    static constexpr std::size_t maxHeaderBytes = 16'384;
     /// Connections at the same time.
     static constexpr unsigned maxConnections = 64;
     /// Time after which an idle connection is closed, in seconds.
--- a/libs/settings/src/jsonreader.cpp
+++ b/libs/settings/src/jsonreader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <set>
 
 namespace sassafrasvane::detail
 {
@@ -11,6 +12,7 @@
 {
 
 constexpr std::size_t maxShownValue = 60;
+constexpr std::size_t maxTextLength = 256;
 
 std::string shown(const nlohmann::json &value)
 {
@@ -54,14 +56,26 @@
     return row.back();
 }
 
-std::string_view nearest(std::string_view name, std::initializer_list<std::string_view> known)
+} // namespace
+
+// RFC 6901: "~" and "/" within a name are written "~0" and "~1".
+std::string escapedToken(std::string_view name)
 {
-    return *std::min_element(known.begin(), known.end(), [name](std::string_view a, std::string_view b) {
-        return editDistance(name, a) < editDistance(name, b);
-    });
+    std::string token;
+    for (const char c : name.substr(0, maxShownValue)) {
+        token += c == '~' ? "~0" : c == '/' ? "~1" : std::string(1, c);
+    }
+    return token;
 }
 
-} // namespace
+std::string_view nearest(std::string_view name, std::span<const std::string_view> known)
+{
+    const std::string_view compared = name.substr(0, maxShownValue);
+    const auto found = std::min_element(known.begin(), known.end(), [compared](std::string_view a, std::string_view b) {
+        return editDistance(compared, a) < editDistance(compared, b);
+    });
+    return found == known.end() ? std::string_view() : *found;
+}
 
 JsonReader::JsonReader(const nlohmann::json &json, std::string pointer, Faults &faults)
     : json_(json), pointer_(std::move(pointer)), faults_(faults)
@@ -73,7 +87,7 @@
 
 std::string JsonReader::pointerOf(std::string_view key) const
 {
-    return pointer_ + '/' + std::string(key);
+    return pointer_ + '/' + escapedToken(key);
 }
 
 void JsonReader::fault(const char *key, const std::string &what)
@@ -102,13 +116,33 @@
     if (value == nullptr) {
         return {};
     }
-    if (!value->is_string() || value->get_ref<const std::string &>().empty()) {
-        fault(key, shown(*value) + " is not a string of at least one character");
+    const std::string *text = value->get_ptr<const std::string *>();
+    if (text == nullptr || text->empty() || text->size() > maxTextLength) {
+        fault(key, shown(*value) + " is not a string of 1 to " + std::to_string(maxTextLength) + " characters");
         return {};
     }
     return value->get<std::string>();
 }
 
+std::string JsonReader::secret(const char *key, std::size_t leastLength)
+{
+    const nlohmann::json *value = find(key, true);
+    return value == nullptr ? std::string() : checkedSecret(key, *value, leastLength);
+}
+
+std::string JsonReader::checkedSecret(const char *key, const nlohmann::json &value, std::size_t leastLength)
+{
+    const std::string *text = value.get_ptr<const std::string *>();
+    if (text == nullptr || text->size() > maxTextLength) {
+        fault(key, "a key is not a string of at most " + std::to_string(maxTextLength) + " characters");
+        return {};
+    }
+    if (text->size() < leastLength) {
+        fault(key, "a key has fewer than " + std::to_string(leastLength) + " characters");
+    }
+    return *text;
+}
+
 std::string JsonReader::textOr(const char *key, std::string fallback)
 {
     const nlohmann::json *value = find(key, false);
@@ -157,6 +191,11 @@
     return value->get<double>();
 }
 
+double JsonReader::numberOr(const char *key, NumberRange range, double fallback)
+{
+    return find(key, false) == nullptr ? fallback : number(key, range);
+}
+
 std::uint64_t JsonReader::whole(const char *key, NumberRange range)
 {
     const double value = number(key, range);
@@ -212,6 +251,7 @@
 std::vector<std::string> JsonReader::texts(const char *key, bool isRequired)
 {
     std::vector<std::string> texts;
+    std::set<std::string> seen;
     const nlohmann::json *value = find(key, isRequired);
     if (value == nullptr) {
         return texts;
@@ -221,15 +261,34 @@
         return texts;
     }
     for (const nlohmann::json &item : *value) {
-        if (item.is_string()) {
-            texts.push_back(item.get<std::string>());
-        } else {
+        if (!item.is_string()) {
             fault(key, shown(item) + " is not a string");
+        } else if (!seen.insert(item.get<std::string>()).second) {
+            fault(key, shown(item) + " appears twice");
+        } else {
+            texts.push_back(item.get<std::string>());
         }
     }
     return texts;
 }
 
+std::vector<std::string> JsonReader::secrets(const char *key, std::size_t leastLength)
+{
+    std::vector<std::string> keys;
+    const nlohmann::json *value = find(key, true);
+    if (value == nullptr) {
+        return keys;
+    }
+    if (!value->is_array() || value->empty()) {
+        fault(key, "is not an array of at least one key");
+        return keys;
+    }
+    for (const nlohmann::json &item : *value) {
+        keys.push_back(checkedSecret(key, item, leastLength));
+    }
+    return keys;
+}
+
 std::vector<std::uint64_t> JsonReader::wholes(const char *key, NumberRange range)
 {
     std::vector<std::uint64_t> numbers;
@@ -253,35 +312,18 @@
     return numbers;
 }
 
-void JsonReader::rejectUnknown(std::initializer_list<std::string_view> known)
+void JsonReader::rejectUnknown(std::span<const std::string_view> known)
 {
     if (!json_.is_object()) {
         return;
     }
     for (const auto &[key, value] : json_.items()) {
         if (std::find(known.begin(), known.end(), key) == known.end()) {
-            fault(key.c_str(), "is unknown; the nearest known name is \"" + std::string(nearest(key, known)) + '"');
+            const bool isShown = faults_.size() < maxShownFaults;
+            const std::string suggestion = isShown ? std::string(nearest(key, known)) : std::string();
+            fault(key.c_str(), "is unknown; the nearest known name is \"" + suggestion + '"');
         }
     }
 }
 
-nlohmann::json parseObject(std::string_view text, Faults &faults)
-{
-    try {
-        return nlohmann::json::parse(text, nullptr, true, true);
-    } catch (const nlohmann::json::exception &exception) {
-        faults.emplace_back(std::string("not JSON: ") + exception.what());
-        return nlohmann::json::object();
-    }
-}
-
-Error faultsError(const Faults &faults)
-{
-    std::string text;
-    for (const std::string &fault : faults) {
-        text += (text.empty() ? "" : "\n") + fault;
-    }
-    return Error{Errc::InvalidConfiguration, Step::Configuration, {}, text};
-}
-
 } // namespace sassafrasvane::detail
--- a/libs/settings/src/processsettings.cpp
+++ b/libs/settings/src/processsettings.cpp
@@ -1,10 +1,12 @@
 #include "settings/processsettings.h"
 
 #include "jsonreader.h"
+#include "settings/schema.h"
 
 #include <array>
 #include <fstream>
 #include <iterator>
+#include <utility>
 
 namespace sassafrasvane
 {
@@ -12,20 +14,31 @@
 namespace
 {
 
+using detail::JsonReader;
+
 constexpr std::size_t leastKeyLength = 16;
 
-std::vector<std::string> readPeerKeys(detail::JsonReader &reader)
+// Each listener needs an address of its own, so that callers cannot reach what is for peers or operators.
+void checkListeners(const ProcessSettings &settings, JsonReader &reader)
 {
-    std::vector<std::string> keys = reader.texts("peerKeys", true);
-    if (keys.empty()) {
-        reader.fault("peerKeys", "must hold at least one key");
+    if (settings.peers != Address{} && settings.peers == settings.callers) {
+        reader.fault("peers", "is the same address as /callers");
+    }
+    if (settings.operators == Address{}) {
+        return;
     }
-    for (const std::string &key : keys) {
-        if (key.size() < leastKeyLength) {
-            reader.fault("peerKeys", "a key has fewer than 16 characters");
-        }
+    if (settings.operators == settings.callers || settings.operators == settings.peers) {
+        reader.fault("operators", "is the same address as /callers or /peers");
     }
-    return keys;
+}
+
+void readLogs(ProcessSettings &settings, JsonReader &reader)
+{
+    constexpr std::array<const char *, 5> levels{"trace", "debug", "info", "warn", "error"};
+    settings.logFile = reader.textOr("logFile", {});
+    settings.logLevel = levels.at(reader.choiceOr("logLevel", {"trace", "debug", "info", "warn", "error"}, 2));
+    settings.traceFile = reader.textOr("traceFile", {});
+    settings.traceSampling = reader.numberOr("traceSampling", {0, 1}, settings.traceSampling);
 }
 
 } // namespace
@@ -34,7 +47,7 @@
 {
     detail::Faults faults;
     const nlohmann::json document = detail::parseObject(json, faults);
-    detail::JsonReader reader(document, "", faults);
+    JsonReader reader(document, "", faults);
     ProcessSettings settings;
     settings.callers = reader.address("callers");
     settings.peers = reader.address("peers");
@@ -42,23 +55,13 @@
     settings.platform = reader.address("platform");
     settings.failureDomain = reader.text("failureDomain");
     settings.region = reader.text("region");
-    settings.peerKeys = readPeerKeys(reader);
-    settings.operatorKey = reader.text("operatorKey");
-    settings.traceFile = reader.textOr("traceFile", {});
-    constexpr std::array<const char *, 5> levels{"trace", "debug", "info", "warn", "error"};
-    settings.logLevel = levels.at(reader.choiceOr("logLevel", {"trace", "debug", "info", "warn", "error"}, 2));
-    reader.rejectUnknown({"callers",
-                          "peers",
-                          "operators",
-                          "platform",
-                          "failureDomain",
-                          "region",
-                          "peerKeys",
-                          "operatorKey",
-                          "traceFile",
-                          "logLevel"});
+    settings.peerKeys = reader.secrets("peerKeys", leastKeyLength);
+    settings.operatorKey = reader.secret("operatorKey", leastKeyLength);
+    readLogs(settings, reader);
+    checkListeners(settings, reader);
+    reader.rejectUnknown(knownMembers(DocumentKind::Process, ""));
     if (!faults.empty()) {
-        return detail::faultsError(faults);
+        return detail::faultsError(faults, Step::Settings);
     }
     return settings;
 }
--- a/libs/settings/src/published.cpp
+++ b/libs/settings/src/published.cpp
@@ -1,9 +1,12 @@
 #include "settings/published.h"
 
 #include "jsonreader.h"
+#include "settings/schema.h"
 
 #include <algorithm>
 #include <array>
+#include <set>
+#include <utility>
 
 namespace sassafrasvane
 {
@@ -42,8 +45,7 @@
     cls.target = readTarget(reader);
     cls.givesWay = givesWayValues.at(reader.choiceOr("givesWay", {"latency", "coverage"}, 1));
     cls.isIdempotent = reader.flagOr("idempotent", true);
-    reader.rejectUnknown(
-        {"name", "backEnd", "latencyMs", "percentile", "completeness", "extraLoadPercent", "givesWay", "idempotent"});
+    reader.rejectUnknown(knownMembers(DocumentKind::Configuration, "/classes/*"));
     return cls;
 }
 
@@ -58,22 +60,56 @@
     if (limits.coldAllowance > limits.slots) {
         reader.fault("coldAllowance", "is more than the slots");
     }
-    reader.rejectUnknown({"name", "slots", "connections", "connectionCostMs", "coldAllowance"});
+    reader.rejectUnknown(knownMembers(DocumentKind::Configuration, "/backEnds/*"));
     return limits;
 }
 
+std::string unknownBackEnd(const Configuration &configuration, const std::string &name, std::size_t faultCount)
+{
+    const std::string text = '"' + name + "\" is not among /backEnds";
+    if (faultCount >= detail::maxShownFaults) {
+        return text;
+    }
+    std::vector<std::string_view> known;
+    for (const BackEndLimits &limits : configuration.backEnds) {
+        known.emplace_back(limits.name);
+    }
+    const std::string_view nearest = detail::nearest(name, known);
+    return nearest.empty() ? text : text + "; the nearest known name is \"" + std::string(nearest) + '"';
+}
+
 void checkReferences(const Configuration &configuration, Faults &faults)
 {
     for (std::size_t i = 0; i < configuration.classes.size(); ++i) {
         const RequestClass &cls = configuration.classes[i];
         const std::string pointer = "/classes/" + std::to_string(i);
         if (configuration.findBackEnd(cls.backEnd) == nullptr) {
-            faults.push_back(pointer + "/backEnd: \"" + cls.backEnd + "\" is not among /backEnds");
+            faults.push_back(pointer + "/backEnd: " + unknownBackEnd(configuration, cls.backEnd, faults.size()));
         }
         if (configuration.findClass(cls.name)->value != i) {
             faults.push_back(pointer + "/name: \"" + cls.name + "\" appears twice");
         }
     }
+    for (std::size_t i = 0; i < configuration.backEnds.size(); ++i) {
+        const std::string &name = configuration.backEnds[i].name;
+        if (configuration.findBackEnd(name) != &configuration.backEnds[i]) {
+            faults.push_back("/backEnds/" + std::to_string(i) + "/name: \"" + name + "\" appears twice");
+        }
+    }
+}
+
+void checkVms(const VmList &list, Faults &faults)
+{
+    std::set<Address> seen;
+    for (std::size_t i = 0; i < list.vms.size(); ++i) {
+        for (const auto &[key, address] :
+             {std::pair("peer", list.vms[i].peer), std::pair("callers", list.vms[i].callers)}) {
+            if (address != Address{} && !seen.insert(address).second) {
+                faults.push_back("/vms/" + std::to_string(i) + '/' + key + ": \"" + address.toString()
+                                 + "\" appears twice");
+            }
+        }
+    }
 }
 
 Part readPart(JsonReader &reader)
@@ -85,7 +121,7 @@
     for (const std::uint64_t replica : reader.wholes("searchers", {0, maxId})) {
         part.replicas.push_back(SearcherId{static_cast<std::uint32_t>(replica)});
     }
-    reader.rejectUnknown({"id", "begin", "end", "searchers"});
+    reader.rejectUnknown(knownMembers(DocumentKind::ShardMap, "/backEnds/*/versions/*/parts/*"));
     return part;
 }
 
@@ -94,7 +130,7 @@
     IndexMap index;
     index.version = IndexVersion{reader.whole("index", {1, maxKey})};
     reader.objects("parts", [&index](JsonReader &part) { index.parts.push_back(readPart(part)); });
-    reader.rejectUnknown({"index", "parts"});
+    reader.rejectUnknown(knownMembers(DocumentKind::ShardMap, "/backEnds/*/versions/*"));
     return index;
 }
 
@@ -105,7 +141,7 @@
     searcher.address = reader.address("address");
     searcher.failureDomain = reader.text("failureDomain");
     searcher.state = stateValues.at(reader.choiceOr("state", {"live", "leaving"}, 0));
-    reader.rejectUnknown({"id", "address", "failureDomain", "state"});
+    reader.rejectUnknown(knownMembers(DocumentKind::ShardMap, "/backEnds/*/searchers/*"));
     return searcher;
 }
 
@@ -116,7 +152,7 @@
     reader.objects("searchers",
                    [&backEnd](JsonReader &searcher) { backEnd.searchers.push_back(readSearcher(searcher)); });
     reader.objects("versions", [&backEnd](JsonReader &index) { backEnd.versions.push_back(readIndex(index)); });
-    reader.rejectUnknown({"name", "searchers", "versions"});
+    reader.rejectUnknown(knownMembers(DocumentKind::ShardMap, "/backEnds/*"));
     return backEnd;
 }
 
@@ -128,7 +164,7 @@
     vm.failureDomain = reader.text("failureDomain");
     vm.region = reader.text("region");
     vm.state = stateValues.at(reader.choiceOr("state", {"live", "leaving"}, 0));
-    reader.rejectUnknown({"peer", "callers", "failureDomain", "region", "state"});
+    reader.rejectUnknown(knownMembers(DocumentKind::VmList, "/vms/*"));
     return vm;
 }
 
@@ -170,10 +206,10 @@
     reader.objects("backEnds",
                    [&configuration](JsonReader &limits) { configuration.backEnds.push_back(readLimits(limits)); });
     configuration.domainsOut = reader.texts("domainsOut", false);
-    reader.rejectUnknown({"classes", "backEnds", "domainsOut"});
+    reader.rejectUnknown(knownMembers(DocumentKind::Configuration, ""));
     checkReferences(configuration, faults);
     if (!faults.empty()) {
-        return detail::faultsError(faults);
+        return detail::faultsError(faults, Step::Configuration);
     }
     return configuration;
 }
@@ -185,9 +221,9 @@
     ShardMap::Builder builder;
     JsonReader reader(document, "", faults);
     reader.objects("backEnds", [&builder](JsonReader &backEnd) { builder.backEnd(readBackEnd(backEnd)); });
-    reader.rejectUnknown({"backEnds"});
+    reader.rejectUnknown(knownMembers(DocumentKind::ShardMap, ""));
     if (!faults.empty()) {
-        return detail::faultsError(faults);
+        return detail::faultsError(faults, Step::Configuration);
     }
     return builder.build(version);
 }
@@ -200,9 +236,10 @@
     list.version = version;
     JsonReader reader(document, "", faults);
     reader.objects("vms", [&list](JsonReader &vm) { list.vms.push_back(readVm(vm)); });
-    reader.rejectUnknown({"vms"});
+    reader.rejectUnknown(knownMembers(DocumentKind::VmList, ""));
+    checkVms(list, faults);
     if (!faults.empty()) {
-        return detail::faultsError(faults);
+        return detail::faultsError(faults, Step::Configuration);
     }
     return list;
 }
