Control tests: send incomplete requests without waiting for their timeout

The random-bytes test half-closed its connections and then read, so that each incomplete request lasted until the server's idle timeout of 5 s: 160 s for the program. Incomplete requests are now sent and dropped, complete ones are read and must be answered.

--- a/libs/control/tests/control_test.cpp
+++ b/libs/control/tests/control_test.cpp
@@ -80,30 +80,46 @@
         .value();
 }
 
-/// Sends \p bytes and reads until the server closes or answers. \return what came back.
-std::string exchangeBytes(const Address &address, const std::string &bytes)
+/// A plain connection, for bytes that no HTTP client would send.
+class RawConnection
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in where{};
-    where.sin_family = AF_INET;
-    where.sin_addr.s_addr = htonl(address.ip);
-    where.sin_port = htons(address.port);
-    BOOST_REQUIRE_EQUAL(::connect(socket, reinterpret_cast<sockaddr *>(&where), sizeof where), 0);
-    std::size_t sent = 0;
-    while (sent < bytes.size()) {
-        const ssize_t count = ::send(socket, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
-        if (count <= 0) {
-            break;
+public:
+    explicit RawConnection(const Address &address) : socket_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in where{};
+        where.sin_family = AF_INET;
+        where.sin_addr.s_addr = htonl(address.ip);
+        where.sin_port = htons(address.port);
+        BOOST_REQUIRE_EQUAL(::connect(socket_, reinterpret_cast<sockaddr *>(&where), sizeof where), 0);
+    }
+    RawConnection(const RawConnection &) = delete;
+    RawConnection &operator=(const RawConnection &) = delete;
+    ~RawConnection() { ::close(socket_); }
+
+    void send(const std::string &bytes) const
+    {
+        std::size_t sent = 0;
+        while (sent < bytes.size()) {
+            const ssize_t count = ::send(socket_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            if (count <= 0) {
+                return;
+            }
+            sent += static_cast<std::size_t>(count);
         }
-        sent += static_cast<std::size_t>(count);
     }
-    ::shutdown(socket, SHUT_WR);
-    std::string reply(4'096, '\0');
-    const ssize_t count = ::recv(socket, reply.data(), reply.size(), 0);
-    ::close(socket);
-    reply.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
-    return reply;
-}
+
+    /// The beginning of the reply; empty if the server closed the connection.
+    std::string receive() const
+    {
+        std::string reply(4'096, '\0');
+        const ssize_t count = ::recv(socket_, reply.data(), reply.size(), 0);
+        reply.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
+        return reply;
+    }
+
+private:
+    const int socket_;
+};
 
 } // namespace
 
@@ -217,9 +233,9 @@
     const std::unique_ptr<ControlServer> server = startServer();
     httplib::Client http("127.0.0.1", server->address().port);
     BOOST_TEST(http.Post("/", std::string(ControlServer::maxRequestBytes + 1, ' '), "application/json")->status == 413);
-    const std::string headers
-        = "GET /metrics HTTP/1.1\r\nHost: x\r\nX: " + std::string(ControlServer::maxHeaderBytes, 'x');
-    BOOST_TEST(exchangeBytes(server->address(), headers + "\r\n\r\n").find(" 200 ") == std::string::npos);
+    const RawConnection raw(server->address());
+    raw.send("GET /metrics HTTP/1.1\r\nHost: x\r\nX: " + std::string(ControlServer::maxHeaderBytes, 'x') + "\r\n\r\n");
+    BOOST_TEST(raw.receive().find(" 200 ") == std::string::npos);
     BOOST_TEST(http.Get("/secret")->status == 404);
     BOOST_TEST(http.Get("/")->status == 405);
     BOOST_TEST(ControlClient(server->address(), timeout).status().has_value());
@@ -244,9 +260,10 @@
 RC_BOOST_PROP(randomBytesNeverStopTheServer, (const std::string &bytes))
 {
     static const std::unique_ptr<ControlServer> server = startServer();
-    exchangeBytes(server->address(), bytes);
-    exchangeBytes(server->address(),
-                  "POST / HTTP/1.0\r\nContent-Length: " + std::to_string(bytes.size()) + "\r\n\r\n" + bytes);
+    RawConnection(server->address()).send(bytes);
+    const RawConnection framed(server->address());
+    framed.send("POST / HTTP/1.0\r\nContent-Length: " + std::to_string(bytes.size()) + "\r\n\r\n" + bytes);
+    RC_ASSERT(!framed.receive().empty());
     RC_ASSERT(ControlClient(server->address(), timeout).entries().has_value());
 }
 
--- a/libs/settings/src/published.cpp
+++ b/libs/settings/src/published.cpp
@@ -66,7 +66,7 @@
 
 std::string unknownBackEnd(const Configuration &configuration, const std::string &name, std::size_t faultCount)
 {
-    const std::string text = '"' + name + "\" is not among /backEnds";
+    std::string text = '"' + name + "\" is not among /backEnds";
     if (faultCount >= detail::maxShownFaults) {
         return text;
     }
