--- a/libs/settings/src/processsettings.cpp
+++ b/libs/settings/src/processsettings.cpp
@@ -2,11 +2,9 @@
 
 #include "jsonreader.h"
 #include "settings/schema.h"
+#include "settings/textfile.h"
 
 #include <array>
-#include <fstream>
-#include <iterator>
-#include <utility>
 
 namespace sassafrasvane
 {
@@ -68,12 +66,11 @@
 
 Result<ProcessSettings> readProcessSettingsFile(const std::string &path)
 {
-    std::ifstream file(path);
-    if (!file) {
-        return Error{Errc::InvalidConfiguration, Step::Settings, {}, path + ": cannot be read"};
+    const Result<std::string> text = readTextFile(path);
+    if (text.has_error()) {
+        return text.error();
     }
-    const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
-    return readProcessSettings(text);
+    return readProcessSettings(text.value());
 }
 
 } // namespace sassafrasvane
--- a/libs/settings/tests/settings_test.cpp
+++ b/libs/settings/tests/settings_test.cpp
@@ -84,4 +84,13 @@
     BOOST_TEST(mentions(settings.error(), "/peerKeys: a key has fewer than 16 characters"));
 }
 
+BOOST_AUTO_TEST_CASE(unreadableFilesAreErrors)
+{
+    for (const char *path : {"/", "/nowhere/at/all", "/dev/null", "/dev/zero"}) {
+        const Result<ProcessSettings> settings = readProcessSettingsFile(path);
+        BOOST_REQUIRE_MESSAGE(settings.has_error(), path);
+        BOOST_TEST((settings.error().step == Step::Settings));
+    }
+}
+
 } // namespace sassafrasvane
