--- a/libs/fleet/include/fleet/membership.h
+++ b/libs/fleet/include/fleet/membership.h
@@ -35,7 +35,7 @@
     /// Members to which an urgent change is sent at once.
     std::size_t eagerPeers = 3;
     /// Messages a second in the long run, and at once. Their sum bounds the messages of any second.
-    double messagesPerSecond = 14;
+    double messagesPerSecond = 20;
     double messageBurst = 6;
     /// Time between two comparisons of the whole table with a random peer.
     Duration syncPeriod = std::chrono::seconds(10);
--- a/libs/fleet/src/servicereaders.cpp
+++ b/libs/fleet/src/servicereaders.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-/// Time over which the first reads of a starting fleet are spread, in all and for each daemon: 1,000 calls a second.
-constexpr Duration shortestStartSpread = std::chrono::milliseconds(200);
+/// Time over which the first reads of a starting fleet are spread, in all and for each daemon: at most 1,000 calls a second.
+constexpr Duration shortestStartSpread = std::chrono::milliseconds(1500);
 constexpr Duration startSpreadPerDaemon = std::chrono::milliseconds(3);
 
 /// Shortest mean time between two reads by a daemon that is no reader, and that time for each daemon of its domain: so
--- a/libs/fleet/tests/configspread_test.cpp
+++ b/libs/fleet/tests/configspread_test.cpp
@@ -58,7 +58,7 @@
     std::string damaged = delta;
     damaged[place % damaged.size()] = static_cast<char>(place >> 8);
     const std::optional<std::string> other = applyDelta(long1, damaged);
-    RC_ASSERT(!other || other->size() <= maxValueBytes);
+    RC_ASSERT((!other || other->size() <= maxValueBytes));
 }
 
 BOOST_AUTO_TEST_CASE(movedAndChangedLinesMakeASmallDifference)
--- a/libs/fleet/tests/entryadvice_test.cpp
+++ b/libs/fleet/tests/entryadvice_test.cpp
@@ -119,8 +119,8 @@
         RC_ASSERT(!answer.addresses.empty());
         for (const Member &member : members) {
             const bool isUsable = member.takesWork() && (out.empty() || member.record.failureDomain != out[0]);
-            RC_ASSERT(!names(answer, member) || isUsable || !isAnyUsable);
-            RC_ASSERT(!names(answer, member) || member.record.state != MemberState::Dead);
+            RC_ASSERT((!names(answer, member) || isUsable || !isAnyUsable));
+            RC_ASSERT((!names(answer, member) || member.record.state != MemberState::Dead));
         }
     }
 }
--- a/libs/fleet/tests/fakefleet.cpp
+++ b/libs/fleet/tests/fakefleet.cpp
@@ -331,7 +331,7 @@
     }
     counters_.peakServiceCalls = std::max(counters_.peakServiceCalls, ++callsThisSecond_);
     const std::uint64_t life = daemons_[number].life;
-    if (isServiceDown_) {
+    if (isServiceDown_ || (network_.isServiceCut && network_.isServiceCut(number))) {
         push({now_ + serviceTimeout, 0, Kind::Reply, number, life, 0, {}, read.key, 0});
         return;
     }
@@ -349,7 +349,8 @@
     SpreadActions actions;
     ConfigSpread &spread = *daemons_[event.to].spread;
     const ConfigVersion version = served(event.key);
-    if (isServiceDown_ || version.value == 0) {
+    const bool isCut = network_.isServiceCut && network_.isServiceCut(event.to);
+    if (isServiceDown_ || isCut || version.value == 0) {
         spread.onServiceFailed(now_, event.key, actions);
     } else {
         const std::string &text = texts_[static_cast<std::size_t>(event.key)][version.value - 1];
--- a/libs/fleet/tests/fakefleet.h
+++ b/libs/fleet/tests/fakefleet.h
@@ -26,6 +26,8 @@
     double loss = 0;
     /// True if nothing passes from one daemon to another, by their numbers.
     std::function<bool(std::size_t, std::size_t)> isCut;
+    /// True if a daemon cannot reach the service.
+    std::function<bool(std::size_t)> isServiceCut;
 };
 
 /// What a daemon has sent.
