Property of the fleet: restarts with a wrong wall clock

Cause: an incarnation comes from the wall clock, which may go back between two lives. Change: the stateful property restarts daemons with the clock 20 minutes behind or ahead; the formatter's fault in a comment is mended.

--- a/libs/fleet/src/servicereaders.cpp
+++ b/libs/fleet/src/servicereaders.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-/// Time over which the first reads of a starting fleet are spread, in all and for each daemon: at most 1,000 calls a second.
+/// Time over which the first reads of a starting fleet are spread, in all and for each daemon.
 constexpr Duration shortestStartSpread = std::chrono::milliseconds(1500);
 constexpr Duration startSpreadPerDaemon = std::chrono::milliseconds(3);
 
--- a/libs/fleet/tests/fakefleet.cpp
+++ b/libs/fleet/tests/fakefleet.cpp
@@ -48,10 +48,10 @@
     }
 }
 
-void FakeFleet::start(std::size_t number)
+void FakeFleet::start(std::size_t number, Duration clockError)
 {
     FakeDaemon &daemon = daemons_[number];
-    daemon.record.incarnation = Incarnation{static_cast<std::uint64_t>(now_.time_since_epoch().count())};
+    daemon.record.incarnation = Incarnation{static_cast<std::uint64_t>((now_ + clockError).time_since_epoch().count())};
     const std::uint64_t seed = random_.next();
     daemon.membership = std::make_unique<Membership>(Membership::Builder().self(daemon.record).seed(seed).build(now_));
     const std::vector<std::string> keys{"fleet key"};
--- a/libs/fleet/tests/fakefleet.h
+++ b/libs/fleet/tests/fakefleet.h
@@ -85,7 +85,8 @@
     /// \param count daemons, spread over two regions with \p domains failure domains each.
     FakeFleet(std::size_t count, std::uint64_t seed, std::size_t domains = 4);
 
-    void start(std::size_t number);
+    /// \param clockError how far the wall clock, which gives the incarnation, goes wrong.
+    void start(std::size_t number, Duration clockError = Duration(0));
     void startAll();
     /// Ends a daemon without a word.
     void kill(std::size_t number);
--- a/libs/fleet/tests/fleetproperties_test.cpp
+++ b/libs/fleet/tests/fleetproperties_test.cpp
@@ -85,6 +85,7 @@
 
 struct Start : FleetCommand {
     std::size_t number;
+    Duration clockError{std::chrono::minutes(*rc::gen::element(0, 0, -20, 20))};
 
     explicit Start(const Oracle &oracle) : number(drawNumber(oracle)) { }
     void checkPreconditions(const Oracle &oracle) const override { RC_PRE(!oracle.running[number]); }
@@ -92,9 +93,9 @@
     void run(const Oracle &, FakeFleet &fleet) const override
     {
         fleet.run(1ms);
-        fleet.start(number);
+        fleet.start(number, clockError);
     }
-    void show(std::ostream &os) const override { os << "start " << number; }
+    void show(std::ostream &os) const override { os << "start " << number << " clock error " << clockError.count(); }
 };
 
 struct Pause : FleetCommand {
