--- a/fuzz/fakedaemon.cpp
+++ b/fuzz/fakedaemon.cpp
@@ -31,7 +31,12 @@
         const HolderShare share = *view.holders->share(searcher, id_);
         const auto found = held_.find(searcher);
         if (found == held_.end()) {
-            kept.emplace(searcher, Held{SearcherGate::Builder().limits(limits).share(share).build(), limits, share});
+            SearcherGate::Builder builder;
+            builder.limits(limits).share(share);
+            if (hasStarted_) {
+                builder.becameHolderAt(now);
+            }
+            kept.emplace(searcher, Held{builder.build(), limits, share});
             continue;
         }
         Held held = std::move(found->second);
@@ -41,6 +46,7 @@
         held_.erase(found);
     }
     held_ = std::move(kept);
+    hasStarted_ = true;
     refuseUnheld();
 }
 
@@ -160,10 +166,58 @@
         refuse(refusal.call, refusal.reason);
     }
     for (const CallId id : actions.start) {
-        LeafCall &call = leafCalls_.at(id);
-        call.isRunning = true;
-        call.startedAt = now;
-        hooks_.send(CallToServer{position_, incarnation_, id, call.message.origin, call.message.call, call.deadline});
+        startCall(now, id);
+    }
+}
+
+// What the daemon knows is checked again at the moment of sending, for the call may have waited. A call that may not be
+// sent ends as one that the gate sees refused without a run.
+void FakeDaemon::startCall(TimePoint now, CallId id)
+{
+    LeafCall &call = leafCalls_.at(id);
+    call.isRunning = true;
+    call.startedAt = now;
+    CallToServer message{position_, incarnation_, id, call.message.origin, call.message.call, call.deadline, {}};
+    if (maySend(now, call.message.call.searcher)) {
+        hooks_.send(message);
+        return;
+    }
+    EndOfCall end;
+    end.call = message;
+    const SearchCall &search = message.call;
+    end.reply = {search.call, search.searcher, search.version, CallOutcome::Refused, Errc::NoServer, false, {}};
+    hooks_.send(end);
+}
+
+bool FakeDaemon::maySend(TimePoint now, SearcherId searcher)
+{
+    LeaseActions actions;
+    const LeaseState state = lease_.check(now, actions);
+    isRefreshWanted_ = isRefreshWanted_ || actions.refresh;
+    const Searcher *published = view_.map->searcher(searcher);
+    return state != LeaseState::Held && published != nullptr && published->state == ServerState::Live
+        && !view_.configuration->isOut(published->failureDomain);
+}
+
+void FakeDaemon::reportWarmth(TimePoint now)
+{
+    for (const auto &[searcher, held] : held_) {
+        const std::optional<WarmthReport> report = held.gate.warmth();
+        for (const DaemonId other : view_.holders->holders(searcher)) {
+            if (report && other != id_) {
+                hooks_.send(WarmthToHolder{positionOf(other), searcher, *report, now});
+            }
+        }
+    }
+}
+
+void FakeDaemon::onWarmth(TimePoint now, const WarmthToHolder &message)
+{
+    const auto held = held_.find(message.searcher);
+    if (held != held_.end()) {
+        const WarmthReport &report = message.report;
+        const Duration age = message.sentAt - report.confirmedAt + SearcherGate::maxReportAge();
+        held->second.gate.onPeerWarmth(now, report.incarnation, report.allowance, age);
     }
 }
 
@@ -216,11 +270,12 @@
     result.latency = now - call.startedAt;
     result.incarnation = message.serverIncarnation;
     result.saysCold = message.saysCold;
+    result.isConnectionLost = message.isConnectionLost;
     switch (message.reply.outcome) {
     case CallOutcome::Answered:
-    case CallOutcome::WrongVersion:
         result.end = GateResult::End::Answered;
         break;
+    case CallOutcome::WrongVersion:
     case CallOutcome::Refused:
         result.end = GateResult::End::Refused;
         break;
@@ -260,6 +315,9 @@
 void FakeDaemon::onTime(TimePoint now)
 {
     now_ = now;
+    LeaseActions lease;
+    lease_.onTimer(now, lease);
+    isRefreshWanted_ = isRefreshWanted_ || lease.refresh;
     std::vector<QueryId> due;
     for (const auto &[id, open] : queries_) {
         if (open.wakeAt && *open.wakeAt <= now) {
@@ -293,6 +351,7 @@
     lastCall_ = 0;
     lastLeafCall_ = 0;
     router_ = ReplicaRouter(id_, id_.value);
+    lease_ = KnowledgeLease(now);
     setView(now, view_, daemons_);
     return lost;
 }
--- a/fuzz/fakedaemon.h
+++ b/fuzz/fakedaemon.h
@@ -3,11 +3,13 @@
 #include "admission/searchergate.h"
 #include "fanout/query.h"
 #include "fanout/replicarouter.h"
+#include "fleet/knowledgelease.h"
 #include "searchmessages.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -39,6 +41,20 @@
     bool isPaused() const noexcept { return isPaused_; }
     void setPaused(bool isPaused) noexcept { isPaused_ = isPaused; }
 
+    /// The platform or a peer answered at \p now a question asked at \p askedAt; \p isCurrent is false if it knows
+    /// more.
+    void onAnswer(TimePoint now, TimePoint askedAt, bool isCurrent) { lease_.onAnswer(now, askedAt, isCurrent); }
+
+    /// True since the lease asked for a confirmation; false after this call.
+    bool takeRefresh() noexcept { return std::exchange(isRefreshWanted_, false); }
+
+    /// Tells the other holders how warm each held searcher is.
+    void reportWarmth(TimePoint now);
+    void onWarmth(TimePoint now, const WarmthToHolder &message);
+
+    /// The published version that the daemon goes by.
+    ConfigVersion viewVersion() const noexcept { return view_.configuration->version; }
+
     /// The published values reach the daemon. \param daemons all daemons by position.
     void setView(TimePoint now, const RouterView &view, const std::vector<DaemonId> &daemons);
     void setUnusableDaemons(std::unordered_set<DaemonId> daemons) { router_.setUnusableDaemons(std::move(daemons)); }
@@ -89,6 +105,8 @@
     void apply(TimePoint now, QueryId id, QueryActions actions);
     void sendCall(TimePoint now, QueryId id, const OpenQuery &open, const SearchCall &call);
     void applyGate(TimePoint now, const GateActions &actions);
+    bool maySend(TimePoint now, SearcherId searcher);
+    void startCall(TimePoint now, CallId id);
     void refuseUnheld();
     void refuse(CallId leafCall, Errc reason);
     std::size_t positionOf(DaemonId daemon) const;
@@ -100,6 +118,9 @@
     bool isPaused_ = false;
     TimePoint now_;
     RouterView view_;
+    KnowledgeLease lease_{TimePoint()};
+    bool isRefreshWanted_ = false;
+    bool hasStarted_ = false;
     std::vector<DaemonId> daemons_;
     ReplicaRouter router_;
     std::map<QueryId, OpenQuery> queries_;
--- a/fuzz/fakesearcher.cpp
+++ b/fuzz/fakesearcher.cpp
@@ -78,8 +78,9 @@
     return ends;
 }
 
-std::vector<EndOfCall> FakeSearcher::restart()
+std::vector<EndOfCall> FakeSearcher::restart(TimePoint now)
 {
+    restartedAt_ = now;
     std::vector<EndOfCall> ends;
     for (const CallToServer &call : std::exchange(running_, {})) {
         EndOfCall end = endOf(call, CallOutcome::Failed, Errc::ConnectionLost);
@@ -92,6 +93,22 @@
     return ends;
 }
 
+std::size_t FakeSearcher::bearable() const noexcept
+{
+    std::size_t bearable = searcherColdAllowance;
+    for (std::size_t left = answered_; left >= ColdStart::successesPerStep() && bearable < searcherSlots;
+         left -= ColdStart::successesPerStep()) {
+        bearable *= 2;
+    }
+    return std::min<std::size_t>(bearable, searcherSlots);
+}
+
+std::size_t FakeSearcher::informedRunning() const noexcept
+{
+    return static_cast<std::size_t>(std::count_if(
+        running_.begin(), running_.end(), [this](const CallToServer &call) { return call.knownLife == incarnation_; }));
+}
+
 EndOfCall FakeSearcher::endOf(const CallToServer &call, CallOutcome outcome, Errc error) const
 {
     EndOfCall end;
--- a/fuzz/fakesearcher.h
+++ b/fuzz/fakesearcher.h
@@ -14,15 +14,14 @@
 namespace sassafrasvane
 {
 
+/// Limits of each fake searcher.
+inline constexpr std::uint32_t searcherSlots = 4;
+inline constexpr std::uint32_t searcherColdAllowance = 1;
+
 /// Holds versions, runs calls until it is told how they end, and counts what runs.
 class FakeSearcher
 {
 public:
-    /// A call that runs.
-    struct Running {
-        CallToServer call;
-    };
-
     FakeSearcher(SearcherId id, std::string failureDomain) : id_(id), failureDomain_(std::move(failureDomain)) { }
 
     SearcherId id() const noexcept { return id_; }
@@ -45,12 +44,18 @@
     std::vector<EndOfCall> dropExpired(TimePoint now);
 
     /// Begins a new, cold life. \return the ends of what ran, as the holders see them.
-    std::vector<EndOfCall> restart();
+    std::vector<EndOfCall> restart(TimePoint now);
 
     void setDown(bool isDown) noexcept { isDown_ = isDown; }
 
-    /// Calls answered in this life.
-    std::size_t answered() const noexcept { return answered_; }
+    /// Calls that it can bear at a time by now: the cold allowance, doubled by every few answers of this life.
+    std::size_t bearable() const noexcept;
+
+    /// Running calls whose holder knows of this life or had the time to find out.
+    std::size_t informedRunning() const noexcept;
+
+    /// When this life began.
+    TimePoint restartedAt() const noexcept { return restartedAt_; }
 
 private:
     EndOfCall endOf(const CallToServer &call, CallOutcome outcome, Errc error) const;
@@ -62,6 +67,7 @@
     Incarnation incarnation_{1};
     bool isDown_ = false;
     std::size_t answered_ = 0;
+    TimePoint restartedAt_;
     std::map<IndexVersion, const IndexMap *> versions_;
     std::vector<CallToServer> running_;
 };
--- a/fuzz/searchmessages.h
+++ b/fuzz/searchmessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/coldstart.h"
 #include "fanout/messages.h"
 #include "searchoracle.h"
 
@@ -44,6 +45,9 @@
     EntryOrigin origin;
     SearchCall call;
     TimePoint deadline;
+    /// For the oracle only: the life of the searcher that the holder knew of when it sent the call, or had the time to
+    /// find out.
+    Incarnation knownLife;
 };
 
 /// From a searcher, or from the connection to it, to the holder.
@@ -61,8 +65,16 @@
     SearchReply reply;
 };
 
+/// From one holder of a searcher to another.
+struct WarmthToHolder {
+    std::size_t holder = 0;
+    SearcherId searcher;
+    WarmthReport report;
+    TimePoint sentAt;
+};
+
 /// Any message on its way.
-using SearchMessage = std::variant<CallToHolder, CancelToHolder, CallToServer, EndOfCall, ReplyToEntry>;
+using SearchMessage = std::variant<CallToHolder, CancelToHolder, CallToServer, EndOfCall, ReplyToEntry, WarmthToHolder>;
 
 /// What a server makes of a call.
 enum class AnswerKind {
--- a/fuzz/searchworld.cpp
+++ b/fuzz/searchworld.cpp
@@ -16,7 +16,10 @@
 constexpr std::uint32_t serverCount = 6;
 constexpr std::uint64_t keySpace = 96;
 constexpr std::uint32_t holdersEach = 2;
-constexpr std::uint32_t slots = 2;
+/// Time after which a domain or a searcher that is out or leaving may get no new work: the brief's few seconds.
+constexpr Duration fewSeconds = 5s;
+/// Time between two reads of the platform.
+constexpr Duration readPeriod = 1s;
 constexpr std::size_t publishedIndexes = 2;
 constexpr const char *backEndName = "riders";
 constexpr std::uint32_t loopback = 0x7f000001;
@@ -42,6 +45,17 @@
     return index;
 }
 
+/// The end of \p lost as its holder sees it: the connection broke, or was closed because the time was over.
+EndOfCall brokenEnd(const CallToServer &lost, Errc error)
+{
+    const SearchCall &call = lost.call;
+    EndOfCall end;
+    end.call = lost;
+    end.reply = {call.call, call.searcher, call.version, CallOutcome::Failed, error, true, {}};
+    end.isConnectionLost = error == Errc::ConnectionLost;
+    return end;
+}
+
 } // namespace
 
 SearchWorld::SearchWorld(Property watched) : watched_(watched)
@@ -56,12 +70,14 @@
         hooks.answer = [this](CallerQueryId caller, const QueryAnswer &answer) { oracle_.answered(caller, answer); };
         daemons_.push_back(std::make_unique<FakeDaemon>(i, daemonIds_.back(), hooks));
     }
+    knowledge_.resize(daemonCount);
     publishIndex(1, 0);
     for (FakeSearcher &server : servers_) {
         server.load(maps_.back()->find(backEndName)->versions.front());
     }
     for (const std::unique_ptr<FakeDaemon> &daemon : daemons_) {
         daemon->setView(now_, view_, daemonIds_);
+        daemon->onAnswer(now_, now_, true);
     }
 }
 
@@ -85,6 +101,14 @@
         {"restartServer", 1, &SearchWorld::restartServer},
         {"toggleServer", 1, &SearchWorld::toggleServer},
         {"toggleDomain", 1, &SearchWorld::toggleDomain},
+        {"passSeconds", 2, &SearchWorld::passSeconds},
+        {"takeDomainOut", 1, &SearchWorld::takeDomainOut},
+        {"bringDomainsBack", 1, &SearchWorld::bringDomainsBack},
+        {"toggleLeaving", 1, &SearchWorld::toggleLeaving},
+        {"cutOff", 1, &SearchWorld::cutOff},
+        {"togglePlatform", 1, &SearchWorld::togglePlatform},
+        {"shareWarmth", 3, &SearchWorld::shareWarmth},
+        {"serveCalmly", 3, &SearchWorld::serveCalmly},
         {"suspectDaemons", 1, &SearchWorld::suspectDaemons},
     };
     return list;
@@ -137,18 +161,11 @@
     if (!taken) {
         return;
     }
-    EndOfCall end;
     if (const CallToServer *call = std::get_if<CallToServer>(&*taken)) {
-        end.call = *call;
+        send(brokenEnd(*call, Errc::ConnectionLost));
     } else if (const EndOfCall *answer = std::get_if<EndOfCall>(&*taken)) {
-        end.call = answer->call;
-    } else {
-        return;
+        send(brokenEnd(answer->call, Errc::ConnectionLost));
     }
-    const SearchCall &call = end.call.call;
-    end.reply = {call.call, call.searcher, call.version, CallOutcome::Failed, Errc::ConnectionLost, true, {}};
-    end.isConnectionLost = true;
-    send(end);
 }
 
 // A reply reaches another query of the same daemon.
@@ -187,19 +204,60 @@
 
 void SearchWorld::passTime(std::size_t milliseconds, std::size_t)
 {
-    now_ += std::chrono::milliseconds(1 + milliseconds % 25);
+    moveTime(std::chrono::milliseconds(1 + milliseconds % 25));
+}
+
+void SearchWorld::passSeconds(std::size_t seconds, std::size_t)
+{
+    constexpr Duration step = 250ms;
+    for (std::size_t i = 0; i < 1 + seconds % 28; ++i) {
+        moveTime(step);
+    }
+}
+
+void SearchWorld::moveTime(Duration time)
+{
+    now_ += time;
     for (FakeSearcher &server : servers_) {
         for (EndOfCall &end : server.dropExpired(now_)) {
             send(std::move(end));
         }
     }
-    for (const std::unique_ptr<FakeDaemon> &daemon : daemons_) {
-        if (!daemon->isPaused()) {
-            daemon->onTime(now_);
+    dropExpired();
+    for (std::size_t i = 0; i < daemonCount; ++i) {
+        if (daemons_[i]->isPaused()) {
+            continue;
+        }
+        daemons_[i]->onTime(now_);
+        if (daemons_[i]->takeRefresh() || now_ - knowledge_[i].lastReadAt >= readPeriod) {
+            readPlatform(i);
+        }
+    }
+}
+
+// A holder closes the connection of a call whose deadline has passed, so that it cannot arrive any more.
+void SearchWorld::dropExpired()
+{
+    for (SearchMessage &message : network_) {
+        const CallToServer *call = std::get_if<CallToServer>(&message);
+        if (call != nullptr && call->deadline <= now_) {
+            message = brokenEnd(*call, Errc::Timeout);
         }
     }
 }
 
+void SearchWorld::readPlatform(std::size_t daemon)
+{
+    if (!canRead(daemon)) {
+        return;
+    }
+    knowledge_[daemon].lastReadAt = now_;
+    if (daemons_[daemon]->viewVersion() != view_.configuration->version) {
+        daemons_[daemon]->setView(now_, view_, daemonIds_);
+    }
+    daemons_[daemon]->onAnswer(now_, now_, true);
+}
+
 void SearchWorld::publishIndex(std::size_t shape, std::size_t)
 {
     const IndexVersion version{++lastIndex_};
@@ -215,7 +273,8 @@
     backEnd.name = backEndName;
     for (const FakeSearcher &server : servers_) {
         const std::uint16_t port = static_cast<std::uint16_t>(9000 + server.id().value);
-        backEnd.searchers.push_back({server.id(), Address{loopback, port}, server.failureDomain(), ServerState::Live});
+        const ServerState state = leaving_.contains(server.id()) ? ServerState::Leaving : ServerState::Live;
+        backEnd.searchers.push_back({server.id(), Address{loopback, port}, server.failureDomain(), state});
     }
     backEnd.versions = indexes_;
     const ConfigVersion version{++configVersion_};
@@ -223,7 +282,10 @@
         std::make_shared<const ShardMap>(ShardMap::Builder().backEnd(std::move(backEnd)).build(version).value()));
     Configuration configuration;
     configuration.version = version;
-    configuration.backEnds.push_back({backEndName, slots, slots, Duration{0}, 1});
+    configuration.backEnds.push_back({backEndName, searcherSlots, searcherSlots, Duration{0}, searcherColdAllowance});
+    for (const auto &[domain, since] : domainsOut_) {
+        configuration.domainsOut.push_back(domain);
+    }
     view_.map = maps_.back();
     view_.configuration = std::make_shared<const Configuration>(std::move(configuration));
     view_.holders = std::make_shared<const HolderTable>(
@@ -244,16 +306,27 @@
 
 void SearchWorld::readValues(std::size_t daemon, std::size_t)
 {
-    FakeDaemon &reader = daemonAt(daemon);
-    if (!reader.isPaused()) {
-        reader.setView(now_, view_, daemonIds_);
+    if (!daemonAt(daemon).isPaused()) {
+        readPlatform(daemon % daemonCount);
     }
 }
 
+// An answer of the platform that arrives during the pause waits in the socket's buffer and is read after the wake-up.
 void SearchWorld::togglePause(std::size_t daemon, std::size_t)
 {
     FakeDaemon &target = daemonAt(daemon);
+    Knowledge &knowledge = knowledge_[daemon % daemonCount];
     target.setPaused(!target.isPaused());
+    if (target.isPaused()) {
+        knowledge.bufferedView = canRead(daemon % daemonCount) ? std::optional<RouterView>(view_) : std::nullopt;
+        knowledge.bufferedAt = now_;
+    } else if (knowledge.bufferedView) {
+        if (target.viewVersion() < knowledge.bufferedView->configuration->version) {
+            target.setView(now_, *knowledge.bufferedView, daemonIds_);
+        }
+        target.onAnswer(now_, knowledge.bufferedAt, true);
+        knowledge.bufferedView.reset();
+    }
 }
 
 void SearchWorld::restartDaemon(std::size_t daemon, std::size_t)
@@ -263,11 +336,18 @@
         oracle_.abandoned(caller);
     }
     target.setPaused(false);
+    // Its connections are gone, with the requests on them.
+    std::erase_if(network_, [&](const SearchMessage &message) {
+        const CallToServer *call = std::get_if<CallToServer>(&message);
+        return call != nullptr && call->holder == daemon % daemonCount;
+    });
+    knowledge_[daemon % daemonCount].bufferedView.reset();
+    knowledge_[daemon % daemonCount].livesSeen.clear();
 }
 
 void SearchWorld::restartServer(std::size_t server, std::size_t)
 {
-    for (EndOfCall &end : serverAt(server).restart()) {
+    for (EndOfCall &end : serverAt(server).restart(now_)) {
         send(std::move(end));
     }
 }
@@ -289,6 +369,74 @@
     }
 }
 
+void SearchWorld::takeDomainOut(std::size_t domain, std::size_t)
+{
+    domainsOut_.emplace(domains[domain % std::size(domains)], now_);
+    publish();
+}
+
+void SearchWorld::bringDomainsBack(std::size_t, std::size_t)
+{
+    domainsOut_.clear();
+    publish();
+}
+
+void SearchWorld::toggleLeaving(std::size_t server, std::size_t)
+{
+    const SearcherId id = serverAt(server).id();
+    if (leaving_.erase(id) == 0) {
+        leaving_.emplace(id, now_);
+    }
+    publish();
+}
+
+void SearchWorld::cutOff(std::size_t daemon, std::size_t)
+{
+    Knowledge &knowledge = knowledge_[daemon % daemonCount];
+    knowledge.isCutOff = !knowledge.isCutOff;
+    knowledge.reachableSince = now_;
+}
+
+void SearchWorld::togglePlatform(std::size_t, std::size_t)
+{
+    isPlatformDown_ = !isPlatformDown_;
+    for (Knowledge &knowledge : knowledge_) {
+        knowledge.reachableSince = now_;
+    }
+}
+
+void SearchWorld::shareWarmth(std::size_t daemon, std::size_t)
+{
+    if (!daemonAt(daemon).isPaused()) {
+        daemonAt(daemon).reportWarmth(now_);
+    }
+}
+
+// Queries without a fault in between, so that searchers warm up.
+void SearchWorld::serveCalmly(std::size_t daemon, std::size_t count)
+{
+    constexpr std::size_t mostQueries = 24;
+    for (std::size_t i = 0; i < 1 + count % mostQueries; ++i) {
+        ask(daemon + i, count + i);
+        deliverAll();
+        for (std::size_t server = 0; server < servers_.size(); ++server) {
+            while (servers_[server].running() > 0) {
+                answerWhole(server, 0);
+            }
+        }
+        deliverAll();
+        shareWarmth(daemon + i, 0);
+        passTime(0, 0);
+    }
+}
+
+void SearchWorld::deliverAll()
+{
+    for (std::size_t left = network_.size(); left > 0; --left) {
+        deliver(0, 0);
+    }
+}
+
 void SearchWorld::suspectDaemons(std::size_t daemon, std::size_t which)
 {
     std::unordered_set<DaemonId> suspected;
@@ -302,9 +450,37 @@
 
 void SearchWorld::send(SearchMessage message)
 {
+    if (CallToServer *call = std::get_if<CallToServer>(&message)) {
+        noteSent(*call);
+    }
     network_.push_back(std::move(message));
 }
 
+// Judges a call at the moment at which its holder sends it.
+void SearchWorld::noteSent(CallToServer &call)
+{
+    const FakeSearcher &server = servers_[call.call.searcher.value];
+    const Knowledge &knowledge = knowledge_[call.holder];
+    const auto mustKnow = [&](TimePoint since) {
+        return canRead(call.holder) && now_ - std::max(since, knowledge.reachableSince) > fewSeconds;
+    };
+    const auto domain = domainsOut_.find(server.failureDomain());
+    verdicts_.require(Property::DomainTakenOutGetsNoNewWork,
+                      domain == domainsOut_.end() || !mustKnow(domain->second),
+                      "new work for a failure domain that was taken out");
+    const auto leaving = leaving_.find(server.id());
+    verdicts_.require(Property::LeavingServerGetsNoNewWork,
+                      leaving == leaving_.end() || !mustKnow(leaving->second),
+                      "new work for a searcher that is leaving");
+    const auto seen = knowledge.livesSeen.find(server.id());
+    const bool hadTime = now_ > server.restartedAt() + ColdStart::doubtAfter();
+    if (hadTime) {
+        call.knownLife = server.incarnation();
+    } else if (seen != knowledge.livesSeen.end()) {
+        call.knownLife = seen->second;
+    }
+}
+
 bool SearchWorld::isBlocked(const SearchMessage &message) const
 {
     if (const CallToHolder *call = std::get_if<CallToHolder>(&message)) {
@@ -319,6 +495,9 @@
     if (const ReplyToEntry *reply = std::get_if<ReplyToEntry>(&message)) {
         return daemons_[reply->origin.daemon]->isPaused();
     }
+    if (const WarmthToHolder *warmth = std::get_if<WarmthToHolder>(&message)) {
+        return daemons_[warmth->holder]->isPaused();
+    }
     return false;
 }
 
@@ -346,7 +525,13 @@
     } else if (const CallToServer *toServer = std::get_if<CallToServer>(&message)) {
         runAt(servers_[toServer->call.searcher.value], *toServer);
     } else if (const EndOfCall *end = std::get_if<EndOfCall>(&message)) {
+        noteEnd(*end);
         daemons_[end->call.holder]->onEnd(now_, *end);
+    } else if (const WarmthToHolder *warmth = std::get_if<WarmthToHolder>(&message)) {
+        // An older report is dropped by its carrier, which bounds the age that the gate is told.
+        if (now_ - warmth->sentAt <= SearcherGate::maxReportAge()) {
+            daemons_[warmth->holder]->onWarmth(now_, *warmth);
+        }
     } else if (const ReplyToEntry *reply = std::get_if<ReplyToEntry>(&message)) {
         noteDelivery(*reply);
         daemons_[reply->origin.daemon]->onReply(now_, *reply);
@@ -360,6 +545,26 @@
         return;
     }
     oracle_.ran(call.origin.caller);
+    verdicts_.require(Property::ColdServerNeverOverloaded,
+                      server.running() <= searcherSlots,
+                      "more calls at a searcher than it has slots");
+    verdicts_.require(Property::ColdServerNeverOverloaded,
+                      server.informedRunning() <= server.bearable(),
+                      std::to_string(server.informedRunning()) + " calls at a searcher that bears "
+                          + std::to_string(server.bearable()));
+}
+
+// The holder learns of the present life by an answer of it, or by the end of a connection since it began.
+void SearchWorld::noteEnd(const EndOfCall &end)
+{
+    if (daemons_[end.call.holder]->incarnation() != end.call.holderIncarnation) {
+        return;
+    }
+    const FakeSearcher &server = servers_[end.reply.searcher.value];
+    const bool isOfThisLife = end.serverIncarnation == server.incarnation() || end.isConnectionLost;
+    if (isOfThisLife) {
+        knowledge_[end.call.holder].livesSeen[server.id()] = server.incarnation();
+    }
 }
 
 void SearchWorld::noteDelivery(const ReplyToEntry &reply)
@@ -375,8 +580,11 @@
 
 void SearchWorld::finish()
 {
-    for (const std::unique_ptr<FakeDaemon> &daemon : daemons_) {
-        daemon->setPaused(false);
+    isPlatformDown_ = false;
+    for (std::size_t i = 0; i < daemonCount; ++i) {
+        knowledge_[i].isCutOff = false;
+        knowledge_[i].reachableSince = now_;
+        daemons_[i]->setPaused(false);
     }
     for (FakeSearcher &server : servers_) {
         server.setDown(false);
--- a/fuzz/searchworld.h
+++ b/fuzz/searchworld.h
@@ -5,8 +5,9 @@
 #include "searchoracle.h"
 #include "worldcommands.h"
 
-#include <deque>
+#include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 /// \file
@@ -51,14 +52,41 @@
     void restartServer(std::size_t server, std::size_t);
     void toggleServer(std::size_t server, std::size_t);
     void toggleDomain(std::size_t domain, std::size_t);
+    void passSeconds(std::size_t seconds, std::size_t);
+    void takeDomainOut(std::size_t domain, std::size_t);
+    void bringDomainsBack(std::size_t, std::size_t);
+    void toggleLeaving(std::size_t server, std::size_t);
+    void cutOff(std::size_t daemon, std::size_t);
+    void togglePlatform(std::size_t, std::size_t);
+    void shareWarmth(std::size_t daemon, std::size_t);
+    void serveCalmly(std::size_t daemon, std::size_t count);
     void suspectDaemons(std::size_t daemon, std::size_t which);
 
+    /// What a daemon can learn, and what it learned of each searcher's life; for the oracle.
+    struct Knowledge {
+        bool isCutOff = false;
+        /// Since when the platform could be read without a break.
+        TimePoint reachableSince;
+        TimePoint lastReadAt;
+        /// The answer of the platform that waits in the buffer of a paused daemon.
+        std::optional<RouterView> bufferedView;
+        TimePoint bufferedAt;
+        std::map<SearcherId, Incarnation> livesSeen;
+    };
+
     void publish();
+    void dropExpired();
+    void moveTime(Duration time);
+    void readPlatform(std::size_t daemon);
+    bool canRead(std::size_t daemon) const { return !isPlatformDown_ && !knowledge_[daemon].isCutOff; }
+    void noteSent(CallToServer &call);
+    void deliverAll();
     void send(SearchMessage message);
     bool isBlocked(const SearchMessage &message) const;
     std::optional<SearchMessage> takeMessage(std::size_t choice);
     void handle(const SearchMessage &message);
     void runAt(FakeSearcher &server, const CallToServer &call);
+    void noteEnd(const EndOfCall &end);
     void noteDelivery(const ReplyToEntry &reply);
     FakeDaemon &daemonAt(std::size_t position) { return *daemons_[position % daemons_.size()]; }
     FakeSearcher &serverAt(std::size_t position) { return servers_[position % servers_.size()]; }
@@ -74,6 +102,11 @@
     std::vector<std::shared_ptr<const ShardMap>> maps_;
     std::vector<IndexMap> indexes_;
     RouterView view_;
+    std::vector<Knowledge> knowledge_;
+    bool isPlatformDown_ = false;
+    /// Since when each failure domain has been out and each searcher leaving.
+    std::map<std::string, TimePoint> domainsOut_;
+    std::map<SearcherId, TimePoint> leaving_;
     std::vector<SearchMessage> network_;
     std::uint64_t lastCaller_ = 0;
     std::uint64_t lastIndex_ = 0;
--- a/fuzz/tests/search_fuzz.cpp
+++ b/fuzz/tests/search_fuzz.cpp
@@ -29,4 +29,22 @@
     fuzzWorld(world);
 }
 
+RC_BOOST_PROP(coldServerNeverOverloaded, ())
+{
+    SearchWorld world(Property::ColdServerNeverOverloaded);
+    fuzzWorld(world);
+}
+
+RC_BOOST_PROP(domainTakenOutGetsNoNewWork, ())
+{
+    SearchWorld world(Property::DomainTakenOutGetsNoNewWork);
+    fuzzWorld(world);
+}
+
+RC_BOOST_PROP(leavingServerGetsNoNewWork, ())
+{
+    SearchWorld world(Property::LeavingServerGetsNoNewWork);
+    fuzzWorld(world);
+}
+
 } // namespace sassafrasvane
