--- a/libs/once/tests/once_state_test.cpp
+++ b/libs/once/tests/once_state_test.cpp
@@ -103,7 +103,7 @@
             return;
         case Kind::Partition:
         case Kind::Heal:
-            world.setPartitioned(kind == Kind::Partition);
+            world.setPartition(kind == Kind::Partition ? 1 + second % 2 : 0);
             return;
         default:
             handleMessage(world);
--- a/libs/once/tests/onceworld.cpp
+++ b/libs/once/tests/onceworld.cpp
@@ -1,5 +1,7 @@
 #include "onceworld.h"
 
+#include "base/random.h"
+
 #include <algorithm>
 
 namespace sassafrasvane
@@ -43,11 +45,12 @@
     return callers_.size() - 1;
 }
 
-void OnceWorld::sendCopy(std::size_t caller, std::size_t address, bool isRaced)
+bool OnceWorld::sendCopy(std::size_t caller, std::size_t address, bool isRaced)
 {
     OnceCaller &state = callers_[caller];
-    if (state.wasTold(Ran::No) || state.wasTold(Ran::Yes)) {
-        return;
+    const std::size_t life = current_[address];
+    if (state.wasTold(Ran::No) || state.wasTold(Ran::Yes) || !lives_[life].isAlive) {
+        return false;
     }
     if (state.soleCopy) {
         state.isOpen[*state.soleCopy] = false;
@@ -58,12 +61,10 @@
         state.soleCopy = copy;
     }
     state.isOpen.push_back(true);
-    const std::size_t life = current_[address];
-    if (lives_[life].isAlive) {
-        OnceMessage message{OnceMessage::Kind::Copy, {}, life, now_, {}, {}, !isSole};
-        message.deliver = [=, this] { takeCopy(life, caller, copy, isSole); };
-        send(std::move(message));
-    }
+    OnceMessage message{OnceMessage::Kind::Copy, {}, life, now_, {}, {}, {}, !isSole};
+    message.deliver = [=, this] { takeCopy(life, caller, copy, isSole); };
+    send(std::move(message));
+    return true;
 }
 
 void OnceWorld::deliver(std::size_t index, bool isDoubled)
@@ -102,6 +103,16 @@
     }
 }
 
+void OnceWorld::breakOff(std::size_t index, bool hasRun)
+{
+    const OnceMessage message = messages_[index];
+    lose(index);
+    if (hasRun) {
+        message.run();
+    }
+    message.end(AttemptEnd::End::MaybeSent);
+}
+
 void OnceWorld::tick(std::size_t life)
 {
     OnceLife &state = lives_[life];
@@ -147,6 +158,11 @@
     lives_.push_back(std::move(life));
 }
 
+bool OnceWorld::isCutOff(std::size_t one, std::size_t other) const
+{
+    return (lives_[one].origin.daemon.value < boundary_) != (lives_[other].origin.daemon.value < boundary_);
+}
+
 void OnceWorld::setAsleep(std::size_t life, bool isAsleep)
 {
     lives_[life].isAsleep = isAsleep;
@@ -174,6 +190,7 @@
 
 void OnceWorld::send(OnceMessage message)
 {
+    message.salt = mix(++lastMessage_);
     messages_.push_back(std::move(message));
 }
 
@@ -189,6 +206,7 @@
                       callers_[caller].answers.push_back(outcome);
                   }
               },
+              {},
               {}});
     };
     const OnceCopy entered{callers_[caller].ticket, isSole};
@@ -215,7 +233,7 @@
                         std::function<void(OnceAnswer)> answer)
 {
     const std::size_t owner = current_[decision.owner.value];
-    if (!lives_[owner].isAlive || isPartitioned_) {
+    if (!lives_[owner].isAlive || isCutOff(life, owner)) {
         answer(lives_[life].forwarder->onFailure(copy, {Errc::ConnectFailed, false}));
         return;
     }
@@ -235,10 +253,16 @@
                       known.answer(entry.forwarder->onOwnerAnswer(known.copy, outcome));
                   }
               },
+              {},
               {}});
     };
-    send(
-        {OnceMessage::Kind::Forward, life, owner, now_, [=, this] { own(owner, decision.ticket, caller, reply); }, {}});
+    send({OnceMessage::Kind::Forward,
+          life,
+          owner,
+          now_,
+          [=, this] { own(owner, decision.ticket, caller, reply); },
+          {},
+          {}});
 }
 
 void OnceWorld::own(std::size_t life, const Ticket &ticket, std::size_t caller, std::function<void(OnceAnswer)> answer)
@@ -270,7 +294,8 @@
     const std::size_t caller = lives_[life].callerOf.at(attempt.opener);
     const CallId id = attempt.attempt;
     lives_[life].attempts[id] = attempt.deadline;
-    OnceMessage message{OnceMessage::Kind::Attempt, life, {}, now_, {}, {}, false};
+    OnceMessage message{OnceMessage::Kind::Attempt, life, {}, now_, {}, {}, {}, false};
+    message.run = [=, this] { ++callers_[caller].runs; };
     message.deliver = [=, this] {
         ++callers_[caller].runs;
         sendEnd(life, id, AttemptEnd::End::Answered, caller);
@@ -291,6 +316,7 @@
               lives_[life].table->onAttemptEnd(clock(life), result, actions_);
               apply(life);
           },
+          {},
           {}});
 }
 
--- a/libs/once/tests/onceworld.h
+++ b/libs/once/tests/onceworld.h
@@ -34,11 +34,15 @@
     std::optional<std::size_t> to;
     TimePoint sentAt;
     std::function<void()> deliver;
+    /// For attempts: runs it without anybody being told.
+    std::function<void()> run;
     /// For attempts: the end of it without a run.
     std::function<void(AttemptEnd::End)> end;
     /// False for attempts, since a server that is sent to once runs what it gets, and for a sole copy, whose caller
     /// promised that there is no other.
     bool mayDouble = true;
+    /// A number that differs from message to message.
+    std::uint64_t salt = 0;
 };
 
 /// One life of a daemon.
@@ -96,7 +100,8 @@
     std::optional<std::size_t> addCaller(std::size_t address);
 
     /// Sends a copy of the request of \p caller to \p address, unless it knows its outcome.
-    void sendCopy(std::size_t caller, std::size_t address, bool isRaced);
+    /// \return false if nobody answers there, so that nothing was sent.
+    bool sendCopy(std::size_t caller, std::size_t address, bool isRaced);
 
     /// Delivers message \p index, which stays under way if \p isDoubled. Nothing happens while its receiver sleeps.
     void deliver(std::size_t index, bool isDoubled);
@@ -110,6 +115,9 @@
     /// The owner sees the connection of an attempt break; the attempt stays under way.
     void cut(std::size_t index);
 
+    /// The connection of the attempt breaks for both sides, before the server ran it or after.
+    void breakOff(std::size_t index, bool hasRun);
+
     void advance(Duration time) { now_ += time; }
 
     /// Lets the life at \p address, or an earlier one that still exists, handle its timers.
@@ -123,8 +131,12 @@
 
     void setAsleep(std::size_t life, bool isAsleep);
 
-    /// While set, no new connection can be opened between daemons; messages on open ones are as they are.
-    void setPartitioned(bool isPartitioned) noexcept { isPartitioned_ = isPartitioned; }
+    /// While set, no connection can be opened between the addresses below \p boundary and the others; messages on open
+    /// connections are as they are. 0 heals the partition.
+    void setPartition(std::size_t boundary) noexcept { boundary_ = boundary; }
+
+    /// True if lives \p one and \p other stand on two sides of the partition.
+    bool isCutOff(std::size_t one, std::size_t other) const;
 
     /// The life reached at \p address.
     std::size_t lifeAt(std::size_t address) const { return current_[address]; }
@@ -158,13 +170,14 @@
 
     OnceWorldLimits limits_;
     TimePoint now_{std::chrono::seconds(1000)};
-    bool isPartitioned_ = false;
+    std::size_t boundary_ = 0;
     std::vector<OnceLife> lives_;
     std::vector<std::size_t> current_;
     std::vector<OnceMessage> messages_;
     std::deque<OnceCaller> callers_;
     std::uint64_t lastWaiter_ = 0;
     std::uint64_t lastForward_ = 0;
+    std::uint64_t lastMessage_ = 0;
     OnceActions actions_;
 };
 
