--- a/fuzz/runworld.cpp
+++ b/fuzz/runworld.cpp
@@ -121,14 +121,14 @@
     world_.setAsleep(life % world_.lives().size(), false);
 }
 
-void RunWorld::partition(std::size_t, std::size_t)
+void RunWorld::partition(std::size_t boundary, std::size_t)
 {
-    world_.setPartitioned(true);
+    world_.setPartition(1 + boundary % (daemons - 1));
 }
 
 void RunWorld::heal(std::size_t, std::size_t)
 {
-    world_.setPartitioned(false);
+    world_.setPartition(0);
 }
 
 std::optional<std::size_t> RunWorld::messageAt(std::size_t choice) const
@@ -141,7 +141,7 @@
 
 void RunWorld::finish()
 {
-    world_.setPartitioned(false);
+    world_.setPartition(0);
     for (std::size_t life = 0; life < world_.lives().size(); ++life) {
         world_.setAsleep(life, false);
     }
--- a/fuzz/runworld.h
+++ b/fuzz/runworld.h
@@ -41,7 +41,7 @@
     void replace(std::size_t address, std::size_t incarnation);
     void sleep(std::size_t life, std::size_t);
     void wake(std::size_t life, std::size_t);
-    void partition(std::size_t, std::size_t);
+    void partition(std::size_t boundary, std::size_t);
     void heal(std::size_t, std::size_t);
     std::optional<std::size_t> messageAt(std::size_t choice) const;
     void judge();
