--- a/bench/decisions/decision_cost.cpp
+++ b/bench/decisions/decision_cost.cpp
@@ -137,7 +137,7 @@
         std::vector<SearchCall> calls = std::move(actions_.send);
         for (SearchCall &call : calls) {
             if (withRouter) {
-                router_.holder(call.searcher);
+                router_.holder(now_, call.searcher);
                 router_.onSent(call.searcher);
             }
             if (withGates) {
@@ -148,7 +148,7 @@
                 reply.parts.push_back({part, {}});
             }
             if (withRouter) {
-                router_.onReply(now_, reply, 5ms);
+                router_.onReply(now_, reply, 5ms, DaemonId{});
             }
             actions_.clear();
             query.onReply(now_ + 5ms, std::move(reply), actions_);
--- a/bench/decisions/tier.h
+++ b/bench/decisions/tier.h
@@ -151,7 +151,7 @@
     void submit(CallId id);
     void onEnd(CallId id, const SearcherEnd &end);
     void reply(CallId id, CallOutcome outcome, Errc error, bool wasSent);
-    void learn(Entry &entry, std::size_t cls, const SearchReply &reply, Duration latency);
+    void learn(Entry &entry, std::size_t cls, const SearchReply &reply, Duration latency, DaemonId holder);
 
     TierSetup setup_;
     VirtualLoop loop_;
--- a/bench/decisions/tiercalls.cpp
+++ b/bench/decisions/tiercalls.cpp
@@ -24,7 +24,7 @@
         loop_.after(setup_.hop, [this, callId] { submit(callId); });
         return;
     }
-    const std::optional<DaemonId> holder = entry.router.holder(searcher);
+    const std::optional<DaemonId> holder = entry.router.holder(loop_.now(), searcher);
     call.gate = firstGate_[searcher.value];
     while (gates_[call.gate].holder != *holder) {
         ++call.gate;
@@ -183,23 +183,30 @@
         }
     }
     const Running &asker = queries_.at(call.query);
-    loop_.after(call.hop, [this, query = call.query, at = asker.entry, cls = asker.cls, sentAt = call.sentAt, reply] {
-        if (!setup_.isBaseline) {
-            learn(entries_[at], cls, reply, loop_.now() - sentAt);
-        }
-        const auto found = queries_.find(query);
-        if (found != queries_.end()) {
-            queryActions_.clear();
-            found->second.query->onReply(loop_.now(), reply, queryActions_);
-            applyQuery(query);
-        }
-    });
+    loop_.after(call.hop,
+                [this,
+                 query = call.query,
+                 at = asker.entry,
+                 cls = asker.cls,
+                 sentAt = call.sentAt,
+                 holder = gates_[call.gate].holder,
+                 reply] {
+                    if (!setup_.isBaseline) {
+                        learn(entries_[at], cls, reply, loop_.now() - sentAt, holder);
+                    }
+                    const auto found = queries_.find(query);
+                    if (found != queries_.end()) {
+                        queryActions_.clear();
+                        found->second.query->onReply(loop_.now(), reply, queryActions_);
+                        applyQuery(query);
+                    }
+                });
 }
 
-void Tier::learn(Entry &entry, std::size_t cls, const SearchReply &reply, Duration latency)
+void Tier::learn(Entry &entry, std::size_t cls, const SearchReply &reply, Duration latency, DaemonId holder)
 {
     const bool isAnswered = reply.outcome == CallOutcome::Answered;
-    entry.router.onReply(loop_.now(), reply, latency);
+    entry.router.onReply(loop_.now(), reply, latency, holder);
     entry.budgets[cls].onResult(loop_.now(), isAnswered);
     if (isAnswered) {
         entry.controllers[cls].onCall(latency);
--- a/fuzz/fakedaemon.cpp
+++ b/fuzz/fakedaemon.cpp
@@ -132,7 +132,7 @@
 
 void FakeDaemon::sendCall(TimePoint now, QueryId id, const OpenQuery &open, const SearchCall &call)
 {
-    const std::optional<DaemonId> holder = router_.holder(call.searcher);
+    const std::optional<DaemonId> holder = router_.holder(now, call.searcher);
     const EntryOrigin origin{position_, incarnation_, id, open.caller};
     calls_.emplace(call.call, OpenCall{id, call.searcher, holder.value_or(DaemonId{}), now});
     router_.onSent(call.searcher);
@@ -296,7 +296,7 @@
     }
     const auto found = calls_.find(message.reply.call);
     if (found != calls_.end() && found->second.searcher == message.reply.searcher) {
-        router_.onReply(now, message.reply, now - found->second.sentAt);
+        router_.onReply(now, message.reply, now - found->second.sentAt, found->second.holder);
         calls_.erase(found);
     }
     // Not looked up by the call, so that the query itself has to drop what is not its own.
--- a/libs/daemon/include/daemon/entrytask.h
+++ b/libs/daemon/include/daemon/entrytask.h
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/ids.h"
 #include "daemon/publishedview.h"
+#include "daemon/sharedcrashbar.h"
 #include "fanout/messages.h"
 #include "wire/callerapi.h"
 #include "wire/peermessages.h"
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 /// \file
 /// The task that answers callers' requests.
@@ -62,6 +64,13 @@
 /// Called once with the outcome, on the entry task's thread; must not block.
 using CallerReply = std::function<void(CallerOutcome outcome)>;
 
+/// A class against its target, as the entry task keeps it.
+struct ClassState {
+    std::string name;
+    /// Which target gives way and why, or empty.
+    std::string conflict;
+};
+
 /// How the entry task reaches leaf daemons. Called on its own thread.
 struct EntryHooks {
     /// Sends to another daemon or, if \p to is this one, to its own leaf task.
@@ -80,14 +89,15 @@
 /// Owns the queries that this daemon took in.
 ///
 /// \code
-/// EntryTask entry(identity, hooks);
+/// EntryTask entry(identity, crashes, hooks);
 /// entry.setView(view);
 /// entry.query(query, traceparent, [](CallerOutcome outcome) { ... });
 /// \endcode
 class EntryTask
 {
 public:
-    EntryTask(const EntryIdentity &identity, EntryHooks hooks);
+    /// \param crashes shared with the leaf task; kept by the caller.
+    EntryTask(const EntryIdentity &identity, SharedCrashBar &crashes, EntryHooks hooks);
     ~EntryTask();
 
     EntryTask(const EntryTask &) = delete;
@@ -105,6 +115,9 @@
     /// Sends a non-idempotent request to one server, once.
     void run(RunWork work, RunReply reply);
 
+    /// The classes and their conflicts. Callable from any thread but the task's own.
+    std::vector<ClassState> classes() const;
+
     /// Takes a reply of a leaf daemon.
     void onReply(LeafReply reply);
 
--- a/libs/daemon/include/daemon/leaftask.h
+++ b/libs/daemon/include/daemon/leaftask.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "daemon/peerlinks.h"
 #include "daemon/publishedview.h"
+#include "daemon/sharedcrashbar.h"
 #include "fleet/knowledgelease.h"
 #include "observe/trace.h"
 #include "wire/peermessages.h"
@@ -47,7 +48,7 @@
 /// Runs calls at the searchers that this daemon holds, within the limits that each searcher's gate sets.
 ///
 /// \code
-/// LeafTask leaf(self, hooks);
+/// LeafTask leaf(self, crashes, hooks);
 /// leaf.setView(view);
 /// leaf.request(link, std::move(request));
 /// \endcode
@@ -55,7 +56,8 @@
 {
 public:
     /// \param self this daemon.
-    LeafTask(DaemonId self, LeafHooks hooks);
+    /// \param crashes shared with the entry task; kept by the caller.
+    LeafTask(DaemonId self, SharedCrashBar &crashes, LeafHooks hooks);
     ~LeafTask();
 
     LeafTask(const LeafTask &) = delete;
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -11,6 +11,7 @@
 #include "daemon/peerlinks.h"
 #include "daemon/platformreader.h"
 #include "daemon/publishedview.h"
+#include "daemon/sharedcrashbar.h"
 #include "stoptask.h"
 
 #include <algorithm>
@@ -25,6 +26,8 @@
 
 using namespace std::chrono_literals;
 
+/// Peers that are told of requests that crash their servers; each tells as many others what is new to it.
+constexpr std::size_t crashNoticePeers = 4;
 /// The longest deadline of accepted work.
 constexpr Duration longestWork = 10s;
 
@@ -61,8 +64,12 @@
     ViewBuilder viewBuilder;
     std::shared_ptr<const PublishedView> view;
     std::vector<Member> members;
+    Random noticeRandom{randomNonce()};
     TimePoint readyAt;
 
+    /// Tells a few peers what is new, who tell a few others.
+    SharedCrashBar crashes{randomNonce(), [this](const std::vector<CrashEntry> &entries) { spreadCrashes(entries); }};
+
     std::unique_ptr<PeerLinks> links;
     std::unique_ptr<LeafTask> leaf;
     std::unique_ptr<EntryTask> entry;
@@ -87,6 +94,7 @@
     void onRefused(const RefusedValue &value);
     void onMembers(const std::vector<Member> &changed);
     void onPhase(StopPhase phase);
+    void spreadCrashes(const std::vector<CrashEntry> &entries);
     std::string startQuery(CallerQuery query, const std::string &traceparent, const CallerReply &reply);
     std::string startRun(CallerOnce request, const std::string &traceparent, const CallerReply &reply);
     CallerReply recorded(const detail::RequestTrace &request, CallerReply reply);
@@ -154,6 +162,8 @@
         leaf->onWarmthQuery(link, std::move(*query));
     } else if (WarmthReply *warmth = std::get_if<WarmthReply>(&message)) {
         leaf->onWarmthReply(std::move(*warmth));
+    } else if (const CrashNotice *notice = std::get_if<CrashNotice>(&message)) {
+        crashes.merge(notice->entries);
     }
 }
 
@@ -279,10 +289,12 @@
     return request.context.trace.toString();
 }
 
-std::string Daemon::Implementation::startRun(CallerOnce once_, const std::string &traceparent, const CallerReply &reply)
+std::string Daemon::Implementation::startRun(CallerOnce onceRequest,
+                                             const std::string &traceparent,
+                                             const CallerReply &reply)
 {
     detail::RequestTrace request = recorder.begin(traceparent);
-    const std::optional<RequestClass> cls = findClass(once_.run.className);
+    const std::optional<RequestClass> cls = findClass(onceRequest.run.className);
     std::optional<Error> refusal = refusalWhileStopping();
     if (!refusal && (!cls || cls->isIdempotent)) {
         refusal = Error(Errc::InvalidRequest, Step::Accept, {}, "/class names no class of non-idempotent requests");
@@ -298,8 +310,8 @@
         counted(std::move(outcome));
     } else {
         const Duration target = cls->target.latency;
-        const Duration timeLeft = once_.run.timeLeft ? std::min(*once_.run.timeLeft, target) : target;
-        once->accept(std::move(once_), request.context.toTraceparent(), timeLeft, counted);
+        const Duration timeLeft = onceRequest.run.timeLeft ? std::min(*onceRequest.run.timeLeft, target) : target;
+        once->accept(std::move(onceRequest), request.context.toTraceparent(), timeLeft, counted);
     }
     return request.context.trace.toString();
 }
@@ -379,6 +391,21 @@
     observability.journal.record({wallClockMicros(), DecisionKind::ConfigurationRejected, {}, {}, {}, text});
 }
 
+void Daemon::Implementation::spreadCrashes(const std::vector<CrashEntry> &entries)
+{
+    observability.journal.record({wallClockMicros(),
+                                  DecisionKind::RequestBarred,
+                                  {},
+                                  {},
+                                  {},
+                                  std::to_string(entries.size()) + " entries of requests that crash servers"});
+    const std::lock_guard<std::mutex> lock(viewMutex);
+    for (std::size_t i = 0; i < std::min(crashNoticePeers, members.size()); ++i) {
+        std::swap(members[i], members[i + noticeRandom.below(members.size() - i)]);
+        links->send(members[i].record.daemon, CrashNotice{entries});
+    }
+}
+
 void Daemon::Implementation::onPhase(StopPhase phase)
 {
     observability.journal.record(
@@ -423,8 +450,8 @@
         return opened.error();
     }
     stop = std::make_unique<detail::StopTask>(stopTimes(), stopHooks());
-    leaf = std::make_unique<LeafTask>(self, leafHooks());
-    entry = std::make_unique<EntryTask>(EntryIdentity{self, incarnation, randomNonce()}, entryHooks());
+    leaf = std::make_unique<LeafTask>(self, crashes, leafHooks());
+    entry = std::make_unique<EntryTask>(EntryIdentity{self, incarnation, randomNonce()}, crashes, entryHooks());
     once = std::make_unique<OnceTask>(TicketOrigin{self, incarnation, randomNonce()}, settings.peerKeys, onceHooks());
     Result<std::unique_ptr<PeerLinks>> builtLinks
         = PeerLinks::Builder().identity({self, incarnation}).keys(settings.peerKeys).hooks(linkHooks()).build();
--- a/libs/daemon/src/entrytask.cpp
+++ b/libs/daemon/src/entrytask.cpp
@@ -1,11 +1,14 @@
 #include "daemon/entrytask.h"
 
+#include "admission/entryadmission.h"
 #include "base/random.h"
+#include "classruntime.h"
 #include "daemon/eventloop.h"
 #include "fanout/query.h"
 #include "fanout/replicarouter.h"
 
 #include <algorithm>
+#include <future>
 #include <map>
 #include <unordered_map>
 
@@ -17,26 +20,32 @@
 
 using namespace std::chrono_literals;
 
-/// Share of a class's latency target after which parts without an answer are hedged.
-constexpr double hedgeShare = 0.3;
-/// Share of a class's latency target after which a complete enough answer goes out.
-constexpr double earlyStopShare = 0.6;
-/// Share of a class's latency target at which the answer goes out.
-constexpr double deadlineShare = 0.9;
-/// Extra calls that a class may save up.
-constexpr double maxExtraTokens = 50;
 /// A leaf has this much less time than the entry, for the way back.
 constexpr Duration replyMargin = 2ms;
 /// Time after its deadline for which the leaf's reply to an attempt is awaited.
 constexpr Duration runGrace = 5s;
 
+/// A query that waits for admission.
+struct WaitingQuery {
+    CallerQuery asked;
+    RequestClass cls;
+    ClassIndex index;
+    std::string traceparent;
+    CallerReply reply;
+    TimePoint arrivedAt;
+};
+
 /// A fan-out query and its caller.
 struct OpenQuery {
     Query query;
-    ClassIndex cls;
+    std::string className;
     CallerReply reply;
     LeafRequest request; ///< Template of the requests to leaves.
     TimePoint deadline;
+    TimePoint arrivedAt;
+    TimePoint startedAt;
+    /// Calls that a holder or a searcher refused for lack of room.
+    std::size_t refusedCalls = 0;
 };
 
 /// An attempt of a non-idempotent request.
@@ -53,12 +62,36 @@
     SearcherId searcher;
     IndexVersion version;
     TimePoint sentAt;
+    bool isExtra = false;
 };
 
-/// The budget of extra calls of one class.
-struct ExtraTokens {
-    double tokens = 0;
-};
+FirstSend firstSendOf(CrashVerdict verdict)
+{
+    switch (verdict) {
+    case CrashVerdict::Run:
+        return FirstSend::All;
+    case CrashVerdict::ProbeFirst:
+        return FirstSend::ProbeFirst;
+    case CrashVerdict::Suspect:
+    case CrashVerdict::Wait:
+    case CrashVerdict::Barred:
+        return FirstSend::Suspect;
+    }
+    return FirstSend::Suspect;
+}
+
+/// Share of the parts for which a server could be asked at all.
+double reachableShare(const QueryAnswer &answer)
+{
+    if (answer.totalParts == 0) {
+        return 0;
+    }
+    const std::ptrdiff_t unreachable
+        = std::count_if(answer.missed.begin(), answer.missed.end(), [](const MissedPart &part) {
+              return part.reason == Errc::NoServer;
+          });
+    return 1 - static_cast<double>(unreachable) / static_cast<double>(answer.totalParts);
+}
 
 CallerOutcome failure(Error error, Ran ran)
 {
@@ -71,42 +104,57 @@
 } // namespace
 
 struct EntryTask::Implementation {
-    Implementation(const EntryIdentity &identity, EntryHooks hooks)
-        : identity(identity), hooks(std::move(hooks)), router(identity.daemon, identity.seed)
+    Implementation(const EntryIdentity &identity, SharedCrashBar &crashes, EntryHooks hooks)
+        : identity(identity), crashes(crashes), hooks(std::move(hooks)), router(identity.daemon, identity.seed)
     {
     }
 
     EntryIdentity identity;
+    SharedCrashBar &crashes;
     EntryHooks hooks;
     std::shared_ptr<const PublishedView> view;
     ReplicaRouter router;
+    EntryAdmission admission{{}};
+    std::unordered_map<QueryId, WaitingQuery> waiting;
     std::unordered_map<QueryId, OpenQuery> queries;
     std::unordered_map<QueryId, OpenRun> runs;
     std::unordered_map<CallId, OpenCall> calls;
-    std::map<std::string, ExtraTokens, std::less<>> budgets;
+    std::map<std::string, detail::ClassRuntime, std::less<>> classes;
     std::uint64_t lastQuery = 0;
     std::uint64_t lastCall = 0;
     EventLoop loop{"entry"};
 
     void adopt(std::shared_ptr<const PublishedView> next);
-    void startQuery(const CallerQuery &query, const std::string &traceparent, CallerReply reply);
+    void offerQuery(const CallerQuery &query, const std::string &traceparent, const CallerReply &reply);
+    void applyAdmission(EntryActions &actions);
+    void startQuery(QueryId id);
     void startRun(const RunWork &work, const RunReply &reply);
-    QueryHooks hooksFor(const std::string &className, double extraLoad);
+    QueryHooks hooksFor(detail::ClassRuntime &runtime);
+    QueryTerms termsFor(const WaitingQuery &query, const detail::ClassRuntime &runtime, TimePoint now) const;
     void apply(QueryId id, QueryActions &actions);
     void send(QueryId id, const LeafRequest &request, std::vector<SearchCall> sent);
     void cancel(const std::vector<CallId> &cancelled);
     void answer(QueryId id, QueryAnswer answer);
     void take(LeafReply reply);
+    void learn(const OpenCall &call, const SearchReply &reply, const OpenQuery *query);
     void endRun(QueryId id, RunEnd end);
     void wake(QueryId id);
     void failCall(CallId call, CallOutcome outcome, Errc error);
     const RequestClass *findClass(std::string_view name) const;
+    double completenessOf(std::string_view className) const;
 };
 
 void EntryTask::Implementation::adopt(std::shared_ptr<const PublishedView> next)
 {
     view = std::move(next);
-    router.setView({view->map, view->configuration, view->holders, BootClock::now()});
+    const TimePoint now = BootClock::now();
+    router.setView({view->map, view->configuration, view->holders, now});
+    for (const RequestClass &cls : view->configuration->classes) {
+        classes.try_emplace(cls.name, cls).first->second.setTarget(cls);
+    }
+    EntryActions actions;
+    admission.setClasses(now, view->configuration->classes, actions);
+    applyAdmission(actions);
 }
 
 const RequestClass *EntryTask::Implementation::findClass(std::string_view name) const
@@ -115,77 +163,144 @@
     return index ? &view->configuration->classes[index->value] : nullptr;
 }
 
-QueryHooks EntryTask::Implementation::hooksFor(const std::string &className, double extraLoad)
+double EntryTask::Implementation::completenessOf(std::string_view className) const
+{
+    const RequestClass *cls = findClass(className);
+    return cls == nullptr ? 1 : cls->target.completeness;
+}
+
+QueryHooks EntryTask::Implementation::hooksFor(detail::ClassRuntime &runtime)
 {
     QueryHooks queryHooks;
     queryHooks.chooseReplica = [this](IndexVersion version, const Part &part, std::span<const SearcherId> avoid) {
         return router.choose(BootClock::now(), version, part, avoid);
     };
-    queryHooks.spendExtra = [this, className] {
-        double &tokens = budgets[className].tokens;
-        if (tokens < 1) {
-            return false;
-        }
-        tokens -= 1;
-        return true;
-    };
-    queryHooks.nextCall = [this, className, extraLoad] {
-        double &tokens = budgets[className].tokens;
-        tokens = std::min(tokens + extraLoad, maxExtraTokens);
-        return CallId{++lastCall};
-    };
+    // Classes are never removed from the map, so the reference stays good.
+    queryHooks.spendExtra = [&runtime] { return runtime.budget.spend(BootClock::now()); };
+    queryHooks.nextCall = [this] { return CallId{++lastCall}; };
     return queryHooks;
 }
 
-void EntryTask::Implementation::startQuery(const CallerQuery &query, const std::string &traceparent, CallerReply reply)
+QueryTerms EntryTask::Implementation::termsFor(const WaitingQuery &query,
+                                               const detail::ClassRuntime &runtime,
+                                               TimePoint now) const
+{
+    const ClassTerms &cls = runtime.controller.terms();
+    QueryTerms terms;
+    terms.deadline = query.arrivedAt + cls.deadline;
+    if (query.asked.timeLeft) {
+        terms.deadline = std::min(terms.deadline, query.arrivedAt + *query.asked.timeLeft);
+    }
+    terms.hedgeAt = std::min(now + cls.hedgeDelay, terms.deadline);
+    terms.earlyStopAt = now + cls.earlyStopDelay;
+    terms.quorum = cls.quorum;
+    terms.hitLimit = query.asked.hitLimit;
+    return terms;
+}
+
+void EntryTask::Implementation::offerQuery(const CallerQuery &query,
+                                           const std::string &traceparent,
+                                           const CallerReply &reply)
 {
-    const TimePoint now = BootClock::now();
     if (view == nullptr) {
         reply(failure(Error(Errc::Unavailable, Step::Route, {}, "no configuration has been read yet"), Ran::No));
         return;
     }
-    const RequestClass *cls = findClass(query.className);
-    if (cls == nullptr || !cls->isIdempotent) {
+    const std::optional<ClassIndex> index = view->configuration->findClass(query.className);
+    if (!index || !view->configuration->classes[index->value].isIdempotent) {
         reply(failure(Error(Errc::InvalidRequest, Step::Accept, {}, "/class names no class of queries"), Ran::No));
         return;
     }
-    const double target = static_cast<double>(cls->target.latency.count());
-    Duration timeLeft(static_cast<Duration::rep>(target * deadlineShare));
-    if (query.timeLeft) {
-        timeLeft = std::min(timeLeft, *query.timeLeft);
+    const TimePoint now = BootClock::now();
+    const QueryId id{++lastQuery};
+    const RequestClass &cls = view->configuration->classes[index->value];
+    const WaitingQuery &placed
+        = waiting.emplace(id, WaitingQuery{query, cls, *index, traceparent, reply, now}).first->second;
+    const TimePoint deadline = termsFor(placed, classes.at(cls.name), now).deadline;
+    EntryActions actions;
+    admission.offer(now, {id, *index, deadline}, actions);
+    applyAdmission(actions);
+}
+
+void EntryTask::Implementation::applyAdmission(EntryActions &actions)
+{
+    for (const EntryRefusal &refusal : actions.refuse) {
+        const auto found = waiting.find(refusal.query);
+        if (found != waiting.end()) {
+            const CallerReply reply = std::move(found->second.reply);
+            waiting.erase(found);
+            CallerOutcome outcome
+                = failure(Error(refusal.reason, Step::Queue, {}, "cannot be answered in time"), Ran::No);
+            outcome.retryAfter = refusal.retryAfter;
+            reply(std::move(outcome));
+        }
     }
-    QueryTerms terms;
-    terms.deadline = now + timeLeft;
-    terms.hedgeAt = now + Duration(static_cast<Duration::rep>(target * hedgeShare));
-    terms.earlyStopAt = now + Duration(static_cast<Duration::rep>(target * earlyStopShare));
-    terms.quorum = cls->target.completeness;
-    terms.hitLimit = query.hitLimit;
-    Result<Query> built = Query::Builder()
-                              .map(view->map, cls->backEnd)
-                              .terms(terms)
-                              .hooks(hooksFor(cls->name, cls->target.extraLoad))
-                              .build(now);
+    if (actions.wakeAt) {
+        loop.at(*actions.wakeAt, [this] {
+            EntryActions next;
+            admission.onTimer(BootClock::now(), next);
+            applyAdmission(next);
+        });
+    }
+    for (const QueryId id : actions.start) {
+        startQuery(id);
+    }
+}
+
+void EntryTask::Implementation::startQuery(QueryId id)
+{
+    const TimePoint now = BootClock::now();
+    const WaitingQuery asked = std::move(waiting.at(id));
+    waiting.erase(id);
+    detail::ClassRuntime &runtime = classes.at(asked.cls.name);
+    const BackEndMap *backEnd = view->map->find(asked.cls.backEnd);
+    const IndexVersion newest
+        = backEnd == nullptr || backEnd->versions.empty() ? IndexVersion{} : backEnd->versions.front().version;
+    const Fingerprint fingerprint{mix(hashBytes(asked.asked.query), mix(hashBytes(asked.cls.backEnd), newest.value))};
+    const CrashVerdict verdict = crashes.check(fingerprint);
+    if (verdict == CrashVerdict::Barred || verdict == CrashVerdict::Wait) {
+        EntryActions freed;
+        admission.onFinished(now, {id, Duration{0}, false}, freed);
+        CallerOutcome outcome
+            = failure(Error(Errc::Barred, Step::Route, {}, "the request has crashed servers that ran it"), Ran::No);
+        outcome.retryAfter = verdict == CrashVerdict::Wait ? CrashBar::suspectPause() : CrashBar::entryLifetime();
+        asked.reply(std::move(outcome));
+        applyAdmission(freed);
+        return;
+    }
+    QueryTerms terms = termsFor(asked, runtime, now);
+    terms.firstSend = firstSendOf(verdict);
+    QueryHooks queryHooks = hooksFor(runtime);
+    queryHooks.chooseProbe = [fingerprint](std::span<const SearcherId> searchers) {
+        return CrashBar::probeServer(fingerprint, searchers);
+    };
+    Result<Query> built
+        = Query::Builder().map(view->map, asked.cls.backEnd).terms(terms).hooks(std::move(queryHooks)).build(now);
     if (built.has_error()) {
-        reply(failure(built.error(), Ran::No));
+        EntryActions freed;
+        admission.onFinished(now, {id, Duration{0}, false}, freed);
+        asked.reply(failure(built.error(), Ran::No));
+        applyAdmission(freed);
         return;
     }
-    const QueryId id{++lastQuery};
     LeafRequest request;
     request.query = id;
     request.entryIncarnation = identity.incarnation;
-    request.cls = *view->configuration->findClass(cls->name);
-    request.hitLimit = query.hitLimit;
-    request.fingerprint = Fingerprint{hashBytes(query.query)};
-    request.traceparent = traceparent;
-    request.payload = query.query;
-    const auto placed
-        = queries
-              .emplace(id,
-                       OpenQuery{
-                           std::move(built.value()), request.cls, std::move(reply), std::move(request), terms.deadline})
-              .first;
+    request.cls = asked.index;
+    request.hitLimit = asked.asked.hitLimit;
+    request.fingerprint = fingerprint;
+    request.traceparent = asked.traceparent;
+    request.payload = asked.asked.query;
+    OpenQuery open{std::move(built.value()),
+                   asked.cls.name,
+                   asked.reply,
+                   std::move(request),
+                   terms.deadline,
+                   asked.arrivedAt,
+                   now};
+    Query &query = queries.emplace(id, std::move(open)).first->second.query;
     QueryActions actions;
-    placed->second.query.start(now, actions);
+    query.start(now, actions);
     apply(id, actions);
 }
 
@@ -204,6 +319,9 @@
         loop.at(*actions.wakeAt, [this, id] { wake(id); });
     }
     if (!actions.send.empty()) {
+        const std::size_t needed = static_cast<std::size_t>(std::count_if(
+            actions.send.begin(), actions.send.end(), [](const SearchCall &call) { return !call.isExtra; }));
+        classes.at(found->second.className).budget.onNeeded(needed);
         LeafRequest request = found->second.request;
         request.timeLeft = found->second.deadline - BootClock::now() - replyMargin;
         send(id, request, std::move(actions.send));
@@ -217,8 +335,9 @@
     std::map<DaemonId, std::vector<SearchCall>> groups;
     std::vector<CallId> homeless;
     for (SearchCall &call : sent) {
-        const std::optional<DaemonId> holder = router.holder(call.searcher);
-        calls.emplace(call.call, OpenCall{id, holder.value_or(DaemonId{}), call.searcher, call.version, now});
+        const std::optional<DaemonId> holder = router.holder(now, call.searcher);
+        calls.emplace(call.call,
+                      OpenCall{id, holder.value_or(DaemonId{}), call.searcher, call.version, now, call.isExtra});
         router.onSent(call.searcher);
         if (holder) {
             groups[*holder].push_back(std::move(call));
@@ -254,19 +373,52 @@
 
 void EntryTask::Implementation::answer(QueryId id, QueryAnswer answer)
 {
+    const TimePoint now = BootClock::now();
     const auto found = queries.find(id);
-    const CallerReply reply = std::move(found->second.reply);
+    const OpenQuery open = std::move(found->second);
     queries.erase(found);
+    detail::ClassRuntime &runtime = classes.at(open.className);
+    runtime.controller.onQuery(
+        {now - open.arrivedAt, answer.coverage, reachableShare(answer), answer.neededCalls, answer.extraCalls});
+    EntryActions freed;
+    const double tolerated = 1 - completenessOf(open.className);
+    const bool isOverloaded
+        = static_cast<double>(open.refusedCalls) > tolerated * static_cast<double>(answer.neededCalls);
+    admission.onFinished(now, {id, now - open.startedAt, isOverloaded}, freed);
     if (answer.coveredParts == 0 && answer.totalParts > 0) {
         const Errc reason = answer.missed.empty() ? Errc::NoServer : answer.missed.front().reason;
-        reply(failure(Error(reason, Step::Run, {}, "no part of the index answered"),
-                      answer.sentCalls == 0 ? Ran::No : Ran::Unknown));
+        open.reply(failure(Error(reason, Step::Run, {}, "no part of the index answered"),
+                           answer.sentCalls == 0 ? Ran::No : Ran::Unknown));
+    } else {
+        CallerOutcome outcome;
+        outcome.answer = std::move(answer);
+        outcome.ran = Ran::Yes;
+        outcome.conflict = runtime.conflictText();
+        open.reply(std::move(outcome));
+    }
+    applyAdmission(freed);
+}
+
+// Feeds what a reply says of its searcher, its holder and its class to those who follow them.
+void EntryTask::Implementation::learn(const OpenCall &call, const SearchReply &reply, const OpenQuery *query)
+{
+    const TimePoint now = BootClock::now();
+    const bool isAnswered = reply.outcome == CallOutcome::Answered;
+    router.onReply(now, reply, now - call.sentAt, call.holder);
+    if (query == nullptr) {
         return;
     }
-    CallerOutcome outcome;
-    outcome.answer = std::move(answer);
-    outcome.ran = Ran::Yes;
-    reply(std::move(outcome));
+    if (isAnswered) {
+        crashes.onSuccess(query->request.fingerprint);
+    }
+    detail::ClassRuntime &runtime = classes.at(query->className);
+    runtime.budget.onResult(now, isAnswered);
+    if (call.isExtra && !reply.wasSent) {
+        runtime.budget.refund();
+    }
+    if (isAnswered) {
+        runtime.controller.onCall(now - call.sentAt);
+    }
 }
 
 void EntryTask::Implementation::take(LeafReply reply)
@@ -281,12 +433,16 @@
     const TimePoint now = BootClock::now();
     const OpenCall call = found->second;
     calls.erase(found);
-    router.onReply(now, reply.reply, now - call.sentAt);
     const auto query = queries.find(call.query);
+    learn(call, reply.reply, query == queries.end() ? nullptr : &query->second);
     if (query == queries.end()) {
         endRun(call.query, {reply.reply.outcome, reply.reply.error, std::move(reply.result)});
         return;
     }
+    const Errc error = reply.reply.error;
+    if (reply.reply.outcome == CallOutcome::Refused && (error == Errc::Overloaded || error == Errc::DeadlinePassed)) {
+        ++query->second.refusedCalls;
+    }
     QueryActions actions;
     query->second.query.onReply(now, std::move(reply.reply), actions);
     apply(call.query, actions);
@@ -370,8 +526,8 @@
     reply(std::move(end));
 }
 
-EntryTask::EntryTask(const EntryIdentity &identity, EntryHooks hooks)
-    : implementation_(std::make_unique<Implementation>(identity, std::move(hooks)))
+EntryTask::EntryTask(const EntryIdentity &identity, SharedCrashBar &crashes, EntryHooks hooks)
+    : implementation_(std::make_unique<Implementation>(identity, crashes, std::move(hooks)))
 {
 }
 
@@ -398,7 +554,7 @@
     implementation_->loop.post([implementation = implementation_.get(),
                                 query = std::move(query),
                                 traceparent = std::move(traceparent),
-                                reply = std::move(reply)] { implementation->startQuery(query, traceparent, reply); });
+                                reply = std::move(reply)] { implementation->offerQuery(query, traceparent, reply); });
 }
 
 void EntryTask::run(RunWork work, RunReply reply)
@@ -408,6 +564,19 @@
                                 reply = std::move(reply)] { implementation->startRun(work, reply); });
 }
 
+std::vector<ClassState> EntryTask::classes() const
+{
+    std::promise<std::vector<ClassState>> promise;
+    implementation_->loop.post([implementation = implementation_.get(), &promise] {
+        std::vector<ClassState> list;
+        for (const auto &[name, runtime] : implementation->classes) {
+            list.push_back({name, runtime.conflictText()});
+        }
+        promise.set_value(std::move(list));
+    });
+    return promise.get_future().get();
+}
+
 void EntryTask::onReply(LeafReply reply)
 {
     implementation_->loop.post([implementation = implementation_.get(), reply = std::move(reply)]() mutable {
@@ -419,7 +588,7 @@
 {
     implementation_->loop.post([implementation = implementation_.get(), request = std::move(request)] {
         for (const SearchCall &call : request.calls) {
-            implementation->failCall(call.call, CallOutcome::Refused, Errc::ConnectFailed);
+            implementation->failCall(call.call, CallOutcome::Refused, Errc::Unavailable);
         }
     });
 }
@@ -443,12 +612,16 @@
 {
     implementation_->loop.stop();
     const Error error(Errc::Draining, Step::Stop, {}, "the daemon has stopped");
+    for (auto &[id, query] : implementation_->waiting) {
+        query.reply(failure(error, Ran::No));
+    }
     for (auto &[id, query] : implementation_->queries) {
         query.reply(failure(error, Ran::Unknown));
     }
     for (auto &[id, run] : implementation_->runs) {
         run.reply({CallOutcome::Failed, Errc::Draining, {}});
     }
+    implementation_->waiting.clear();
     implementation_->queries.clear();
     implementation_->runs.clear();
 }
--- a/libs/daemon/src/leaftask.cpp
+++ b/libs/daemon/src/leaftask.cpp
@@ -79,12 +79,13 @@
 } // namespace
 
 struct LeafTask::Implementation {
-    Implementation(DaemonId self, LeafHooks hooks)
-        : self(self), hooks(std::move(hooks)), random(mix(self.value, wallClockMicros()))
+    Implementation(DaemonId self, SharedCrashBar &crashes, LeafHooks hooks)
+        : self(self), crashes(crashes), hooks(std::move(hooks)), random(mix(self.value, wallClockMicros()))
     {
     }
 
     DaemonId self;
+    SharedCrashBar &crashes;
     LeafHooks hooks;
     std::shared_ptr<const PublishedView> view;
     std::map<SearcherId, HeldSearcher> held;
@@ -110,6 +111,9 @@
     void start(HeldSearcher &searcher, CallId call);
     void end(SearcherId searcher, const SearcherJobEnd &end);
     void endUnsent(SearcherId searcher, CallId id, Errc reason);
+    std::vector<Fingerprint> runningAt(SearcherId searcher, CallId except) const;
+    bool passesCrashBar(SearcherId searcher, const LeafCall &call, CallId id) const;
+    void learnOfCrash(SearcherId searcher, const LeafCall &call, const SearcherJobEnd &jobEnd);
     void tick();
     void askWarmth(TimePoint now);
     WarmthReply answerWarmth(const WarmthQuery &query) const;
@@ -281,8 +285,10 @@
         });
         return;
     }
-    if (!mayBeSent) {
-        const Errc reason = call.deadline > now ? Errc::NoServer : Errc::DeadlinePassed;
+    const bool isBarred = mayBeSent && !passesCrashBar(searcher.published.id, call, id);
+    if (!mayBeSent || isBarred) {
+        const Errc barOrTime = call.deadline > now ? Errc::NoServer : Errc::DeadlinePassed;
+        const Errc reason = isBarred ? Errc::Barred : barOrTime;
         loop.post([this, target = searcher.published.id, id, reason] { endUnsent(target, id, reason); });
         return;
     }
@@ -290,6 +296,33 @@
         SearcherJob{id, call.request->kind, bodyOf(call), call.trace.toTraceparent(), call.deadline});
 }
 
+// The fingerprints of the other calls that run at the searcher.
+std::vector<Fingerprint> LeafTask::Implementation::runningAt(SearcherId searcher, CallId except) const
+{
+    std::vector<Fingerprint> running;
+    for (const auto &[id, call] : calls) {
+        if (call.isRunning && id != except && call.call.searcher == searcher
+            && call.request->kind == WorkKind::Search) {
+            running.push_back(call.request->fingerprint);
+        }
+    }
+    return running;
+}
+
+// The holder decides once more, as it alone sees what runs at the searcher and which crashes there were.
+bool LeafTask::Implementation::passesCrashBar(SearcherId searcher, const LeafCall &call, CallId id) const
+{
+    if (call.request->kind == WorkKind::Run) {
+        return true;
+    }
+    const Fingerprint fingerprint = call.request->fingerprint;
+    const CrashVerdict verdict = crashes.check(fingerprint);
+    if (verdict == CrashVerdict::Wait || verdict == CrashVerdict::Barred) {
+        return false;
+    }
+    return verdict != CrashVerdict::Suspect || crashes.mayJoin(fingerprint, runningAt(searcher, id));
+}
+
 void LeafTask::Implementation::endUnsent(SearcherId searcher, CallId id, Errc reason)
 {
     SearcherJobEnd jobEnd;
@@ -299,6 +332,21 @@
     end(searcher, jobEnd);
 }
 
+void LeafTask::Implementation::learnOfCrash(SearcherId searcher, const LeafCall &call, const SearcherJobEnd &jobEnd)
+{
+    if (call.request->kind == WorkKind::Run) {
+        return;
+    }
+    const Fingerprint fingerprint = call.request->fingerprint;
+    if (jobEnd.answer.outcome == CallOutcome::Answered) {
+        crashes.onSuccess(fingerprint);
+    } else if (jobEnd.isConnectionLost) {
+        std::vector<Fingerprint> running = runningAt(searcher, jobEnd.call);
+        running.push_back(fingerprint);
+        crashes.onServerLost(searcher, running);
+    }
+}
+
 void LeafTask::Implementation::tick()
 {
     const TimePoint now = BootClock::now();
@@ -396,6 +444,7 @@
     const LeafCall call = std::move(found->second);
     calls.erase(found);
     inFlight = calls.size();
+    learnOfCrash(searcher, call, jobEnd);
     const BackEndAnswer &answer = jobEnd.answer;
     const bool isWrongVersion = answer.outcome == CallOutcome::Answered && call.request->kind == WorkKind::Search
         && answer.version != call.call.version;
@@ -414,10 +463,12 @@
     const auto holder = held.find(searcher);
     if (holder != held.end()) {
         GateActions actions;
+        const bool isCancelled = answer.error == Errc::Cancelled;
         const GateResult result{jobEnd.call,
                                 endOf(answer),
                                 now - call.startedAt,
-                                answer.incarnation,
+                                // A cancelled call proves nothing of the searcher's warmth.
+                                isCancelled ? Incarnation{} : answer.incarnation,
                                 answer.saysCold,
                                 answer.reportedLoad,
                                 jobEnd.isConnectionLost || answer.error == Errc::ConnectFailed};
@@ -506,8 +557,8 @@
     }
 }
 
-LeafTask::LeafTask(DaemonId self, LeafHooks hooks)
-    : implementation_(std::make_unique<Implementation>(self, std::move(hooks)))
+LeafTask::LeafTask(DaemonId self, SharedCrashBar &crashes, LeafHooks hooks)
+    : implementation_(std::make_unique<Implementation>(self, crashes, std::move(hooks)))
 {
     implementation_->loop.post([implementation = implementation_.get()] { implementation->tick(); });
 }
--- a/libs/fanout/include/fanout/query.h
+++ b/libs/fanout/include/fanout/query.h
@@ -18,6 +18,13 @@
 namespace sassafrasvane
 {
 
+/// How a query is first sent to the searchers.
+enum class FirstSend {
+    All,        ///< To all at once.
+    ProbeFirst, ///< To one searcher; to the others once one has answered.
+    Suspect,    ///< As ProbeFirst, and neither hedged nor retried until one has answered.
+};
+
 /// The bounds within which a query works, set by its class's controller.
 struct QueryTerms {
     /// The answer goes out by this time with whatever was merged.
@@ -30,9 +37,10 @@
     double quorum = 1;
     /// Most hits in the answer.
     std::size_t hitLimit = 10;
+    FirstSend firstSend = FirstSend::All;
 };
 
-/// Choices that a query leaves to its surroundings. All must be set.
+/// Choices that a query leaves to its surroundings. All must be set, but for chooseProbe with FirstSend::All.
 struct QueryHooks {
     /// Chooses a searcher for \p part of \p version that may be used now and is not in \p avoid.
     std::function<std::optional<SearcherId>(IndexVersion version, const Part &part, std::span<const SearcherId> avoid)>
@@ -41,6 +49,8 @@
     std::function<bool()> spendExtra;
     /// A call id, higher than all before it.
     std::function<CallId()> nextCall;
+    /// Chooses which of the searchers is asked before the others.
+    std::function<std::optional<SearcherId>(std::span<const SearcherId> searchers)> chooseProbe;
 };
 
 /// What the query wants done after an event. The caller clears it before the next one.
@@ -94,9 +104,13 @@
 private:
     struct PartState {
         bool isCovered = false;
+        /// A call for it reached a searcher, so that another one is extra load.
+        bool wasSent = false;
         std::uint32_t openCalls = 0;
         Errc lastError = Errc::NoServer;
-        /// Searchers asked already.
+        /// Calls made for it.
+        std::uint32_t calls = 0;
+        /// Searchers asked already, but for those whose holder refused for them.
         std::vector<SearcherId> tried;
     };
 
@@ -130,8 +144,12 @@
     CallState *findCall(CallId id) noexcept;
     bool mergeParts(const CallState &call, std::vector<PartResult> results);
     void closeCall(CallState &call, Errc error);
-    void recover(TimePoint now, const CallState &call, bool isVersionLost, QueryActions &actions);
+    void recover(TimePoint now, const CallState &call, const SearchReply &reply, QueryActions &actions);
     void hedge(QueryActions &actions);
+    bool isProbing() const noexcept;
+    void sendProbe(QueryActions &actions);
+    void sendHeldBack(QueryActions &actions);
+    void onProbeFailed(CallOutcome outcome, QueryActions &actions);
     bool restart(TimePoint now, QueryActions &actions);
     void settle(TimePoint now, QueryActions &actions);
     bool isDone(TimePoint now) const;
@@ -145,6 +163,11 @@
     QueryHooks hooks_;
     HitMerger merger_{0};
     std::vector<PartState> parts_;
+    /// Assignments that wait for the probe's answer.
+    std::vector<Assignment> heldBack_;
+    std::uint32_t probes_ = 0;
+    /// A searcher has answered the query.
+    bool isProven_ = false;
     std::vector<CallState> calls_;
     /// Calls before this position belong to an earlier version.
     std::size_t firstCall_ = 0;
--- a/libs/fanout/include/fanout/replicarouter.h
+++ b/libs/fanout/include/fanout/replicarouter.h
@@ -69,19 +69,26 @@
                                      const Part &part,
                                      std::span<const SearcherId> avoid);
 
-    /// The holder to reach \p searcher through: this daemon if it is one, else the first usable by rank, in turn.
-    std::optional<DaemonId> holder(SearcherId searcher);
+    /// The holder to reach \p searcher through: this daemon if it is one, else the usable ones in turn. One that has
+    /// just refused is taken only if all have.
+    std::optional<DaemonId> holder(TimePoint now, SearcherId searcher);
 
     /// Notes that a call was sent.
     void onSent(SearcherId searcher);
 
-    /// Notes the end of a call that was sent \p latency ago.
-    void onReply(TimePoint now, const SearchReply &reply, Duration latency);
+    /// Notes the end of a call that was sent to \p holder \p latency ago.
+    void onReply(TimePoint now, const SearchReply &reply, Duration latency, DaemonId holder);
 
     /// Notes that a call was given up without a reply.
     void onAbandoned(SearcherId searcher);
 
 private:
+    /// A holder that refused a call, by itself or because it could not be reached.
+    struct HolderPause {
+        DaemonId holder;
+        TimePoint until;
+    };
+
     struct SearcherState {
         /// Moving average of the latency, in microseconds.
         double latency = 0;
@@ -92,10 +99,15 @@
         IndexVersion lackedVersion;
         TimePoint lackedUntil;
         std::uint32_t turn = 0;
+        std::vector<HolderPause> pauses;
     };
 
     bool isUsable(TimePoint now, SearcherId searcher, IndexVersion version);
+    bool isUsableHolder(DaemonId daemon) const;
     bool hasHolder(SearcherId searcher) const;
+    bool hasWillingHolder(TimePoint now, SearcherId searcher);
+    static TimePoint pausedUntil(const SearcherState &state, DaemonId holder) noexcept;
+    static void pause(SearcherState &state, DaemonId holder, TimePoint until);
     double expectedWait(SearcherId searcher);
 
     DaemonId self_;
--- a/libs/fanout/src/query.cpp
+++ b/libs/fanout/src/query.cpp
@@ -1,6 +1,7 @@
 #include "fanout/query.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sassafrasvane
 {
@@ -10,6 +11,17 @@
 
 // Planning another version costs a pass over all parts, so it is tried a few times only.
 constexpr std::uint32_t maxRestartAttempts = 3;
+// Calls for one part, those that its searchers' holders refused included.
+constexpr std::uint32_t maxCallsPerPart = 5;
+// Searchers that are asked one after another before the query is sent to all.
+constexpr std::uint32_t maxProbes = 3;
+
+std::vector<SearcherId> distinctSearchers(std::vector<SearcherId> searchers)
+{
+    std::sort(searchers.begin(), searchers.end());
+    searchers.erase(std::unique(searchers.begin(), searchers.end()), searchers.end());
+    return searchers;
+}
 
 } // namespace
 
@@ -25,7 +37,6 @@
 {
     Plan plan = bestPlan(IndexVersion{});
     adopt(std::move(plan), actions);
-    neededCalls_ = calls_.size();
     settle(now, actions);
 }
 
@@ -42,17 +53,24 @@
         reply.outcome = CallOutcome::WrongVersion;
     }
     if (reply.outcome == CallOutcome::Answered) {
+        isProven_ = true;
         const bool isWhole = mergeParts(*call, std::move(reply.parts));
         closeCall(*call, Errc::BadMessage);
         if (!isWhole) {
             ++droppedReplies_;
-            recover(now, *call, false, actions);
+            recover(now, *call, reply, actions);
         }
     } else {
         const bool isVersionLost = reply.outcome == CallOutcome::WrongVersion;
         closeCall(*call, isVersionLost ? Errc::WrongVersion : reply.error);
-        recover(now, *call, isVersionLost, actions);
+        const bool isCrashLikely
+            = isProbing() && (terms_.firstSend == FirstSend::Suspect || reply.outcome == CallOutcome::Failed);
+        if (!isCrashLikely) {
+            recover(now, *call, reply, actions);
+        }
+        onProbeFailed(reply.outcome, actions);
     }
+    sendHeldBack(actions);
     settle(now, actions);
 }
 
@@ -118,7 +136,64 @@
     coveredParts_ = 0;
     lostWidth_ = 0;
     firstCall_ = calls_.size();
-    sendCalls(std::move(plan.assignments), false, actions);
+    heldBack_ = std::move(plan.assignments);
+    std::vector<SearcherId> searchers;
+    for (const Assignment &assignment : heldBack_) {
+        searchers.push_back(assignment.searcher);
+    }
+    neededCalls_ = distinctSearchers(std::move(searchers)).size();
+    if (isProbing()) {
+        sendProbe(actions);
+    } else {
+        sendHeldBack(actions);
+    }
+}
+
+bool Query::isProbing() const noexcept
+{
+    return terms_.firstSend != FirstSend::All && !isProven_;
+}
+
+// Sends the calls of one more searcher whose answer shows that the query is harmless.
+void Query::sendProbe(QueryActions &actions)
+{
+    std::vector<SearcherId> searchers;
+    for (const Assignment &assignment : heldBack_) {
+        searchers.push_back(assignment.searcher);
+    }
+    const std::optional<SearcherId> probe = hooks_.chooseProbe(distinctSearchers(std::move(searchers)));
+    if (!probe || probes_ == maxProbes) {
+        heldBack_.clear();
+        return;
+    }
+    ++probes_;
+    const std::vector<Assignment>::iterator rest
+        = std::partition(heldBack_.begin(), heldBack_.end(), [probe](const Assignment &assignment) {
+              return assignment.searcher == *probe;
+          });
+    std::vector<Assignment> first(heldBack_.begin(), rest);
+    heldBack_.erase(heldBack_.begin(), rest);
+    sendCalls(std::move(first), false, actions);
+}
+
+void Query::sendHeldBack(QueryActions &actions)
+{
+    if (!isProbing() && !heldBack_.empty()) {
+        sendCalls(std::exchange(heldBack_, {}), false, actions);
+    }
+}
+
+// A probe that was turned away is followed by another one; one that may have crashed its searcher ends the query.
+void Query::onProbeFailed(CallOutcome outcome, QueryActions &actions)
+{
+    if (!isProbing() || openCalls_ > 0) {
+        return;
+    }
+    if (terms_.firstSend == FirstSend::Suspect || outcome == CallOutcome::Failed) {
+        heldBack_.clear();
+    } else {
+        sendProbe(actions);
+    }
 }
 
 // Sends one call to each searcher of the assignments, with all parts assigned to it. An extra call is sent only if the
@@ -145,6 +220,7 @@
             PartState &part = parts_[position];
             part.tried.push_back(searcher);
             ++part.openCalls;
+            ++part.calls;
             call.parts.push_back(position);
             message.parts.push_back(index_->parts[position].id);
         }
@@ -195,31 +271,38 @@
     for (const std::size_t position : call.parts) {
         PartState &part = parts_[position];
         --part.openCalls;
+        part.wasSent = part.wasSent || call.wasSent;
         part.lastError = error;
     }
 }
 
-// Asks another replica for each part of a failed call that no other call works on. A part whose call never reached a
-// searcher costs no extra load.
-void Query::recover(TimePoint now, const CallState &call, bool isVersionLost, QueryActions &actions)
+// Asks again for each part of a failed call that no other call works on. A part whose calls never reached a searcher
+// costs no extra load, and its searcher may be reached through another holder.
+void Query::recover(TimePoint now, const CallState &call, const SearchReply &reply, QueryActions &actions)
 {
     std::vector<Assignment> free;
     std::vector<Assignment> extra;
+    const bool isHolderRefusal
+        = !call.wasSent && reply.outcome == CallOutcome::Refused && reply.error != Errc::ConnectFailed;
     for (const std::size_t position : call.parts) {
-        const PartState &part = parts_[position];
+        PartState &part = parts_[position];
         if (part.isCovered || part.openCalls > 0) {
             continue;
         }
-        const std::optional<SearcherId> searcher
-            = hooks_.chooseReplica(index_->version, index_->parts[position], part.tried);
+        if (isHolderRefusal) {
+            std::erase(part.tried, call.searcher);
+        }
+        const std::optional<SearcherId> searcher = part.calls < maxCallsPerPart
+            ? hooks_.chooseReplica(index_->version, index_->parts[position], part.tried)
+            : std::nullopt;
         if (searcher) {
-            std::vector<Assignment> &list = call.wasSent || part.tried.size() > 1 ? extra : free;
+            std::vector<Assignment> &list = part.wasSent ? extra : free;
             list.push_back({*searcher, position});
         } else {
             lostWidth_ += index_->parts[position].width();
         }
     }
-    if (isVersionLost && restart(now, actions)) {
+    if (reply.outcome == CallOutcome::WrongVersion && restart(now, actions)) {
         return;
     }
     sendCalls(std::move(free), false, actions);
@@ -228,6 +311,12 @@
 
 void Query::hedge(QueryActions &actions)
 {
+    if (isProbing()) {
+        if (terms_.firstSend == FirstSend::ProbeFirst) {
+            sendProbe(actions);
+        }
+        return;
+    }
     std::vector<Assignment> assignments;
     for (std::size_t i = 0; i < parts_.size(); ++i) {
         const PartState &part = parts_[i];
@@ -283,7 +372,8 @@
 
 bool Query::isDone(TimePoint now) const
 {
-    if (index_ == nullptr || openCalls_ == 0 || now >= terms_.deadline || coveredWidth_ == index_->width) {
+    if (index_ == nullptr || (openCalls_ == 0 && heldBack_.empty()) || now >= terms_.deadline
+        || coveredWidth_ == index_->width) {
         return true;
     }
     const double coverage = static_cast<double>(coveredWidth_) / static_cast<double>(index_->width);
@@ -349,7 +439,8 @@
 
 Result<Query> Query::Builder::build(TimePoint now)
 {
-    if (!hooks_.chooseReplica || !hooks_.spendExtra || !hooks_.nextCall) {
+    const bool hasProbe = hooks_.chooseProbe || terms_.firstSend == FirstSend::All;
+    if (!hooks_.chooseReplica || !hooks_.spendExtra || !hooks_.nextCall || !hasProbe) {
         return Error{Errc::Internal, Step::Route, {}, "a query hook is not set"};
     }
     if (terms_.deadline <= now) {
--- a/libs/fanout/src/replicarouter.cpp
+++ b/libs/fanout/src/replicarouter.cpp
@@ -19,6 +19,14 @@
 /// How long a searcher is avoided after its first failure; doubles with each further one.
 constexpr Duration firstAvoidance = 100ms;
 constexpr std::uint32_t maxAvoidanceDoublings = 5;
+/// How long a holder is avoided for a searcher after it refused a call without sending it.
+constexpr Duration holderPause = 50ms;
+
+// True if the refusal speaks of the holder and not of the searcher.
+bool isHolderRefusal(const SearchReply &reply) noexcept
+{
+    return reply.outcome == CallOutcome::Refused && !reply.wasSent && reply.error != Errc::ConnectFailed;
+}
 
 } // namespace
 
@@ -29,6 +37,9 @@
 void ReplicaRouter::setView(RouterView view)
 {
     view_ = std::move(view);
+    for (auto &[searcher, state] : states_) {
+        state.pauses.clear();
+    }
     std::erase_if(states_, [this](const auto &entry) { return view_.map->searcher(entry.first) == nullptr; });
 }
 
@@ -54,7 +65,8 @@
         if (isAvoided || !isUsable(now, replica, version)) {
             continue;
         }
-        std::vector<SearcherId> &list = states_[replica].avoidUntil > now ? doubtful_ : good_;
+        const bool isDoubtful = states_[replica].avoidUntil > now || !hasWillingHolder(now, replica);
+        std::vector<SearcherId> &list = isDoubtful ? doubtful_ : good_;
         list.push_back(replica);
     }
     const std::vector<SearcherId> &list = good_.empty() ? doubtful_ : good_;
@@ -69,20 +81,29 @@
     return expectedWait(list[first]) <= expectedWait(list[second]) ? list[first] : list[second];
 }
 
-std::optional<DaemonId> ReplicaRouter::holder(SearcherId searcher)
+std::optional<DaemonId> ReplicaRouter::holder(TimePoint now, SearcherId searcher)
 {
     const std::span<const DaemonId> holders = view_.holders->holders(searcher);
-    if (std::find(holders.begin(), holders.end(), self_) != holders.end()) {
+    SearcherState &state = states_[searcher];
+    const bool isSelfHolder = std::find(holders.begin(), holders.end(), self_) != holders.end();
+    if (isSelfHolder && pausedUntil(state, self_) <= now) {
         return self_;
     }
-    std::uint32_t &turn = states_[searcher].turn;
+    std::optional<DaemonId> best;
+    ++state.turn;
     for (std::size_t i = 0; i < holders.size(); ++i) {
-        const DaemonId daemon = holders[turn++ % holders.size()];
-        if (!unusableDaemons_.contains(daemon)) {
+        const DaemonId daemon = holders[(state.turn + i) % holders.size()];
+        if (!isUsableHolder(daemon)) {
+            continue;
+        }
+        if (pausedUntil(state, daemon) <= now) {
             return daemon;
         }
+        if (!best || pausedUntil(state, daemon) < pausedUntil(state, *best)) {
+            best = daemon;
+        }
     }
-    return std::nullopt;
+    return best;
 }
 
 void ReplicaRouter::onSent(SearcherId searcher)
@@ -90,10 +111,14 @@
     ++states_[searcher].openCalls;
 }
 
-void ReplicaRouter::onReply(TimePoint now, const SearchReply &reply, Duration latency)
+void ReplicaRouter::onReply(TimePoint now, const SearchReply &reply, Duration latency, DaemonId holder)
 {
     SearcherState &state = states_[reply.searcher];
     state.openCalls -= state.openCalls > 0 ? 1 : 0;
+    if (isHolderRefusal(reply)) {
+        pause(state, holder, now + holderPause);
+        return;
+    }
     switch (reply.outcome) {
     case CallOutcome::Answered: {
         const double sample = static_cast<double>(latency.count());
@@ -134,14 +159,47 @@
     return !isVersionLacked && hasHolder(searcher);
 }
 
+bool ReplicaRouter::isUsableHolder(DaemonId daemon) const
+{
+    return daemon == self_ || !unusableDaemons_.contains(daemon);
+}
+
 bool ReplicaRouter::hasHolder(SearcherId searcher) const
 {
     const std::span<const DaemonId> holders = view_.holders->holders(searcher);
-    return std::any_of(holders.begin(), holders.end(), [this](DaemonId daemon) {
-        return daemon == self_ || !unusableDaemons_.contains(daemon);
+    return std::any_of(holders.begin(), holders.end(), [this](DaemonId daemon) { return isUsableHolder(daemon); });
+}
+
+bool ReplicaRouter::hasWillingHolder(TimePoint now, SearcherId searcher)
+{
+    const std::span<const DaemonId> holders = view_.holders->holders(searcher);
+    const SearcherState &state = states_[searcher];
+    return std::any_of(holders.begin(), holders.end(), [this, now, &state](DaemonId daemon) {
+        return isUsableHolder(daemon) && pausedUntil(state, daemon) <= now;
     });
 }
 
+TimePoint ReplicaRouter::pausedUntil(const SearcherState &state, DaemonId holder) noexcept
+{
+    for (const HolderPause &pause : state.pauses) {
+        if (pause.holder == holder) {
+            return pause.until;
+        }
+    }
+    return {};
+}
+
+void ReplicaRouter::pause(SearcherState &state, DaemonId holder, TimePoint until)
+{
+    for (HolderPause &present : state.pauses) {
+        if (present.holder == holder) {
+            present.until = until;
+            return;
+        }
+    }
+    state.pauses.push_back({holder, until});
+}
+
 double ReplicaRouter::expectedWait(SearcherId searcher)
 {
     const SearcherState &state = states_[searcher];
--- a/libs/fanout/tests/query_test.cpp
+++ b/libs/fanout/tests/query_test.cpp
@@ -64,6 +64,9 @@
         };
         hooks.spendExtra = [this] { return budget-- > 0; };
         hooks.nextCall = [this] { return CallId{++lastCall}; };
+        hooks.chooseProbe = [](std::span<const SearcherId> searchers) -> std::optional<SearcherId> {
+            return searchers.empty() ? std::nullopt : std::optional<SearcherId>(searchers.front());
+        };
         query = Query::Builder().map(map, "riders").terms(terms).hooks(hooks).build(origin).value();
         query->start(origin, actions);
         collect();
@@ -276,6 +279,65 @@
     BOOST_TEST(!fixture.actions.send[0].isExtra);
 }
 
+BOOST_AUTO_TEST_CASE(refusalOfAHolderLeavesItsSearcherAChoice)
+{
+    Fixture fixture;
+    fixture.budget = 0;
+    fixture.start();
+    for (int i = 0; i < 4; ++i) {
+        const SearchCall call = i == 0 ? fixture.calls[1] : fixture.actions.send.at(0);
+        BOOST_TEST((call.searcher == SearcherId{0}));
+        fixture.reply({call.call, call.searcher, call.version, CallOutcome::Refused, Errc::Overloaded, false, {}});
+    }
+    const SearchCall last = fixture.actions.send.at(0);
+    fixture.reply({last.call, last.searcher, last.version, CallOutcome::Refused, Errc::Overloaded, false, {}});
+    BOOST_TEST(fixture.actions.send.empty());
+}
+
+BOOST_AUTO_TEST_CASE(unknownQueryGoesToOneSearcherUntilItHasAnswered)
+{
+    Fixture fixture;
+    fixture.terms.firstSend = FirstSend::ProbeFirst;
+    fixture.start();
+    BOOST_REQUIRE(fixture.calls.size() == 1U);
+    fixture.reply(Fixture::answerTo(fixture.calls[1]));
+    BOOST_TEST(fixture.actions.send.size() == 3U);
+    for (const std::uint64_t id : {2, 3, 4}) {
+        fixture.reply(Fixture::answerTo(fixture.calls[id]));
+    }
+    BOOST_REQUIRE(fixture.actions.answer.has_value());
+    BOOST_TEST(fixture.actions.answer->coverage == 1.0);
+    BOOST_TEST(fixture.actions.answer->extraCalls == 0U);
+    BOOST_TEST(fixture.actions.answer->neededCalls == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(queryThatLosesItsProbeGoesNowhereElse)
+{
+    for (const FirstSend firstSend : {FirstSend::ProbeFirst, FirstSend::Suspect}) {
+        Fixture fixture;
+        fixture.terms.firstSend = firstSend;
+        fixture.start();
+        fixture.reply({CallId{1}, SearcherId{0}, IndexVersion{2}, CallOutcome::Failed, Errc::ConnectionLost, true, {}});
+        BOOST_TEST(fixture.actions.send.empty());
+        BOOST_REQUIRE(fixture.actions.answer.has_value());
+        BOOST_TEST(fixture.actions.answer->coverage == 0.0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(slowProbeIsFollowedByAnotherUnlessTheQueryIsSuspect)
+{
+    Fixture unknown;
+    unknown.terms.firstSend = FirstSend::ProbeFirst;
+    unknown.start();
+    unknown.timer(20ms);
+    BOOST_TEST(unknown.actions.send.size() == 1U);
+    Fixture suspect;
+    suspect.terms.firstSend = FirstSend::Suspect;
+    suspect.start();
+    suspect.timer(20ms);
+    BOOST_TEST(suspect.actions.send.empty());
+}
+
 BOOST_AUTO_TEST_CASE(builderNamesWhatIsWrong)
 {
     const Result<Query> noHooks = Query::Builder().map(smallMap(), "riders").build(origin);
--- a/libs/fanout/tests/replicarouter_test.cpp
+++ b/libs/fanout/tests/replicarouter_test.cpp
@@ -62,7 +62,7 @@
     const RouterView view = viewOf({});
     router.setView(view);
     router.onReply(
-        origin, {CallId{1}, SearcherId{0}, IndexVersion{1}, CallOutcome::Failed, Errc::Timeout, true, {}}, 1ms);
+        origin, {CallId{1}, SearcherId{0}, IndexVersion{1}, CallOutcome::Failed, Errc::Timeout, true, {}}, 1ms, other);
     for (int i = 0; i < 50; ++i) {
         BOOST_TEST((router.choose(origin + 1ms, IndexVersion{1}, onlyPart(view), {}) == SearcherId{1}));
     }
@@ -77,7 +77,8 @@
     router.setView(view);
     router.onReply(origin,
                    {CallId{1}, SearcherId{0}, IndexVersion{1}, CallOutcome::WrongVersion, Errc::WrongVersion, true, {}},
-                   1ms);
+                   1ms,
+                   other);
     const std::vector<SearcherId> avoid{SearcherId{1}};
     BOOST_TEST(!router.choose(origin + 1s, IndexVersion{1}, onlyPart(view), avoid).has_value());
     BOOST_TEST(router.choose(origin + 3s, IndexVersion{1}, onlyPart(view), avoid).has_value());
@@ -88,10 +89,14 @@
     ReplicaRouter router(self, 1);
     const RouterView view = viewOf({});
     router.setView(view);
-    router.onReply(
-        origin, {CallId{1}, SearcherId{0}, IndexVersion{1}, CallOutcome::Answered, Errc::Internal, true, {}}, 50ms);
-    router.onReply(
-        origin, {CallId{2}, SearcherId{1}, IndexVersion{1}, CallOutcome::Answered, Errc::Internal, true, {}}, 5ms);
+    router.onReply(origin,
+                   {CallId{1}, SearcherId{0}, IndexVersion{1}, CallOutcome::Answered, Errc::Internal, true, {}},
+                   50ms,
+                   other);
+    router.onReply(origin,
+                   {CallId{2}, SearcherId{1}, IndexVersion{1}, CallOutcome::Answered, Errc::Internal, true, {}},
+                   5ms,
+                   other);
     for (int i = 0; i < 50; ++i) {
         BOOST_TEST((router.choose(origin, IndexVersion{1}, onlyPart(view), {}) == SearcherId{1}));
     }
@@ -101,13 +106,26 @@
 {
     ReplicaRouter router(self, 1);
     router.setView(viewOf({}));
-    BOOST_TEST((router.holder(SearcherId{0}) == self));
+    BOOST_TEST((router.holder(origin, SearcherId{0}) == self));
     ReplicaRouter stranger(DaemonId{3}, 1);
     stranger.setView(viewOf({}));
     stranger.setUnusableDaemons({self});
-    BOOST_TEST((stranger.holder(SearcherId{0}) == other));
+    BOOST_TEST((stranger.holder(origin, SearcherId{0}) == other));
     stranger.setUnusableDaemons({self, other});
-    BOOST_TEST(!stranger.holder(SearcherId{0}).has_value());
+    BOOST_TEST(!stranger.holder(origin, SearcherId{0}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(holderThatRefusedIsPassedOverForATime)
+{
+    ReplicaRouter router(self, 1);
+    router.setView(viewOf({}));
+    const SearchReply refusal{
+        CallId{1}, SearcherId{0}, IndexVersion{1}, CallOutcome::Refused, Errc::Overloaded, false, {}};
+    router.onReply(origin, refusal, 1ms, self);
+    BOOST_TEST((router.holder(origin + 1ms, SearcherId{0}) == other));
+    BOOST_TEST((router.holder(origin + 1s, SearcherId{0}) == self));
+    router.onReply(origin + 2ms, refusal, 1ms, other);
+    BOOST_TEST((router.holder(origin + 3ms, SearcherId{0}) == self));
 }
 
 } // namespace sassafrasvane
--- a/libs/wire/include/wire/peermessages.h
+++ b/libs/wire/include/wire/peermessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/crashbar.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "fanout/messages.h"
@@ -137,6 +138,11 @@
     std::vector<WarmthEntry> entries;
 };
 
+/// Evidence against requests that crash their servers.
+struct CrashNotice {
+    std::vector<CrashEntry> entries;
+};
+
 /// Any message on a TCP link between daemons.
 using PeerMessage = std::variant<LeafRequest,
                                  LeafReply,
@@ -147,6 +153,7 @@
                                  OnceForward,
                                  OnceForwardReply,
                                  WarmthQuery,
-                                 WarmthReply>;
+                                 WarmthReply,
+                                 CrashNotice>;
 
 } // namespace sassafrasvane
--- a/libs/wire/src/peercodec.cpp
+++ b/libs/wire/src/peercodec.cpp
@@ -173,6 +173,20 @@
     }
 }
 
+void packBody(Packer &packer, const CrashNotice &message)
+{
+    packer.pack_array(1);
+    packer.pack_array(static_cast<std::uint32_t>(message.entries.size()));
+    for (const CrashEntry &entry : message.entries) {
+        packer.pack_array(5);
+        packId(packer, entry.fingerprint);
+        packer.pack(entry.event);
+        packer.pack(entry.isStrong);
+        packer.pack(entry.isCleared);
+        packer.pack(entry.timeLeft.count());
+    }
+}
+
 /// Reads the elements of a MessagePack array in order; throws on any mismatch.
 class ArrayReader
 {
@@ -395,6 +409,18 @@
     return message;
 }
 
+CrashEntry readCrashEntry(const msgpack::object &object)
+{
+    ArrayReader reader(object, 5);
+    CrashEntry entry;
+    entry.fingerprint = reader.id<Fingerprint>();
+    entry.event = reader.read<std::uint64_t>();
+    entry.isStrong = reader.read<bool>();
+    entry.isCleared = reader.read<bool>();
+    entry.timeLeft = Duration(reader.read<Duration::rep>());
+    return entry;
+}
+
 PeerMessage readMessage(std::size_t type, const msgpack::object &body)
 {
     switch (type) {
@@ -418,11 +444,13 @@
         return readWarmthQuery(body);
     case 9:
         return readWarmthReply(body);
+    case 10:
+        return CrashNotice{ArrayReader(body, 1).list<CrashEntry>(readCrashEntry)};
     default:
         throw std::runtime_error("message type " + std::to_string(type) + " is unknown");
     }
 }
-static_assert(messageTypes == 10, "readMessage must know every message type");
+static_assert(messageTypes == 11, "readMessage must know every message type");
 
 Error badMessage(const std::string &detail)
 {
--- a/libs/wire/tests/peercodec_test.cpp
+++ b/libs/wire/tests/peercodec_test.cpp
@@ -66,7 +66,8 @@
           PeerMessage(OnceForward{1, Incarnation{2}, "t", "k", "booking", "{}", Duration{5}, ""}),
           PeerMessage(OnceForwardReply{1, Incarnation{2}, Ran::Yes, Errc::Internal, "{}", Duration{0}}),
           PeerMessage(WarmthQuery{1, {SearcherId{2}}}),
-          PeerMessage(WarmthReply{1, {{SearcherId{2}, Incarnation{3}, 4, Duration{5}}}})}) {
+          PeerMessage(WarmthReply{1, {{SearcherId{2}, Incarnation{3}, 4, Duration{5}}}}),
+          PeerMessage(CrashNotice{{{Fingerprint{1}, 2, true, false, Duration{3}}}})}) {
         const Result<PeerMessage> again = decodeBody(bodyOf(message));
         BOOST_REQUIRE(again.has_value());
         BOOST_TEST(again.value().index() == message.index());
