Gate frees the place of a call that was not sent

Cause: a daemon that finds out at the moment of sending that a searcher may not be used could only report a refusal, which the gate took for one by the searcher: after three of them it paused.

Change: SearcherGate::onNotSent() frees the place and teaches nothing.

Conclusion: covered by callThatWasNotSentFreesItsPlaceAndTeachesNothing.

--- a/libs/admission/include/admission/searchergate.h
+++ b/libs/admission/include/admission/searchergate.h
@@ -49,6 +49,9 @@
     /// Takes the end of a call that was started. The end of a call that does not run is ignored.
     void onResult(TimePoint now, const GateResult &result, GateActions &actions);
 
+    /// A call that was started was provably not sent, for a reason that says nothing of the searcher.
+    void onNotSent(TimePoint now, CallId call, GateActions &actions);
+
     /// Drops a waiting call. \return false if it is not waiting. A running call ends by onResult() only.
     bool cancel(TimePoint now, CallId call, GateActions &actions);
 
@@ -102,6 +105,7 @@
     bool canMeetDeadline(TimePoint now, const GateRequest &request, std::uint32_t allowed) const noexcept;
     Duration queueTime(std::size_t ahead, std::uint32_t allowed) const noexcept;
     Duration retryAfter(TimePoint now, std::uint32_t allowed) const noexcept;
+    bool isRunning(CallId call) const noexcept;
     void learn(TimePoint now, const GateResult &result);
     void onAnswer(TimePoint now, const GateResult &result);
 
--- a/libs/admission/src/searchergate.cpp
+++ b/libs/admission/src/searchergate.cpp
@@ -51,9 +51,16 @@
 
 void SearcherGate::onResult(TimePoint now, const GateResult &result, GateActions &actions)
 {
-    const auto found = std::find(running_.begin(), running_.end(), result.call);
-    if (found != running_.end()) {
+    if (isRunning(result.call)) {
         learn(now, result);
+    }
+    onNotSent(now, result.call, actions);
+}
+
+void SearcherGate::onNotSent(TimePoint now, CallId call, GateActions &actions)
+{
+    const auto found = std::find(running_.begin(), running_.end(), call);
+    if (found != running_.end()) {
         *found = running_.back();
         running_.pop_back();
     }
@@ -201,6 +208,11 @@
     return std::max(minRetry, pause + queueTime(queue_.size(), allowed));
 }
 
+bool SearcherGate::isRunning(CallId call) const noexcept
+{
+    return std::find(running_.begin(), running_.end(), call) != running_.end();
+}
+
 void SearcherGate::learn(TimePoint now, const GateResult &result)
 {
     const Duration mean = service_.mean();
--- a/libs/admission/tests/searchergate_test.cpp
+++ b/libs/admission/tests/searchergate_test.cpp
@@ -138,6 +138,19 @@
     BOOST_TEST(gate.running() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(callThatWasNotSentFreesItsPlaceAndTeachesNothing)
+{
+    SearcherGate gate = SearcherGate::Builder().limits({"riders", 1, 25, 6ms, 1}).share({0, 1}).build();
+    GateActions actions;
+    for (std::uint64_t call = 1; call <= 10; ++call) {
+        actions.clear();
+        gate.offer(origin, request(call, 500ms), actions);
+        BOOST_TEST((actions.start == std::vector<CallId>{CallId{call}}));
+        gate.onNotSent(origin, CallId{call}, actions);
+        BOOST_TEST(gate.running() == 0U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(largerShareWaitsAndSmallerOneAppliesAtOnce)
 {
     const BackEndLimits limits{"riders", 4, 25, 6ms, 4};
