Entry admission: an overloaded answer lowers the limit within a round trip

Strain is answered by a decrease only once the average latency can have followed the last one, some 17 round trips with 4 running queries, while the whole answers among the others raise the limit in between; 60% of the answers were incomplete in the balance. isOverloaded is no average but tells of this answer. Change: it decreases the limit at most once a latency. Test: overloadedAnswersLowerTheLimitWithinAFewRoundTrips, which fails without the change (7 running, at most 4 allowed).

--- a/libs/admission/include/admission/concurrencylimit.h
+++ b/libs/admission/include/admission/concurrencylimit.h
@@ -35,6 +35,9 @@
     /// Takes an answer that shows that the server queues; onAnswered() calls it by itself.
     void onStrain(TimePoint now, Duration mean, std::size_t running) noexcept;
 
+    /// Takes an answer that by itself, not by the average, shows that more ran than fits.
+    void onOverload(TimePoint now, Duration latency, std::size_t running) noexcept;
+
     /// Takes a refusal by the server. \param mean the present latency. \param running as for onAnswered().
     void onRefused(TimePoint now, Duration mean, std::size_t running) noexcept;
 
--- a/libs/admission/src/concurrencylimit.cpp
+++ b/libs/admission/src/concurrencylimit.cpp
@@ -50,6 +50,11 @@
     decrease(now, mean * roundTrips, running, queueingDecrease);
 }
 
+void ConcurrencyLimit::onOverload(TimePoint now, Duration latency, std::size_t running) noexcept
+{
+    decrease(now, latency, running, queueingDecrease);
+}
+
 void ConcurrencyLimit::onRefused(TimePoint now, Duration mean, std::size_t running) noexcept
 {
     decrease(now, mean, running, refusalDecrease);
--- a/libs/admission/src/entryadmission.cpp
+++ b/libs/admission/src/entryadmission.cpp
@@ -178,6 +178,8 @@
     const bool isStrained = result.isOverloaded || isLong;
     if (!isStrained) {
         state.limit.onAnswered(now, mean, mean, running, true);
+    } else if (isAboveFairShare(state) && result.isOverloaded) {
+        state.limit.onOverload(now, result.latency, running);
     } else if (isAboveFairShare(state)) {
         state.limit.onStrain(now, mean, running);
     }
--- a/libs/admission/tests/entryadmission_test.cpp
+++ b/libs/admission/tests/entryadmission_test.cpp
@@ -158,4 +158,30 @@
     }
 }
 
+// Most answers may be whole while each query over the limit costs another its parts: the limit must not wait for the
+// average latency to tell.
+BOOST_AUTO_TEST_CASE(overloadedAnswersLowerTheLimitWithinAFewRoundTrips)
+{
+    EntryAdmission admission(classes());
+    EntryActions actions;
+    TimePoint now = origin;
+    std::vector<QueryId> running;
+    for (std::uint64_t query = 1; query <= 400; ++query) {
+        actions.clear();
+        admission.offer(now, {QueryId{query}, lookup, now + 50ms}, actions);
+        running.insert(running.end(), actions.start.begin(), actions.start.end());
+        now += 1ms;
+        if (query % 5 == 0 && !running.empty()) {
+            const EntryResult result{running.front(), 10ms, query % 10 == 0};
+            running.erase(running.begin());
+            actions.clear();
+            admission.onFinished(now, result, actions);
+            running.insert(running.end(), actions.start.begin(), actions.start.end());
+        }
+    }
+    // 40 overloaded answers in 400 ms: 0.9 to the power of 40 times the first limit is below 1; others raise it by at
+    // most 1 in as many answers as run.
+    BOOST_TEST(admission.running(lookup) <= EntryAdmission::initialLimit() / 2);
+}
+
 } // namespace sassafrasvane
