Decision bench: admission of queries at the entry

Cause: without it every query was admitted at twice the capacity, and nearly none was answered whole. Change: each entry of the bench passes its queries through EntryAdmission and tells it of queries that lost more than their target allows; refusals are counted.

--- a/bench/decisions/report.cpp
+++ b/bench/decisions/report.cpp
@@ -35,9 +35,12 @@
     std::vector<double> coverages;
     std::size_t needed = 0;
     std::size_t extra = 0;
+    std::size_t refused = 0;
     double coverage = 0;
     for (const QueryRecord &record : records) {
-        if (isWanted(record)) {
+        if (isWanted(record) && record.isRefused) {
+            ++refused;
+        } else if (isWanted(record)) {
             latencies.push_back(toMilliseconds(record.latency));
             coverages.push_back(record.coverage);
             coverage += record.coverage;
@@ -50,6 +53,7 @@
     const double count = std::max<double>(1, static_cast<double>(latencies.size()));
     Figures figures;
     figures.queries = latencies.size();
+    figures.refused = static_cast<double>(refused) / std::max(1.0, static_cast<double>(refused + latencies.size()));
     figures.p50 = quantile(latencies, 0.5);
     figures.p99 = quantile(latencies, 0.99);
     figures.p999 = quantile(latencies, 0.999);
@@ -88,6 +92,7 @@
     add(scenario, "coverage mean", "", ours.meanCoverage, baseline.meanCoverage, true);
     add(scenario, "coverage p1", "", ours.coverageP1, baseline.coverageP1, true);
     add(scenario, "extra load", "", ours.extraLoad, baseline.extraLoad, true);
+    add(scenario, "refused at the entry", "", ours.refused, baseline.refused, true);
 }
 
 void Report::printTable() const
--- a/bench/decisions/report.h
+++ b/bench/decisions/report.h
@@ -15,7 +15,10 @@
 
 /// What a set of queries came to.
 struct Figures {
+    /// Queries that were answered.
     std::size_t queries = 0;
+    /// Share of the queries that were refused at the entry.
+    double refused = 0;
     /// Milliseconds.
     double p50 = 0;
     double p99 = 0;
@@ -54,7 +57,7 @@
              double baseline,
              bool isReached);
 
-    /// Adds p50, p99, coverage and extra load, reported only.
+    /// Adds latency, coverage, extra load and refusals, reported only.
     void addFigures(const std::string &scenario, const Figures &ours, const Figures &baseline);
 
     /// Prints the median and the worst seed's figure of each row.
--- a/bench/decisions/tier.cpp
+++ b/bench/decisions/tier.cpp
@@ -34,6 +34,11 @@
     return replicas;
 }
 
+ClassIndex classIndex(std::size_t cls) noexcept
+{
+    return ClassIndex{static_cast<std::uint32_t>(cls)};
+}
+
 Duration exponential(Random &random, double mean)
 {
     return Duration(static_cast<Duration::rep>(-std::log(1.0 - random.unit()) * mean));
@@ -95,7 +100,11 @@
     }
     holders_ = std::make_shared<const HolderTable>(builder.build());
     for (std::uint32_t i = 0; i < setup_.entries; ++i) {
-        Entry entry{daemons[i], ReplicaRouter(daemons[i], mix(setup_.seed, 10'000 + i)), {}, {}};
+        Entry entry{daemons[i],
+                    ReplicaRouter(daemons[i], mix(setup_.seed, 10'000 + i)),
+                    EntryAdmission(configuration_->classes),
+                    {},
+                    {}};
         for (const ClassSetup &cls : setup_.classes) {
             entry.controllers.emplace_back(cls.target, cls.givesWay);
             entry.budgets.emplace_back(cls.target.extraLoad);
@@ -150,39 +159,75 @@
     const Duration gap = exponential(random_, 1e6 / (setup_.classes[cls].rate * load_));
     if (loop_.now() + gap < end) {
         loop_.after(gap, [this, cls, end] {
-            startQuery(cls);
+            takeQuery(cls);
             arrive(cls, end);
         });
     }
 }
 
-void Tier::startQuery(std::size_t cls)
+void Tier::takeQuery(std::size_t cls)
 {
+    const std::uint64_t id = ++lastQuery_;
     const std::size_t entry = random_.below(entries_.size());
-    const QueryTerms terms = termsFor(entries_[entry], cls);
-    Result<Query> query = Query::Builder()
-                              .map(map_, setup_.classes[cls].backEnd)
+    queries_[id] = {entry, cls, loop_.now(), TimePoint(), std::nullopt, TimePoint(), 0};
+    if (setup_.isBaseline) {
+        startQuery(id);
+        return;
+    }
+    const TimePoint deadline = loop_.now() + entries_[entry].controllers[cls].terms().deadline;
+    entryActions_.clear();
+    entries_[entry].admission.offer(loop_.now(), {QueryId{id}, classIndex(cls), deadline}, entryActions_);
+    applyEntry(entry);
+}
+
+void Tier::applyEntry(std::size_t entry)
+{
+    const EntryActions actions = entryActions_;
+    for (const EntryRefusal &refusal : actions.refuse) {
+        const Running &running = queries_.at(refusal.query.value);
+        records_.push_back({running.cls, running.startedAt, loop_.now() - running.startedAt, 0, 0, 0, true});
+        queries_.erase(refusal.query.value);
+    }
+    for (const QueryId query : actions.start) {
+        startQuery(query.value);
+    }
+    if (actions.wakeAt) {
+        loop_.at(*actions.wakeAt, [this, entry] {
+            entryActions_.clear();
+            entries_[entry].admission.onTimer(loop_.now(), entryActions_);
+            applyEntry(entry);
+        });
+    }
+}
+
+void Tier::startQuery(std::uint64_t id)
+{
+    Running &running = queries_.at(id);
+    const QueryTerms terms = termsFor(running);
+    running.deadline = terms.deadline;
+    running.query.emplace(Query::Builder()
+                              .map(map_, setup_.classes[running.cls].backEnd)
                               .terms(terms)
-                              .hooks(hooksFor(entry, cls))
-                              .build(loop_.now());
-    const std::uint64_t id = ++lastQuery_;
-    Running &running = queries_[id];
-    running = {entry, cls, loop_.now(), terms.deadline, std::move(query.value()), TimePoint()};
+                              .hooks(hooksFor(running.entry, running.cls))
+                              .build(loop_.now())
+                              .value());
     queryActions_.clear();
     running.query->start(loop_.now(), queryActions_);
-    entries_[entry].budgets[cls].onNeeded(queryActions_.send.size());
+    entries_[running.entry].budgets[running.cls].onNeeded(queryActions_.send.size());
     applyQuery(id);
 }
 
-QueryTerms Tier::termsFor(const Entry &entry, std::size_t cls) const
+QueryTerms Tier::termsFor(const Running &running) const
 {
-    const TimePoint now = loop_.now();
+    const TimePoint now = running.startedAt;
     if (setup_.isBaseline) {
         const TimePoint end = now + setup_.baselineTimeout;
         return {end, end, end, 1, hitLimit};
     }
-    const ClassTerms &terms = entry.controllers[cls].terms();
-    return {now + terms.deadline, now + terms.hedgeDelay, now + terms.earlyStopDelay, terms.quorum, hitLimit};
+    // The time that the query waited for admission is part of its latency.
+    const ClassTerms &terms = entries_[running.entry].controllers[running.cls].terms();
+    const TimePoint deadline = std::max(now + terms.deadline, loop_.now() + Duration{1});
+    return {deadline, loop_.now() + terms.hedgeDelay, now + terms.earlyStopDelay, terms.quorum, hitLimit};
 }
 
 QueryHooks Tier::hooksFor(std::size_t entry, std::size_t cls)
@@ -245,18 +290,33 @@
 {
     const Running &running = queries_.at(id);
     const QueryAnswer &answer = *queryActions_.answer;
-    QueryRecord record{running.cls,
-                       running.startedAt,
-                       loop_.now() - running.startedAt,
-                       answer.coverage,
-                       answer.neededCalls,
-                       answer.extraCalls};
-    if (!setup_.isBaseline) {
-        const QuerySample sample{record.latency, record.coverage, 1, record.needed, record.extra};
-        entries_[running.entry].controllers[running.cls].onQuery(sample);
-    }
+    const QueryRecord record{running.cls,
+                             running.startedAt,
+                             loop_.now() - running.startedAt,
+                             answer.coverage,
+                             answer.neededCalls,
+                             answer.extraCalls,
+                             false};
     records_.push_back(record);
+    const std::size_t entry = running.entry;
+    const std::size_t cls = running.cls;
+    // More calls were refused, or more is missing at the deadline, than the target allows.
+    const double completeness = setup_.classes[cls].target.completeness;
+    const double spareCalls = (1 - completeness) * static_cast<double>(answer.neededCalls);
+    const bool isOverloaded = static_cast<double>(running.refusedCalls) > spareCalls
+        || (loop_.now() >= running.deadline && answer.coverage < completeness);
     queries_.erase(id);
+    if (setup_.isBaseline) {
+        return;
+    }
+    const QuerySample sample{record.latency, record.coverage, 1, record.needed, record.extra};
+    entries_[entry].controllers[cls].onQuery(sample);
+    // Not at once, as what it starts would replace the actions that are being done.
+    loop_.after(Duration{0}, [this, entry, id, latency = record.latency, isOverloaded] {
+        entryActions_.clear();
+        entries_[entry].admission.onFinished(loop_.now(), {QueryId{id}, latency, isOverloaded}, entryActions_);
+        applyEntry(entry);
+    });
 }
 
 } // namespace sassafrasvane
--- a/bench/decisions/tier.h
+++ b/bench/decisions/tier.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/classcontroller.h"
+#include "admission/entryadmission.h"
 #include "admission/extraloadbudget.h"
 #include "admission/searchergate.h"
 #include "fakesearcher.h"
@@ -55,7 +56,7 @@
     std::uint64_t seed = 1;
 };
 
-/// A finished query.
+/// A query that was answered or refused.
 struct QueryRecord {
     std::size_t cls = 0;
     TimePoint startedAt;
@@ -63,6 +64,8 @@
     double coverage = 0;
     std::size_t needed = 0;
     std::size_t extra = 0;
+    /// Refused at the entry; did not run.
+    bool isRefused = false;
 };
 
 /// Entries, holders and searchers.
@@ -98,6 +101,7 @@
     struct Entry {
         DaemonId id;
         ReplicaRouter router;
+        EntryAdmission admission;
         std::vector<ClassController> controllers;
         std::vector<ExtraLoadBudget> budgets;
     };
@@ -109,6 +113,8 @@
         TimePoint deadline;
         std::optional<Query> query;
         TimePoint wakeAt;
+        /// Calls that gates refused.
+        std::size_t refusedCalls = 0;
     };
 
     /// A call on its way.
@@ -137,8 +143,10 @@
     void makeGates();
     void applyView();
     void arrive(std::size_t cls, TimePoint end);
-    void startQuery(std::size_t cls);
-    QueryTerms termsFor(const Entry &entry, std::size_t cls) const;
+    void takeQuery(std::size_t cls);
+    void applyEntry(std::size_t entry);
+    void startQuery(std::uint64_t id);
+    QueryTerms termsFor(const Running &running) const;
     QueryHooks hooksFor(std::size_t entry, std::size_t cls);
     std::optional<SearcherId> randomReplica(const Part &part, std::span<const SearcherId> avoid);
     void applyQuery(std::uint64_t id);
@@ -170,6 +178,7 @@
     std::uint64_t lastQuery_ = 0;
     std::uint64_t lastCall_ = 0;
     QueryActions queryActions_;
+    EntryActions entryActions_;
     GateActions gateActions_;
     std::vector<QueryRecord> records_;
 };
--- a/bench/decisions/tiercalls.cpp
+++ b/bench/decisions/tiercalls.cpp
@@ -189,6 +189,7 @@
         }
         const auto found = queries_.find(query);
         if (found != queries_.end()) {
+            found->second.refusedCalls += reply.error == Errc::Overloaded ? 1 : 0;
             queryActions_.clear();
             found->second.query->onReply(loop_.now(), reply, queryActions_);
             applyQuery(query);
