Health checks confirm an idle searcher

Cause: after 3 s without calls a searcher is in doubt, and holders without a share of the cold allowance had to wait for another holder's call and report.

Change: SearcherGate::onAlive() takes the answer of the server process to a health check. It confirms the incarnation but earns no allowance.

Conclusion: an idle searcher stays usable by all of its holders at the cost of one check a second.

--- a/libs/admission/include/admission/coldstart.h
+++ b/libs/admission/include/admission/coldstart.h
@@ -88,6 +88,10 @@
     /// \param isSlow the server shows strain: the answer does not count towards the next step.
     void onAnswered(TimePoint now, TimePoint startedAt, Incarnation incarnation, bool isSlow) noexcept;
 
+    /// Takes the answer of the server process itself to a health check, which shows that its incarnation still lives but
+    /// earns nothing. \param askedAt when it was asked.
+    void onAlive(TimePoint now, TimePoint askedAt, Incarnation incarnation) noexcept;
+
     /// Takes a refusal. \param saysCold the server says that it is cold.
     void onRefused(TimePoint now, Incarnation incarnation, bool saysCold) noexcept;
 
@@ -116,6 +120,7 @@
 
 private:
     bool isConfirmed(TimePoint now) const noexcept;
+    bool confirm(TimePoint now, TimePoint startedAt, Incarnation incarnation) noexcept;
     void enterLife(TimePoint now, Incarnation incarnation, std::uint32_t level) noexcept;
     void fallTo(TimePoint now, std::uint32_t level, ColdCause cause) noexcept;
     void doubt(TimePoint now, ColdCause cause) noexcept;
--- a/libs/admission/include/admission/searchergate.h
+++ b/libs/admission/include/admission/searchergate.h
@@ -70,6 +70,10 @@
     /// \param age upper bound of the time since WarmthReport::confirmedAt, transit included.
     void onPeerWarmth(TimePoint now, Incarnation incarnation, std::uint32_t allowance, Duration age = maxReportAge());
 
+    /// The searcher's process itself answered a health check that was sent at \p askedAt. Asked every second while no
+    /// calls run, an idle searcher is not in doubt, and the holders of higher rank need not wait for a report.
+    void onAlive(TimePoint now, TimePoint askedAt, Incarnation incarnation) noexcept;
+
     /// An idle connection to the searcher was closed by its end or broke: it may have restarted.
     void onConnectionLost(TimePoint now) noexcept;
 
--- a/libs/admission/src/coldstart.cpp
+++ b/libs/admission/src/coldstart.cpp
@@ -65,23 +65,9 @@
 
 void ColdStart::onAnswered(TimePoint now, TimePoint startedAt, Incarnation incarnation, bool isSlow) noexcept
 {
-    const bool isLate = incarnation < incarnation_ && startedAt <= enteredAt_;
-    if (incarnation.value != 0 && incarnation != incarnation_ && !isLate) {
-        enterLife(now, incarnation, coldAllowance_);
-    }
-    // A reply without the incarnation proves nothing where others have told it.
-    const bool isBeforeDoubt = doubtedAt_ && startedAt <= *doubtedAt_;
-    if (incarnation != incarnation_ || isBeforeDoubt) {
+    if (!confirm(now, startedAt, incarnation)) {
         return;
     }
-    failuresInRow_ = 0;
-    if (incarnation.value == 0 && !isConfirmed(now)) {
-        // After silence nothing tells whether this is still the life in which the level was earned.
-        level_ = std::min(level_, coldAllowance_);
-        successes_ = 0;
-    }
-    confirmedAt_ = std::max(confirmedAt_.value_or(startedAt), startedAt);
-    ownConfirmedAt_ = std::max(ownConfirmedAt_.value_or(startedAt), startedAt);
     if (isSlow) {
         stepBack();
     } else {
@@ -89,6 +75,13 @@
     }
 }
 
+void ColdStart::onAlive(TimePoint now, TimePoint askedAt, Incarnation incarnation) noexcept
+{
+    if (incarnation.value != 0) {
+        confirm(now, askedAt, incarnation);
+    }
+}
+
 void ColdStart::onRefused(TimePoint now, Incarnation incarnation, bool saysCold) noexcept
 {
     if (incarnation > incarnation_ && incarnation_.value != 0) {
@@ -162,6 +155,28 @@
     return confirmedAt_ && now - *confirmedAt_ <= doubtAfter();
 }
 
+bool ColdStart::confirm(TimePoint now, TimePoint startedAt, Incarnation incarnation) noexcept
+{
+    const bool isLate = incarnation < incarnation_ && startedAt <= enteredAt_;
+    if (incarnation.value != 0 && incarnation != incarnation_ && !isLate) {
+        enterLife(now, incarnation, coldAllowance_);
+    }
+    // A reply without the incarnation proves nothing where others have told it.
+    const bool isBeforeDoubt = doubtedAt_ && startedAt <= *doubtedAt_;
+    if (incarnation != incarnation_ || isBeforeDoubt) {
+        return false;
+    }
+    failuresInRow_ = 0;
+    if (incarnation.value == 0 && !isConfirmed(now)) {
+        // After silence nothing tells whether this is still the life in which the level was earned.
+        level_ = std::min(level_, coldAllowance_);
+        successes_ = 0;
+    }
+    confirmedAt_ = std::max(confirmedAt_.value_or(startedAt), startedAt);
+    ownConfirmedAt_ = std::max(ownConfirmedAt_.value_or(startedAt), startedAt);
+    return true;
+}
+
 void ColdStart::enterLife(TimePoint now, Incarnation incarnation, std::uint32_t level) noexcept
 {
     cause_ = incarnation_.value == 0 ? ColdCause::New : ColdCause::Restarted;
--- a/libs/admission/src/searchergate.cpp
+++ b/libs/admission/src/searchergate.cpp
@@ -107,6 +107,15 @@
     }
 }
 
+void SearcherGate::onAlive(TimePoint now, TimePoint askedAt, Incarnation incarnation) noexcept
+{
+    const Incarnation before = cold_.incarnation();
+    cold_.onAlive(now, askedAt, incarnation);
+    if (cold_.incarnation() != before) {
+        service_.reset();
+    }
+}
+
 void SearcherGate::onConnectionLost(TimePoint now) noexcept
 {
     cold_.onConnectionLost(now);
--- a/libs/admission/tests/coldstart_test.cpp
+++ b/libs/admission/tests/coldstart_test.cpp
@@ -99,6 +99,24 @@
     BOOST_TEST((cold.doubtAt() == end));
 }
 
+BOOST_AUTO_TEST_CASE(healthCheckKeepsTheLevelButEarnsNone)
+{
+    ColdStart cold(4, 1);
+    TimePoint now = warmUp(cold, first, ColdStart::successesPerStep());
+    for (int i = 0; i < 100; ++i) {
+        now += 1s;
+        cold.onAlive(now, now - 1ms, first);
+        BOOST_TEST(cold.allowance(now) == 2U);
+    }
+    cold.onAlive(now + 1s, now, Incarnation{});
+    cold.onAlive(now + 1s, now, second);
+    BOOST_TEST(cold.allowance(now + 1s) == 1U);
+    BOOST_TEST((cold.incarnation() == second));
+    cold.onConnectionLost(now + 2s);
+    cold.onAlive(now + 3s, now + 2s, second);
+    BOOST_TEST(!cold.warmth().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(levelTakenFromAPeerDiscardsTheAnswersCountedBefore)
 {
     ColdStart cold(8, 1);
--- a/libs/admission/tests/gatefleet.h
+++ b/libs/admission/tests/gatefleet.h
@@ -133,6 +133,21 @@
         applyStaleTables();
     }
 
+    /// Asks the server whether it lives; the answer takes \p time.
+    void checkHealth(std::size_t holder, Duration time)
+    {
+        if (isDown_ || holders_[holder].isPaused) {
+            return;
+        }
+        const Incarnation incarnation{life_};
+        const TimePoint askedAt = now_;
+        advance(time);
+        if (!holders_[holder].isPaused) {
+            holders_[holder].informedLife = incarnation.value;
+            holders_[holder].gate.onAlive(now_, askedAt, incarnation);
+        }
+    }
+
     void publish(std::size_t holder)
     {
         if (const std::optional<WarmthReport> report = holders_[holder].gate.warmth()) {
--- a/libs/admission/tests/gatefleet_test.cpp
+++ b/libs/admission/tests/gatefleet_test.cpp
@@ -27,6 +27,7 @@
     TogglePause,
     Publish,
     DeliverMessage,
+    CheckHealth,
     ChangeTable,
     ApplyTable,
 };
@@ -59,6 +60,7 @@
                                                                {2, Kind::TogglePause},
                                                                {6, Kind::Publish},
                                                                {8, Kind::DeliverMessage},
+                                                               {3, Kind::CheckHealth},
                                                                {1, Kind::ChangeTable},
                                                                {1, Kind::ApplyTable}});
     const rc::Gen<Command> command = rc::gen::construct<Command>(
@@ -127,6 +129,9 @@
     case Kind::DeliverMessage:
         fleet.deliverMessage(command.amount, daemon, command.amount % 3 != 0);
         break;
+    case Kind::CheckHealth:
+        fleet.checkHealth(daemon, 1us * command.amount);
+        break;
     case Kind::ChangeTable:
         fleet.changeTable(command.amount % 5);
         break;
