--- a/libs/admission/include/admission/coldstart.h
+++ b/libs/admission/include/admission/coldstart.h
@@ -88,8 +88,8 @@
     /// \param isSlow the server shows strain: the answer does not count towards the next step.
     void onAnswered(TimePoint now, TimePoint startedAt, Incarnation incarnation, bool isSlow) noexcept;
 
-    /// Takes the answer of the server process itself to a health check, which shows that its incarnation still lives but
-    /// earns nothing. \param askedAt when it was asked.
+    /// Takes the answer of the server process itself to a health check, which shows that its incarnation still lives
+    /// but earns nothing. \param askedAt when it was asked.
     void onAlive(TimePoint now, TimePoint askedAt, Incarnation incarnation) noexcept;
 
     /// Takes a refusal. \param saysCold the server says that it is cold.
