--- a/libs/fleet/tests/fakefleet.h
+++ b/libs/fleet/tests/fakefleet.h
@@ -26,6 +26,8 @@
     double loss = 0;
     /// True if nothing passes from one daemon to another, by their numbers.
     std::function<bool(std::size_t, std::size_t)> isCut;
+    /// True if a daemon cannot reach the service.
+    std::function<bool(std::size_t)> isServiceCut;
 };
 
 /// What a daemon has sent.
@@ -83,7 +85,8 @@
     /// \param count daemons, spread over two regions with \p domains failure domains each.
     FakeFleet(std::size_t count, std::uint64_t seed, std::size_t domains = 4);
 
-    void start(std::size_t number);
+    /// \param clockError how far the wall clock, which gives the incarnation, goes wrong.
+    void start(std::size_t number, Duration clockError = Duration(0));
     void startAll();
     /// Ends a daemon without a word.
     void kill(std::size_t number);
