--- a/libs/settings/include/settings/processsettings.h
+++ b/libs/settings/include/settings/processsettings.h
@@ -32,7 +32,7 @@
     /// Traces are appended here as OTLP/JSON lines; empty for none.
     std::string traceFile;
     /// Share of the traces that is recorded besides those of slow, partial and refused answers, in [0, 1].
-    double traceSampling = 0.001;
+    double traceSampling = 0.01;
     /// Log lines are appended here; empty for standard error.
     std::string logFile;
     /// "trace", "debug", "info", "warn" or "error".
