--- a/libs/daemon/src/answerrecorder.cpp
+++ b/libs/daemon/src/answerrecorder.cpp
@@ -6,8 +6,6 @@
 namespace
 {
 
-/// Share of the traces begun here that are recorded whatever their answer is.
-constexpr double sampledShare = 0.01;
 /// Parts of one answer whose absence is noted one by one.
 constexpr std::size_t maxNotedParts = 8;
 
@@ -18,8 +16,8 @@
 
 } // namespace
 
-AnswerRecorder::AnswerRecorder(Observability &observability, std::uint64_t seed)
-    : observability_(observability), random_(seed)
+AnswerRecorder::AnswerRecorder(Observability &observability, double sampledShare, std::uint64_t seed)
+    : observability_(observability), sampledShare_(sampledShare), random_(seed)
 {
 }
 
@@ -34,7 +32,7 @@
         request.context = given.value().child(random_);
         request.parent = given.value().span;
     } else {
-        request.context = TraceContext::root(random_, random_.chance(sampledShare));
+        request.context = TraceContext::root(random_, random_.chance(sampledShare_));
     }
     return request;
 }
--- a/libs/daemon/src/answerrecorder.h
+++ b/libs/daemon/src/answerrecorder.h
@@ -42,7 +42,8 @@
 {
 public:
     /// \param observability kept by the caller.
-    AnswerRecorder(Observability &observability, std::uint64_t seed);
+    /// \param sampledShare share of the traces begun here that is recorded whatever the answer is, in [0, 1].
+    AnswerRecorder(Observability &observability, double sampledShare, std::uint64_t seed);
 
     /// The trace of a request. \param traceparent as the caller sent it; a new trace begins if it is not valid.
     RequestTrace begin(const std::string &traceparent);
@@ -56,6 +57,7 @@
     void recordDecisions(const RequestTrace &request, const CallerOutcome &outcome);
 
     Observability &observability_;
+    const double sampledShare_;
     std::mutex mutex_;
     Random random_;
 };
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -46,7 +46,9 @@
 
 struct Daemon::Implementation {
     explicit Implementation(ProcessSettings settings)
-        : settings(std::move(settings)), self(daemonId(this->settings.peers)), recorder(observability, randomNonce())
+        : settings(std::move(settings))
+        , self(daemonId(this->settings.peers))
+        , recorder(observability, this->settings.traceSampling, randomNonce())
     {
     }
 
@@ -399,7 +401,7 @@
 Result<void> Daemon::Implementation::openObservability()
 {
     Result<std::unique_ptr<Logger>> logger
-        = Logger::Builder().level(logLevel(settings.logLevel).value_or(LogLevel::Info)).build();
+        = Logger::Builder().level(logLevel(settings.logLevel).value_or(LogLevel::Info)).file(settings.logFile).build();
     if (logger.has_error()) {
         return logger.error();
     }
