--- a/libs/operators/tests/ctl_test.cpp
+++ b/libs/operators/tests/ctl_test.cpp
@@ -30,6 +30,7 @@
 {
     arguments.insert(arguments.begin(), "sassafrasvanectl");
     std::vector<char *> argv;
+    argv.reserve(arguments.size() + 1);
     for (std::string &argument : arguments) {
         argv.push_back(argument.data());
     }
