Leaf: health checks of idle searchers, one timer a gate, own refusals told apart

Cause: an idle searcher turned cold after 3 s without an answer; each wish of a gate armed a timer of its own; a call that this daemon itself held back counted as a refusal of the searcher. Change: searchers without work are asked for their health once a second; one timer a gate; SearcherGate::onNotSent for calls that were not sent; calls that were given up count in the class's hedge delay.

--- a/libs/daemon/src/entrytask.cpp
+++ b/libs/daemon/src/entrytask.cpp
@@ -137,6 +137,7 @@
     void answer(QueryId id, QueryAnswer answer);
     void take(LeafReply reply);
     void learn(const OpenCall &call, const SearchReply &reply, const OpenQuery *query);
+    void learnGivenUp(const OpenCall &call);
     void endRun(QueryId id, RunEnd end);
     void wake(QueryId id);
     void failCall(CallId call, CallOutcome outcome, Errc error);
@@ -362,6 +363,7 @@
         const auto found = calls.find(call);
         if (found != calls.end()) {
             groups[found->second.holder].push_back(call);
+            learnGivenUp(found->second);
             router.onAbandoned(found->second.searcher);
             calls.erase(found);
         }
@@ -371,6 +373,15 @@
     }
 }
 
+// A call that was given up took at least as long as it ran.
+void EntryTask::Implementation::learnGivenUp(const OpenCall &call)
+{
+    const auto query = queries.find(call.query);
+    if (query != queries.end()) {
+        classes.at(query->second.className).controller.onCall(BootClock::now() - call.sentAt);
+    }
+}
+
 void EntryTask::Implementation::answer(QueryId id, QueryAnswer answer)
 {
     const TimePoint now = BootClock::now();
--- a/libs/daemon/src/heldsearcher.h
+++ b/libs/daemon/src/heldsearcher.h
@@ -25,6 +25,10 @@
     SearcherGate gate;
     ConnectionPacer pacer;
     std::unique_ptr<SearcherConnections> connections;
+    /// Of the gate's timer that counts; earlier ones that still fire are ignored.
+    TimePoint wakeAt;
+    /// When the searcher last answered anything, or was last asked for its health.
+    TimePoint askedAt;
 
     /// Opens one more connection if one is needed and may be opened now.
     void openConnection(TimePoint now)
--- a/libs/daemon/src/leaftask.cpp
+++ b/libs/daemon/src/leaftask.cpp
@@ -20,6 +20,7 @@
 using namespace std::chrono_literals;
 using detail::HeldSearcher;
 using detail::SearcherConnections;
+using detail::SearcherHealth;
 using detail::SearcherJob;
 using detail::SearcherJobEnd;
 
@@ -46,6 +47,9 @@
 constexpr Duration longestPause = 3s;
 /// Time between two looks at calls that the lease holds back.
 constexpr Duration leaseRetry = 10ms;
+/// Time without an answer after which a searcher is asked for its health. Below ColdStart::doubtAfter(), so that a
+/// searcher without work stays warm.
+constexpr Duration healthInterval = 1s;
 /// Questions whose answers are awaited.
 constexpr std::size_t maxWarmthQuestions = 64;
 
@@ -111,6 +115,8 @@
     void start(HeldSearcher &searcher, CallId call);
     void end(SearcherId searcher, const SearcherJobEnd &end);
     void endUnsent(SearcherId searcher, CallId id, Errc reason);
+    void wake(SearcherId searcher, TimePoint due);
+    void takeHealth(SearcherId searcher, const SearcherHealth &health);
     std::vector<Fingerprint> runningAt(SearcherId searcher, CallId except) const;
     bool passesCrashBar(SearcherId searcher, const LeafCall &call, CallId id) const;
     void learnOfCrash(SearcherId searcher, const LeafCall &call, const SearcherJobEnd &jobEnd);
@@ -156,9 +162,12 @@
     }
     if (found == held.end()) {
         const TimePoint now = BootClock::now();
-        auto connections = std::make_unique<SearcherConnections>(searcher.address, [this, id](SearcherJobEnd jobEnd) {
+        const auto onEnd = [this, id](SearcherJobEnd jobEnd) {
             loop.post([this, id, jobEnd = std::move(jobEnd)] { end(id, jobEnd); });
-        });
+        };
+        const auto onHealth
+            = [this, id](SearcherHealth health) { loop.post([this, id, health] { takeHealth(id, health); }); };
+        auto connections = std::make_unique<SearcherConnections>(searcher.address, onEnd, onHealth);
         SearcherGate gate = SearcherGate::Builder().limits(limits).share(share).becameHolderAt(now).build();
         ConnectionPacer pacer = ConnectionPacer::Builder().limits(limits).share(share).build();
         found
@@ -249,15 +258,34 @@
     for (const CallId call : actions.start) {
         start(found->second, call);
     }
-    if (actions.wakeAt) {
-        loop.at(*actions.wakeAt, [this, searcher] {
-            const auto again = held.find(searcher);
-            if (again != held.end()) {
-                GateActions next;
-                again->second.gate.onTimer(BootClock::now(), next);
-                apply(searcher, next);
-            }
-        });
+    if (actions.wakeAt && (found->second.wakeAt <= BootClock::now() || *actions.wakeAt < found->second.wakeAt)) {
+        found->second.wakeAt = *actions.wakeAt;
+        loop.at(*actions.wakeAt, [this, searcher, due = *actions.wakeAt] { wake(searcher, due); });
+    }
+}
+
+void LeafTask::Implementation::wake(SearcherId searcher, TimePoint due)
+{
+    const auto found = held.find(searcher);
+    if (found == held.end() || found->second.wakeAt != due) {
+        return;
+    }
+    GateActions actions;
+    found->second.gate.onTimer(BootClock::now(), actions);
+    apply(searcher, actions);
+}
+
+void LeafTask::Implementation::takeHealth(SearcherId searcher, const SearcherHealth &health)
+{
+    const auto found = held.find(searcher);
+    if (found == held.end()) {
+        return;
+    }
+    const TimePoint now = BootClock::now();
+    if (health.incarnation == Incarnation{}) {
+        found->second.gate.onConnectionLost(now);
+    } else {
+        found->second.gate.onAlive(now, health.askedAt, health.incarnation);
     }
 }
 
@@ -325,11 +353,13 @@
 
 void LeafTask::Implementation::endUnsent(SearcherId searcher, CallId id, Errc reason)
 {
-    SearcherJobEnd jobEnd;
-    jobEnd.call = id;
-    jobEnd.answer.outcome = CallOutcome::Refused;
-    jobEnd.answer.error = reason;
-    end(searcher, jobEnd);
+    refuse(id, reason);
+    const auto found = held.find(searcher);
+    if (found != held.end()) {
+        GateActions actions;
+        found->second.gate.onNotSent(BootClock::now(), id, actions);
+        apply(searcher, actions);
+    }
 }
 
 void LeafTask::Implementation::learnOfCrash(SearcherId searcher, const LeafCall &call, const SearcherJobEnd &jobEnd)
@@ -357,6 +387,10 @@
             searcher.gate.suspend(now);
         }
         searcher.openConnection(now);
+        if (now - searcher.askedAt > healthInterval) {
+            searcher.askedAt = now;
+            searcher.connections->checkHealth();
+        }
     }
     if (now >= nextWarmth) {
         nextWarmth = now + warmthInterval;
@@ -462,6 +496,7 @@
     reply(call, std::move(searchReply), answer.result, jobEnd.served);
     const auto holder = held.find(searcher);
     if (holder != held.end()) {
+        holder->second.askedAt = now;
         GateActions actions;
         const bool isCancelled = answer.error == Errc::Cancelled;
         const GateResult result{jobEnd.call,
--- a/libs/daemon/src/searcherconnections.cpp
+++ b/libs/daemon/src/searcherconnections.cpp
@@ -4,6 +4,7 @@
 #include <oneapi/tbb/concurrent_queue.h>
 
 #include <thread>
+#include <variant>
 #include <vector>
 
 #include <unistd.h>
@@ -20,17 +21,23 @@
 constexpr std::chrono::milliseconds connectTimeout = 300ms;
 /// A reply is awaited for this long after the deadline, so that a searcher that gives up at the deadline can say so.
 constexpr Duration replyGrace = 20ms;
-/// Time that a cancellation may take.
-constexpr std::chrono::milliseconds cancelTimeout = 100ms;
-/// Cancellations that may wait.
-constexpr std::ptrdiff_t maxCancels = 256;
+/// Time that a cancellation or a health check may take.
+constexpr std::chrono::milliseconds controlTimeout = 100ms;
+/// Cancellations and health checks that may wait.
+constexpr std::ptrdiff_t maxControls = 256;
+
+/// Asks for a health check.
+struct HealthCheck {
+};
 
 /// Ends a thread that waits for the next item.
 struct StopThread {
 };
 
-template<typename Item>
-using Queue = oneapi::tbb::concurrent_bounded_queue<std::variant<Item, StopThread>>;
+/// What a job thread takes.
+using JobItem = std::variant<SearcherJob, StopThread>;
+/// What the thread of cancellations and health checks takes.
+using ControlItem = std::variant<CallId, HealthCheck, StopThread>;
 
 std::unique_ptr<httplib::Client> makeClient(const Address &address)
 {
@@ -90,13 +97,14 @@
 struct SearcherConnections::Implementation {
     Address address;
     EndHook onEnd;
-    Queue<SearcherJob> jobs;
-    Queue<CallId> cancels;
+    HealthHook onHealth;
+    oneapi::tbb::concurrent_bounded_queue<JobItem> jobs;
+    oneapi::tbb::concurrent_bounded_queue<ControlItem> controls;
     std::vector<std::thread> threads;
-    std::thread cancelThread;
+    std::thread controlThread;
 
     void runJobs();
-    void runCancels();
+    void runControls();
 };
 
 void SearcherConnections::Implementation::runJobs()
@@ -106,7 +114,7 @@
     // Opens the connection ahead of need.
     client->Get("/load");
     while (true) {
-        std::variant<SearcherJob, StopThread> item;
+        JobItem item;
         jobs.pop(item);
         if (std::holds_alternative<StopThread>(item)) {
             return;
@@ -115,33 +123,40 @@
     }
 }
 
-void SearcherConnections::Implementation::runCancels()
+void SearcherConnections::Implementation::runControls()
 {
     const std::unique_ptr<httplib::Client> client = makeClient(address);
-    client->set_read_timeout(cancelTimeout);
-    client->set_write_timeout(cancelTimeout);
+    client->set_read_timeout(controlTimeout);
+    client->set_write_timeout(controlTimeout);
     while (true) {
-        std::variant<CallId, StopThread> item;
-        cancels.pop(item);
+        ControlItem item;
+        controls.pop(item);
         if (std::holds_alternative<StopThread>(item)) {
             return;
         }
-        client->Post("/cancel", writeCancelBody(searcherCallName(std::get<CallId>(item))), "application/json");
+        if (const CallId *call = std::get_if<CallId>(&item)) {
+            client->Post("/cancel", writeCancelBody(searcherCallName(*call)), "application/json");
+        } else {
+            const TimePoint askedAt = BootClock::now();
+            const httplib::Result result = client->Get("/load");
+            onHealth({askedAt, result ? readBackEndAnswer(result->status, result->body).incarnation : Incarnation{}});
+        }
     }
 }
 
-SearcherConnections::SearcherConnections(const Address &address, EndHook onEnd)
+SearcherConnections::SearcherConnections(const Address &address, EndHook onEnd, HealthHook onHealth)
     : implementation_(std::make_unique<Implementation>())
 {
     implementation_->address = address;
     implementation_->onEnd = std::move(onEnd);
-    implementation_->cancels.set_capacity(maxCancels);
-    implementation_->cancelThread = std::thread([this] { implementation_->runCancels(); });
+    implementation_->onHealth = std::move(onHealth);
+    implementation_->controls.set_capacity(maxControls);
+    implementation_->controlThread = std::thread([this] { implementation_->runControls(); });
 }
 
 SearcherConnections::~SearcherConnections()
 {
-    std::variant<SearcherJob, StopThread> waiting;
+    JobItem waiting;
     while (implementation_->jobs.try_pop(waiting)) {
         SearcherJobEnd end;
         end.call = std::get<SearcherJob>(waiting).call;
@@ -152,14 +167,14 @@
     for (std::size_t i = 0; i < implementation_->threads.size(); ++i) {
         implementation_->jobs.push(StopThread());
     }
-    std::variant<CallId, StopThread> cancel;
-    while (implementation_->cancels.try_pop(cancel)) {
+    ControlItem control;
+    while (implementation_->controls.try_pop(control)) {
     }
-    implementation_->cancels.push(StopThread());
+    implementation_->controls.push(StopThread());
     for (std::thread &thread : implementation_->threads) {
         thread.join();
     }
-    implementation_->cancelThread.join();
+    implementation_->controlThread.join();
 }
 
 void SearcherConnections::add()
@@ -179,7 +194,12 @@
 
 void SearcherConnections::cancel(CallId call)
 {
-    implementation_->cancels.try_push(call);
+    implementation_->controls.try_push(call);
+}
+
+void SearcherConnections::checkHealth()
+{
+    implementation_->controls.try_push(HealthCheck());
 }
 
 std::string searcherCallName(CallId call)
--- a/libs/daemon/src/searcherconnections.h
+++ b/libs/daemon/src/searcherconnections.h
@@ -37,17 +37,28 @@
     Duration served{0};
 };
 
+/// What a health check found.
+struct SearcherHealth {
+    /// When the check was sent.
+    TimePoint askedAt;
+    /// The searcher's incarnation; 0 if it could not be reached.
+    Incarnation incarnation;
+};
+
 /// Threads, each of which owns one connection to the searcher and takes jobs from a queue, and one more for
-/// cancellations, which is opened when first needed. A connection is opened when its thread is added, before it has a
-/// job, and again after a failure.
+/// cancellations and health checks, which is opened when first needed. A connection is opened when its thread is added,
+/// before it has a job, and again after a failure.
 class SearcherConnections
 {
 public:
     /// Called on a thread of the connections with the end of each job.
     using EndHook = std::function<void(SearcherJobEnd end)>;
 
-    /// Without connections; see add().
-    SearcherConnections(const Address &address, EndHook onEnd);
+    /// Called on a thread of the connections with the result of each health check.
+    using HealthHook = std::function<void(SearcherHealth health)>;
+
+    /// Without connections for jobs; see add().
+    SearcherConnections(const Address &address, EndHook onEnd, HealthHook onHealth);
 
     /// Ends the threads once the jobs that run have ended; waiting jobs end as not sent.
     ~SearcherConnections();
@@ -67,6 +78,9 @@
     /// Asks the searcher to stop working on \p call; only a hint, dropped when many wait.
     void cancel(CallId call);
 
+    /// Asks whether the searcher is alive; dropped when many cancellations wait.
+    void checkHealth();
+
 private:
     struct Implementation;
     std::unique_ptr<Implementation> implementation_;
