--- a/libs/daemon/include/daemon/entrytask.h
+++ b/libs/daemon/include/daemon/entrytask.h
@@ -35,6 +35,9 @@
     Duration retryAfter{0};
     /// Which target gave way, or empty.
     std::string conflict;
+
+    /// An outcome without an answer.
+    static CallerOutcome failure(Error error, Ran ran);
 };
 
 /// One attempt of a non-idempotent request.
--- a/libs/daemon/include/daemon/fleettask.h
+++ b/libs/daemon/include/daemon/fleettask.h
@@ -94,6 +94,9 @@
     /// Whether new work may be sent now. Callable from any thread; to be called for each piece of work.
     LeaseState checkLease();
 
+    /// Time since the published values were last confirmed; negative if they never were. Callable from any thread.
+    double knowledgeAgeSeconds() const;
+
     /// Counts since the start. Callable from any thread.
     FleetCounters counters() const;
 
--- a/libs/daemon/src/fleettask.cpp
+++ b/libs/daemon/src/fleettask.cpp
@@ -401,6 +401,13 @@
     return state;
 }
 
+double FleetTask::knowledgeAgeSeconds() const
+{
+    const std::lock_guard<std::mutex> lock(implementation_->sharedMutex);
+    const std::optional<TimePoint> confirmedAt = implementation_->lease.confirmedAt();
+    return confirmedAt ? toMilliseconds(BootClock::now() - *confirmedAt) / 1000 : -1;
+}
+
 FleetCounters FleetTask::counters() const
 {
     const std::lock_guard<std::mutex> lock(implementation_->sharedMutex);
--- a/libs/daemon/src/heldsearcher.h
+++ b/libs/daemon/src/heldsearcher.h
@@ -26,9 +26,9 @@
     ConnectionPacer pacer;
     std::unique_ptr<SearcherConnections> connections;
     /// Of the gate's timer that counts; earlier ones that still fire are ignored.
-    TimePoint wakeAt;
+    TimePoint wakeAt{};
     /// When the searcher last answered anything, or was last asked for its health.
-    TimePoint askedAt;
+    TimePoint askedAt{};
 
     /// Opens one more connection if one is needed and may be opened now.
     void openConnection(TimePoint now)
