--- a/libs/fleet/tests/fakefleet.cpp
+++ b/libs/fleet/tests/fakefleet.cpp
@@ -125,11 +125,6 @@
     return list;
 }
 
-void FakeFleet::setServiceDown(bool isDown)
-{
-    isServiceDown_ = isDown;
-}
-
 ConfigVersion FakeFleet::served(ConfigKey key) const
 {
     const std::uint64_t newest = texts_[static_cast<std::size_t>(key)].size();
@@ -368,16 +363,6 @@
     }
 }
 
-MemberState FakeFleet::seen(std::size_t number, std::size_t other) const
-{
-    for (const Member &member : daemons_[number].membership->members()) {
-        if (member.record.daemon == daemons_[other].record.daemon) {
-            return member.record.state;
-        }
-    }
-    return MemberState::Left;
-}
-
 bool FakeFleet::isAgreed() const
 {
     for (const FakeDaemon &daemon : daemons_) {
--- a/libs/fleet/tests/fakefleet.h
+++ b/libs/fleet/tests/fakefleet.h
@@ -96,7 +96,7 @@
     /// Publishes the list of all daemons.
     void publishVms();
     /// Makes the service fail every read.
-    void setServiceDown(bool isDown);
+    void setServiceDown(bool isDown) { isServiceDown_ = isDown; }
     /// Makes the service serve what it served \p versionsBack versions ago.
     void setServiceStale(std::uint64_t versionsBack) { versionsBack_ = versionsBack; }
     void run(Duration duration);
@@ -109,8 +109,6 @@
     Random &random() noexcept { return random_; }
     void resetCounters();
 
-    /// The state of daemon \p other as \p number sees it; Left if it does not know it.
-    MemberState seen(std::size_t number, std::size_t other) const;
     /// True if every running daemon sees every running one alive and no other one reachable.
     bool isAgreed() const;
     /// True if every running daemon has the newest version of \p key.
