--- a/fuzz/fakedaemon.cpp
+++ b/fuzz/fakedaemon.cpp
@@ -9,13 +9,12 @@
 {
 
 constexpr double extraLoad = 0.5;
-constexpr double maxExtraTokens = 5;
 constexpr const char *backEndName = "riders";
 
 } // namespace
 
 FakeDaemon::FakeDaemon(std::size_t position, DaemonId id, Hooks hooks)
-    : position_(position), id_(id), hooks_(std::move(hooks)), router_(id, id.value)
+    : position_(position), id_(id), hooks_(std::move(hooks)), router_(id, id.value), budget_(extraLoad)
 {
 }
 
@@ -69,17 +68,8 @@
     hooks.chooseReplica = [this](IndexVersion version, const Part &part, std::span<const SearcherId> avoid) {
         return router_.choose(now_, version, part, avoid);
     };
-    hooks.spendExtra = [this] {
-        if (extraTokens_ < 1) {
-            return false;
-        }
-        extraTokens_ -= 1;
-        return true;
-    };
-    hooks.nextCall = [this] {
-        extraTokens_ = std::min(extraTokens_ + extraLoad, maxExtraTokens);
-        return CallId{++lastCall_};
-    };
+    hooks.spendExtra = [this] { return budget_.spend(now_); };
+    hooks.nextCall = [this] { return CallId{++lastCall_}; };
     return hooks;
 }
 
@@ -121,6 +111,8 @@
         return;
     }
     found->second.wakeAt = actions.wakeAt;
+    budget_.onNeeded(static_cast<std::size_t>(
+        std::count_if(actions.send.begin(), actions.send.end(), [](const SearchCall &call) { return !call.isExtra; })));
     for (const SearchCall &call : actions.send) {
         const auto again = queries_.find(id);
         if (again == queries_.end()) {
@@ -297,6 +289,7 @@
     const auto found = calls_.find(message.reply.call);
     if (found != calls_.end() && found->second.searcher == message.reply.searcher) {
         router_.onReply(now, message.reply, now - found->second.sentAt);
+        budget_.onResult(now, message.reply.outcome == CallOutcome::Answered);
         calls_.erase(found);
     }
     // Not looked up by the call, so that the query itself has to drop what is not its own.
--- a/fuzz/fakedaemon.h
+++ b/fuzz/fakedaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/extraloadbudget.h"
 #include "admission/searchergate.h"
 #include "fanout/query.h"
 #include "fanout/replicarouter.h"
@@ -130,7 +131,7 @@
     std::uint64_t lastQuery_ = 0;
     std::uint64_t lastCall_ = 0;
     std::uint64_t lastLeafCall_ = 0;
-    double extraTokens_ = 0;
+    ExtraLoadBudget budget_;
 };
 
 } // namespace sassafrasvane
--- a/fuzz/fakesearcher.cpp
+++ b/fuzz/fakesearcher.cpp
@@ -37,8 +37,10 @@
     }
     ++answered_;
     const auto asked = versions_.find(call.call.version);
-    const bool isOther = asked == versions_.end() || kind == AnswerKind::OtherVersion;
-    const auto found = isOther ? versions_.begin() : asked;
+    const auto other = std::find_if(
+        versions_.begin(), versions_.end(), [&](const auto &entry) { return entry.first != call.call.version; });
+    const bool isOther = asked == versions_.end() || (kind == AnswerKind::OtherVersion && other != versions_.end());
+    const auto found = isOther ? other : asked;
     if (found == versions_.end()) {
         return endOf(call, CallOutcome::WrongVersion, Errc::WrongVersion);
     }
--- a/fuzz/searchworld.cpp
+++ b/fuzz/searchworld.cpp
@@ -71,9 +71,11 @@
         daemons_.push_back(std::make_unique<FakeDaemon>(i, daemonIds_.back(), hooks));
     }
     knowledge_.resize(daemonCount);
-    publishIndex(1, 0);
-    for (FakeSearcher &server : servers_) {
-        server.load(maps_.back()->find(backEndName)->versions.front());
+    for (std::size_t shape = 0; shape < publishedIndexes; ++shape) {
+        publishIndex(1 + shape, 0);
+        for (FakeSearcher &server : servers_) {
+            server.load(maps_.back()->find(backEndName)->versions.front());
+        }
     }
     for (const std::unique_ptr<FakeDaemon> &daemon : daemons_) {
         daemon->setView(now_, view_, daemonIds_);
@@ -84,17 +86,18 @@
 const std::vector<WorldAction<SearchWorld>> &SearchWorld::actions()
 {
     static const std::vector<WorldAction<SearchWorld>> list{
-        {"ask", 8, &SearchWorld::ask},
+        {"ask", 10, &SearchWorld::ask},
+        {"askCrashing", 1, &SearchWorld::askCrashing},
         {"deliver", 40, &SearchWorld::deliver},
         {"deliverTwice", 3, &SearchWorld::deliverTwice},
         {"lose", 2, &SearchWorld::lose},
         {"cross", 2, &SearchWorld::cross},
         {"answerWhole", 16, &SearchWorld::answerWhole},
-        {"endCall", 6, &SearchWorld::endCall},
+        {"endCall", 10, &SearchWorld::endCall},
         {"passTime", 6, &SearchWorld::passTime},
         {"publishIndex", 1, &SearchWorld::publishIndex},
-        {"loadIndex", 3, &SearchWorld::loadIndex},
-        {"unloadIndex", 1, &SearchWorld::unloadIndex},
+        {"loadIndex", 4, &SearchWorld::loadIndex},
+        {"unloadIndex", 2, &SearchWorld::unloadIndex},
         {"readValues", 2, &SearchWorld::readValues},
         {"togglePause", 1, &SearchWorld::togglePause},
         {"restartDaemon", 1, &SearchWorld::restartDaemon},
@@ -133,6 +136,15 @@
     }
 }
 
+// A request that crashes each server that runs it, sent again by its caller to another entry.
+void SearchWorld::askCrashing(std::size_t daemon, std::size_t terms)
+{
+    for (std::size_t i = 0; i < 2; ++i) {
+        crashing_.insert(lastCaller_ + 1);
+        ask(daemon + i, terms);
+    }
+}
+
 void SearchWorld::deliver(std::size_t message, std::size_t)
 {
     if (const std::optional<SearchMessage> taken = takeMessage(message)) {
@@ -552,6 +564,9 @@
                       server.informedRunning() <= server.bearable(),
                       std::to_string(server.informedRunning()) + " calls at a searcher that bears "
                           + std::to_string(server.bearable()));
+    if (crashing_.contains(call.origin.caller)) {
+        restartServer(server.id().value, 0);
+    }
 }
 
 // The holder learns of the present life by an answer of it, or by the end of a connection since it began.
--- a/fuzz/searchworld.h
+++ b/fuzz/searchworld.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,7 @@
 
 private:
     void ask(std::size_t daemon, std::size_t terms);
+    void askCrashing(std::size_t daemon, std::size_t terms);
     void deliver(std::size_t message, std::size_t);
     void deliverTwice(std::size_t message, std::size_t);
     void lose(std::size_t message, std::size_t);
@@ -108,6 +110,8 @@
     std::map<std::string, TimePoint> domainsOut_;
     std::map<SearcherId, TimePoint> leaving_;
     std::vector<SearchMessage> network_;
+    /// Queries that crash each searcher that runs them.
+    std::set<CallerQueryId> crashing_;
     std::uint64_t lastCaller_ = 0;
     std::uint64_t lastIndex_ = 0;
     std::uint64_t configVersion_ = 0;
