--- a/bench/decisions/tiercalls.cpp
+++ b/bench/decisions/tiercalls.cpp
@@ -141,8 +141,14 @@
     const bool isLost = end.kind == SearcherEnd::Kind::NoServer || end.kind == SearcherEnd::Kind::Broken;
     if (!setup_.isBaseline) {
         const std::size_t gate = calls_.at(id).gate;
-        GateResult result{
-            id, GateResult::End::Answered, end.latency + 2 * setup_.hop, end.incarnation, false, end.load};
+        // A call that was stopped tells nothing of the server's warmth.
+        const bool isStopped = end.kind == SearcherEnd::Kind::Stopped;
+        GateResult result{id,
+                          GateResult::End::Answered,
+                          end.latency + 2 * setup_.hop,
+                          isStopped ? Incarnation() : end.incarnation,
+                          false,
+                          end.load};
         if (isRefused || isLost) {
             result.end = isRefused ? GateResult::End::Refused : GateResult::End::Failed;
         }
