Search fuzz: sleep through a change, reports of an earlier life, a table of holders for each daemon

Cause: five mutants of the lease on knowledge, of reports between holders and of the table of holders were missed.

Change: two actions that bring about these cases as a whole, and each daemon computes its own table.

--- a/fuzz/searchworld.cpp
+++ b/fuzz/searchworld.cpp
@@ -3,6 +3,7 @@
 #include "base/random.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace sassafrasvane
 {
@@ -78,7 +79,7 @@
         }
     }
     for (const std::unique_ptr<FakeDaemon> &daemon : daemons_) {
-        daemon->setView(now_, view_, daemonIds_);
+        daemon->setView(now_, computeView(), daemonIds_);
         daemon->onAnswer(now_, now_, true);
     }
 }
@@ -112,6 +113,8 @@
         {"togglePlatform", 1, &SearchWorld::togglePlatform},
         {"shareWarmth", 3, &SearchWorld::shareWarmth},
         {"serveCalmly", 3, &SearchWorld::serveCalmly},
+        {"sleepThroughChange", 1, &SearchWorld::sleepThroughChange},
+        {"restartBehindReport", 1, &SearchWorld::restartBehindReport},
         {"suspectDaemons", 1, &SearchWorld::suspectDaemons},
     };
     return list;
@@ -265,7 +268,7 @@
     }
     knowledge_[daemon].lastReadAt = now_;
     if (daemons_[daemon]->viewVersion() != view_.configuration->version) {
-        daemons_[daemon]->setView(now_, view_, daemonIds_);
+        daemons_[daemon]->setView(now_, computeView(), daemonIds_);
     }
     daemons_[daemon]->onAnswer(now_, now_, true);
 }
@@ -300,11 +303,18 @@
     }
     view_.map = maps_.back();
     view_.configuration = std::make_shared<const Configuration>(std::move(configuration));
-    view_.holders = std::make_shared<const HolderTable>(
-        HolderTable::Builder().map(*view_.map).daemons(daemonIds_).holdersOf(backEndName, holdersEach).build());
     view_.confirmedAt = now_;
 }
 
+// Each daemon computes the table of holders by itself.
+RouterView SearchWorld::computeView() const
+{
+    RouterView view = view_;
+    view.holders = std::make_shared<const HolderTable>(
+        HolderTable::Builder().map(*view.map).daemons(daemonIds_).holdersOf(backEndName, holdersEach).build());
+    return view;
+}
+
 void SearchWorld::loadIndex(std::size_t server, std::size_t)
 {
     serverAt(server).load(maps_.back()->find(backEndName)->versions.front());
@@ -330,7 +340,8 @@
     Knowledge &knowledge = knowledge_[daemon % daemonCount];
     target.setPaused(!target.isPaused());
     if (target.isPaused()) {
-        knowledge.bufferedView = canRead(daemon % daemonCount) ? std::optional<RouterView>(view_) : std::nullopt;
+        knowledge.bufferedView
+            = canRead(daemon % daemonCount) ? std::optional<RouterView>(computeView()) : std::nullopt;
         knowledge.bufferedAt = now_;
     } else if (knowledge.bufferedView) {
         if (target.viewVersion() < knowledge.bufferedView->configuration->version) {
@@ -442,6 +453,50 @@
     }
 }
 
+// A daemon sleeps longer than any lease while a domain is taken out and a searcher begins to leave, and then goes on
+// with what it has.
+void SearchWorld::sleepThroughChange(std::size_t daemon, std::size_t place)
+{
+    constexpr std::size_t sevenSeconds = 27;
+    if (daemonAt(daemon).isPaused()) {
+        return;
+    }
+    togglePause(daemon, 0);
+    takeDomainOut(place, 0);
+    toggleLeaving(place, 0);
+    passSeconds(sevenSeconds, 0);
+    togglePause(daemon, 0);
+    ask(daemon, place);
+    ask(daemon, place + 1);
+    deliverAll();
+}
+
+// Reports of an earlier life arrive after the searchers restarted and answered again.
+void SearchWorld::restartBehindReport(std::size_t daemon, std::size_t terms)
+{
+    constexpr std::size_t manyQueries = 23;
+    constexpr std::size_t fewQueries = 2;
+    serveCalmly(daemon, manyQueries);
+    for (std::size_t i = 0; i < daemonCount; ++i) {
+        shareWarmth(i, 0);
+    }
+    const auto isReport = [](const SearchMessage &message) { return std::holds_alternative<WarmthToHolder>(message); };
+    const auto firstReport = std::stable_partition(network_.begin(), network_.end(), std::not_fn(isReport));
+    const std::vector<SearchMessage> reports(firstReport, network_.end());
+    network_.erase(firstReport, network_.end());
+    for (std::size_t server = 0; server < servers_.size(); ++server) {
+        restartServer(server, 0);
+    }
+    serveCalmly(daemon, fewQueries);
+    network_.insert(network_.end(), reports.begin(), reports.end());
+    deliverAll();
+    for (std::size_t i = 0; i < daemonCount; ++i) {
+        ask(daemon + i, terms);
+    }
+    deliverAll();
+    deliverAll();
+}
+
 void SearchWorld::deliverAll()
 {
     for (std::size_t left = network_.size(); left > 0; --left) {
--- a/fuzz/searchworld.h
+++ b/fuzz/searchworld.h
@@ -62,6 +62,8 @@
     void togglePlatform(std::size_t, std::size_t);
     void shareWarmth(std::size_t daemon, std::size_t);
     void serveCalmly(std::size_t daemon, std::size_t count);
+    void sleepThroughChange(std::size_t daemon, std::size_t place);
+    void restartBehindReport(std::size_t daemon, std::size_t terms);
     void suspectDaemons(std::size_t daemon, std::size_t which);
 
     /// What a daemon can learn, and what it learned of each searcher's life; for the oracle.
@@ -77,6 +79,7 @@
     };
 
     void publish();
+    RouterView computeView() const;
     void dropExpired();
     void moveTime(Duration time);
     void readPlatform(std::size_t daemon);
