--- a/fuzz/tests/run_fuzz.cpp
+++ b/fuzz/tests/run_fuzz.cpp
@@ -9,10 +9,10 @@
 {
 
 /// A table that runs one request at a time, so that refusals, the fence and forgetting come into play.
-OnceWorldLimits smallLimits()
+OnceWorldLimits smallLimits(std::size_t refusals)
 {
     OnceWorldLimits limits;
-    limits.table.refusals = 0;
+    limits.table.refusals = refusals;
     limits.table.waiters = 2;
     limits.table.largestAnswer = 100;
     limits.table.answerBytes = 150;
@@ -30,7 +30,7 @@
 
 RC_BOOST_PROP(nonIdempotentRunsAtMostOnceWithAFullTable, ())
 {
-    RunWorld world(Property::NonIdempotentRunsAtMostOnce, smallLimits());
+    RunWorld world(Property::NonIdempotentRunsAtMostOnce, smallLimits(0));
     fuzzWorld(world);
 }
 
@@ -42,7 +42,13 @@
 
 RC_BOOST_PROP(notRunMeansNotRunWithAFullTable, ())
 {
-    RunWorld world(Property::NotRunMeansNotRun, smallLimits());
+    RunWorld world(Property::NotRunMeansNotRun, smallLimits(0));
+    fuzzWorld(world);
+}
+
+RC_BOOST_PROP(notRunMeansNotRunWithOneRefusalKept, ())
+{
+    RunWorld world(Property::NotRunMeansNotRun, smallLimits(1));
     fuzzWorld(world);
 }
 
--- a/libs/admission/include/admission/searchergate.h
+++ b/libs/admission/include/admission/searchergate.h
@@ -49,6 +49,9 @@
     /// Takes the end of a call that was started. The end of a call that does not run is ignored.
     void onResult(TimePoint now, const GateResult &result, GateActions &actions);
 
+    /// A call that was started was provably not sent, for a reason that says nothing of the searcher.
+    void onNotSent(TimePoint now, CallId call, GateActions &actions);
+
     /// Drops a waiting call. \return false if it is not waiting. A running call ends by onResult() only.
     bool cancel(TimePoint now, CallId call, GateActions &actions);
 
@@ -67,6 +70,10 @@
     /// \param age upper bound of the time since WarmthReport::confirmedAt, transit included.
     void onPeerWarmth(TimePoint now, Incarnation incarnation, std::uint32_t allowance, Duration age = maxReportAge());
 
+    /// The searcher's process itself answered a health check that was sent at \p askedAt. Asked every second while no
+    /// calls run, an idle searcher is not in doubt, and the holders of higher rank need not wait for a report.
+    void onAlive(TimePoint now, TimePoint askedAt, Incarnation incarnation) noexcept;
+
     /// An idle connection to the searcher was closed by its end or broke: it may have restarted.
     void onConnectionLost(TimePoint now) noexcept;
 
@@ -102,6 +109,7 @@
     bool canMeetDeadline(TimePoint now, const GateRequest &request, std::uint32_t allowed) const noexcept;
     Duration queueTime(std::size_t ahead, std::uint32_t allowed) const noexcept;
     Duration retryAfter(TimePoint now, std::uint32_t allowed) const noexcept;
+    bool isRunning(CallId call) const noexcept;
     void learn(TimePoint now, const GateResult &result);
     void onAnswer(TimePoint now, const GateResult &result);
 
--- a/libs/admission/src/searchergate.cpp
+++ b/libs/admission/src/searchergate.cpp
@@ -51,9 +51,16 @@
 
 void SearcherGate::onResult(TimePoint now, const GateResult &result, GateActions &actions)
 {
-    const auto found = std::find(running_.begin(), running_.end(), result.call);
-    if (found != running_.end()) {
+    if (isRunning(result.call)) {
         learn(now, result);
+    }
+    onNotSent(now, result.call, actions);
+}
+
+void SearcherGate::onNotSent(TimePoint now, CallId call, GateActions &actions)
+{
+    const auto found = std::find(running_.begin(), running_.end(), call);
+    if (found != running_.end()) {
         *found = running_.back();
         running_.pop_back();
     }
@@ -100,6 +107,15 @@
     }
 }
 
+void SearcherGate::onAlive(TimePoint now, TimePoint askedAt, Incarnation incarnation) noexcept
+{
+    const Incarnation before = cold_.incarnation();
+    cold_.onAlive(now, askedAt, incarnation);
+    if (cold_.incarnation() != before) {
+        service_.reset();
+    }
+}
+
 void SearcherGate::onConnectionLost(TimePoint now) noexcept
 {
     cold_.onConnectionLost(now);
@@ -201,6 +217,11 @@
     return std::max(minRetry, pause + queueTime(queue_.size(), allowed));
 }
 
+bool SearcherGate::isRunning(CallId call) const noexcept
+{
+    return std::find(running_.begin(), running_.end(), call) != running_.end();
+}
+
 void SearcherGate::learn(TimePoint now, const GateResult &result)
 {
     const Duration mean = service_.mean();
