Cold starts: fast answers do not shorten the published warm-up

Cause: a searcher that answers fast earned its second slot within 16 answers, long before it was warm; with two holders the stand-ins crashed 5 to 13 times each in 10 s (traced from their records: coldExcess equal to crashes). Change: the published warm-up time (warmUpMs, 2 s by default) must pass since the first answer of a life before answers count. Calls that were cancelled or asked for a version that the searcher lacks prove nothing of its warmth.

--- a/libs/admission/include/admission/coldstart.h
+++ b/libs/admission/include/admission/coldstart.h
@@ -40,7 +40,8 @@
 /// The allowance of one server, as one of its holders may assume it.
 ///
 /// A holder of rank r runs at most HolderShare::of(allowance()) calls. The allowance starts at the published cold
-/// allowance, doubles after every successesPerStep() answers and ends at the slots.
+/// allowance, doubles after every successesPerStep() answers and ends at the slots. Answers count once the published
+/// warm-up time has passed since the first of them: a server that answers fast may still be cold.
 ///
 /// Why the holders' sum never exceeds what the server can bear:
 /// - The shares of one allowance add up to it exactly, and a share never falls when the allowance rises. So if no
@@ -67,7 +68,8 @@
 {
 public:
     /// \param slots the searcher's slots. \param coldAllowance its cold allowance; raised to 1 if 0.
-    ColdStart(std::uint32_t slots, std::uint32_t coldAllowance) noexcept;
+    /// \param warmUp shortest time for which a server that has begun to answer remains cold.
+    ColdStart(std::uint32_t slots, std::uint32_t coldAllowance, Duration warmUp = Duration{0}) noexcept;
 
     /// Answers that raise the allowance by one step.
     static constexpr std::uint32_t successesPerStep() noexcept { return 16; }
@@ -76,7 +78,7 @@
     static constexpr Duration doubtAfter() noexcept { return std::chrono::seconds(3); }
 
     /// Takes new published limits.
-    void setLimits(std::uint32_t slots, std::uint32_t coldAllowance) noexcept;
+    void setLimits(std::uint32_t slots, std::uint32_t coldAllowance, Duration warmUp = Duration{0}) noexcept;
 
     /// Calls that the server may run at \p now, over all holders.
     std::uint32_t allowance(TimePoint now) const noexcept;
@@ -125,15 +127,18 @@
     void fallTo(TimePoint now, std::uint32_t level, ColdCause cause) noexcept;
     void doubt(TimePoint now, ColdCause cause) noexcept;
     void stepBack() noexcept;
-    void countSuccess() noexcept;
+    void countSuccess(TimePoint now, TimePoint startedAt) noexcept;
 
     std::uint32_t slots_ = 1;
     std::uint32_t coldAllowance_ = 1;
+    Duration warmUp_{0};
     Incarnation incarnation_;
     /// Allowance earned in this incarnation.
     std::uint32_t level_ = 1;
     std::uint32_t successes_ = 0;
     std::uint32_t failuresInRow_ = 0;
+    /// Start of the first call that was answered in this incarnation.
+    std::optional<TimePoint> firstAnsweredAt_;
     /// When this incarnation was first seen here.
     TimePoint enteredAt_;
     /// Answers to calls started up to this time prove nothing.
--- a/libs/admission/src/coldstart.cpp
+++ b/libs/admission/src/coldstart.cpp
@@ -37,14 +37,15 @@
     return "none";
 }
 
-ColdStart::ColdStart(std::uint32_t slots, std::uint32_t coldAllowance) noexcept
+ColdStart::ColdStart(std::uint32_t slots, std::uint32_t coldAllowance, Duration warmUp) noexcept
 {
-    setLimits(slots, coldAllowance);
+    setLimits(slots, coldAllowance, warmUp);
     level_ = coldAllowance_;
 }
 
-void ColdStart::setLimits(std::uint32_t slots, std::uint32_t coldAllowance) noexcept
+void ColdStart::setLimits(std::uint32_t slots, std::uint32_t coldAllowance, Duration warmUp) noexcept
 {
+    warmUp_ = warmUp;
     slots_ = std::max<std::uint32_t>(slots, 1);
     coldAllowance_ = std::clamp<std::uint32_t>(coldAllowance, 1, slots_);
     level_ = std::min(level_, slots_);
@@ -71,7 +72,7 @@
     if (isSlow) {
         stepBack();
     } else {
-        countSuccess();
+        countSuccess(now, startedAt);
     }
 }
 
@@ -185,6 +186,7 @@
     successes_ = 0;
     failuresInRow_ = 0;
     enteredAt_ = now;
+    firstAnsweredAt_.reset();
     confirmedAt_.reset();
     ownConfirmedAt_.reset();
 }
@@ -214,9 +216,12 @@
     }
 }
 
-void ColdStart::countSuccess() noexcept
+void ColdStart::countSuccess(TimePoint now, TimePoint startedAt) noexcept
 {
-    if (level_ >= slots_) {
+    if (!firstAnsweredAt_) {
+        firstAnsweredAt_ = startedAt;
+    }
+    if (level_ >= slots_ || now - *firstAnsweredAt_ < warmUp_) {
         return;
     }
     ++successes_;
--- a/libs/admission/src/searchergate.cpp
+++ b/libs/admission/src/searchergate.cpp
@@ -82,7 +82,7 @@
 void SearcherGate::setShare(TimePoint now, const BackEndLimits &limits, HolderShare share, GateActions &actions)
 {
     limits_ = limits;
-    cold_.setLimits(limits.slots, limits.coldAllowance);
+    cold_.setLimits(limits.slots, limits.coldAllowance, limits.warmUp);
     std::erase_if(earlierShares_, [now, this](const EarlierShare &earlier) {
         return earlier.until <= now || isSame(earlier.share, share_);
     });
@@ -282,7 +282,7 @@
     SearcherGate gate;
     gate.limits_ = limits_;
     gate.share_ = share_;
-    gate.cold_ = ColdStart(limits_.slots, limits_.coldAllowance);
+    gate.cold_ = ColdStart(limits_.slots, limits_.coldAllowance, limits_.warmUp);
     if (becameHolderAt_) {
         gate.heldOffUntil_ = *becameHolderAt_ + holdOff();
     }
--- a/libs/admission/tests/coldstart_test.cpp
+++ b/libs/admission/tests/coldstart_test.cpp
@@ -43,6 +43,17 @@
     BOOST_TEST((cold.cause(now) == ColdCause::None));
 }
 
+BOOST_AUTO_TEST_CASE(fastAnswersDoNotShortenTheWarmUp)
+{
+    ColdStart cold(2, 1, 1s);
+    TimePoint now = warmUp(cold, first, 10 * ColdStart::successesPerStep());
+    BOOST_TEST(cold.allowance(now) == 1U);
+    now = warmUp(cold, first, ColdStart::successesPerStep(), now + 1s);
+    BOOST_TEST(cold.allowance(now) == 2U);
+    now = warmUp(cold, second, 10 * ColdStart::successesPerStep(), now);
+    BOOST_TEST(cold.allowance(now) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(firstSignOfStrainWhileWarmingStepsBack)
 {
     ColdStart cold(8, 1);
--- a/libs/daemon/src/leafcalls.cpp
+++ b/libs/daemon/src/leafcalls.cpp
@@ -168,17 +168,18 @@
         searchReply.outcome = CallOutcome::WrongVersion;
         searchReply.parts.clear();
     }
+    const CallOutcome searchReplyOutcome = searchReply.outcome;
     reply(call, std::move(searchReply), answer.result, jobEnd.served);
     const auto holder = held.find(searcher);
     if (holder != held.end()) {
         holder->second.askedAt = now;
         GateActions actions;
-        const bool isCancelled = answer.error == Errc::Cancelled;
+        // A call that was cancelled, or for a version that the searcher lacks, proves nothing of its warmth.
+        const bool isWork = answer.error != Errc::Cancelled && searchReplyOutcome != CallOutcome::WrongVersion;
         const GateResult result{jobEnd.call,
                                 endOf(answer),
                                 now - call.startedAt,
-                                // A cancelled call proves nothing of the searcher's warmth.
-                                isCancelled ? Incarnation{} : answer.incarnation,
+                                isWork ? answer.incarnation : Incarnation{},
                                 answer.saysCold,
                                 answer.reportedLoad,
                                 jobEnd.isConnectionLost || answer.error == Errc::ConnectFailed};
--- a/libs/daemon/src/leaftask.cpp
+++ b/libs/daemon/src/leaftask.cpp
@@ -80,8 +80,8 @@
         }
     }
     const bool isSame = present.limits.slots == limits.slots && present.limits.connections == limits.connections
-        && present.limits.coldAllowance == limits.coldAllowance && present.share.rank == share.rank
-        && present.share.holders == share.holders;
+        && present.limits.coldAllowance == limits.coldAllowance && present.limits.warmUp == limits.warmUp
+        && present.share.rank == share.rank && present.share.holders == share.holders;
     if (!isSame) {
         present.limits = limits;
         present.share = share;
--- a/libs/operators/src/differences.cpp
+++ b/libs/operators/src/differences.cpp
@@ -93,6 +93,8 @@
     changes.add("connections", std::to_string(from.connections), std::to_string(to.connections));
     changes.add("connection cost", cost(from), cost(to));
     changes.add("cold allowance", std::to_string(from.coldAllowance), std::to_string(to.coldAllowance));
+    changes.add(
+        "warm-up", numberText(toMilliseconds(from.warmUp)) + " ms", numberText(toMilliseconds(to.warmUp)) + " ms");
     changes.finish(sentences);
 }
 
--- a/libs/settings/include/settings/published.h
+++ b/libs/settings/include/settings/published.h
@@ -56,6 +56,8 @@
     Duration connectionCost{0};
     /// Requests that a cold searcher can run at the same time.
     std::uint32_t coldAllowance = 1;
+    /// Shortest time for which a searcher that has begun to answer after a start remains cold.
+    Duration warmUp{0};
 };
 
 /// The published configuration. Immutable once read; shared as std::shared_ptr<const Configuration>.
--- a/libs/settings/src/published.cpp
+++ b/libs/settings/src/published.cpp
@@ -19,6 +19,9 @@
 
 constexpr double maxLatencyMs = 60'000;
 constexpr double maxPercent = 100;
+/// A restarted server is spared for this long unless its own time is published.
+constexpr double defaultWarmUpMs = 2'000;
+constexpr double maxWarmUpMs = 600'000;
 constexpr double maxSlots = 10'000;
 constexpr double maxConnections = 100'000;
 constexpr double maxConnectionCostMs = 10'000;
@@ -60,6 +63,7 @@
     if (limits.coldAllowance > limits.slots) {
         reader.fault("coldAllowance", "is more than the slots");
     }
+    limits.warmUp = fromMilliseconds(reader.numberOr("warmUpMs", {0, maxWarmUpMs}, defaultWarmUpMs));
     reader.rejectUnknown(knownMembers(DocumentKind::Configuration, "/backEnds/*"));
     return limits;
 }
--- a/libs/settings/src/schema.cpp
+++ b/libs/settings/src/schema.cpp
@@ -32,7 +32,7 @@
                                "extraLoadPercent",
                                "givesWay",
                                "idempotent"};
-constexpr Members limits{"name", "slots", "connections", "connectionCostMs", "coldAllowance"};
+constexpr Members limits{"name", "slots", "connections", "connectionCostMs", "coldAllowance", "warmUpMs"};
 constexpr Members shardMap{"backEnds"};
 constexpr Members backEnd{"name", "searchers", "versions"};
 constexpr Members searcher{"id", "address", "failureDomain", "state"};
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -13,6 +13,7 @@
 
 DOMAINS = ["a", "b", "c", "d"]
 KEYS_PER_PART = 64
+WARM_UP_MS = 1000
 
 # name: searchers, slots, connections, connection cost in ms, parts, service time in ms
 BACK_ENDS = {
@@ -59,7 +60,7 @@
         address = f"127.0.0.1:{first_port + i}"
         published["searchers"].append({"id": first_id + i, "address": address, "failureDomain": DOMAINS[i % len(DOMAINS)]})
         standins.append({"id": first_id + i, "address": address, "slots": slots, "connections": connections, "connectionCostMs": cost,
-                         "coldAllowance": 1, "warmMs": 1000, "serviceMs": service, "indexes": [{"index": 1, "parts": []}]})
+                         "coldAllowance": 1, "warmMs": WARM_UP_MS, "serviceMs": service, "indexes": [{"index": 1, "parts": []}]})
     for part in range(parts):
         # Replicas of a part stand in different failure domains.
         replicas = [(part * 2) % searchers, (part * 2 + 1) % searchers]
@@ -95,7 +96,8 @@
     write("configuration.json", {
         "classes": [{"name": n, "backEnd": b, "latencyMs": l, "percentile": 99, "completeness": c, "extraLoadPercent": x,
                      "givesWay": g, "idempotent": i} for n, b, l, c, x, g, i in CLASSES[arguments.user]],
-        "backEnds": [{"name": n, "slots": s[1], "connections": s[2], "connectionCostMs": s[3], "coldAllowance": 1}
+        "backEnds": [{"name": n, "slots": s[1], "connections": s[2], "connectionCostMs": s[3], "coldAllowance": 1,
+                      "warmUpMs": WARM_UP_MS}
                      for n, s in BACK_ENDS[arguments.user].items()],
         "domainsOut": []})
     vms = []
