--- a/bench/callers/callerload.cpp
+++ b/bench/callers/callerload.cpp
@@ -26,6 +26,17 @@
 /// Distinct query texts.
 constexpr std::uint64_t queryTexts = 1000;
 
+/// True if the request may have left before the connection broke.
+bool isCutOff(httplib::Error error)
+{
+    return error != httplib::Error::Connection && error != httplib::Error::ConnectionTimeout;
+}
+
+const char *faultOf(httplib::Error error)
+{
+    return isCutOff(error) ? "cut_off" : "not_connected";
+}
+
 /// One caller: keeps the advised addresses for their lifetime and a connection to one of them.
 class Caller
 {
@@ -105,7 +116,7 @@
         for (int i = 0; i < maxTries; ++i) {
             const httplib::Result response = client().Post("/v1/query", body, "application/json");
             if (!response) {
-                ++result.refusals["connection"];
+                ++result.refusals[faultOf(response.error())];
                 useNextAddress();
                 continue;
             }
@@ -150,9 +161,8 @@
         for (int i = 0; i < maxTries; ++i) {
             const httplib::Result response = client().Post("/v1/run", headers, body, "application/json");
             if (!response) {
-                ++result.refusals["connection"];
-                const bool isUnsent = response.error() == httplib::Error::Connection
-                    || response.error() == httplib::Error::ConnectionTimeout;
+                ++result.refusals[faultOf(response.error())];
+                const bool isUnsent = !isCutOff(response.error());
                 said = isUnsent ? said : RunSaid::Unknown;
                 useNextAddress();
                 continue;
--- a/libs/daemon/src/callerserver.cpp
+++ b/libs/daemon/src/callerserver.cpp
@@ -126,6 +126,12 @@
         response.status = isReady ? 200 : 503;
         response.set_content(isReady ? "{\"ready\":true}" : "{\"ready\":false}", jsonType);
     });
+    server.set_post_routing_handler([this](const httplib::Request &, httplib::Response &response) {
+        if (!hooks.isReady()) {
+            // Callers that keep their connection would be cut off when the daemon ends.
+            response.set_header("Connection", "close");
+        }
+    });
     server.set_error_handler([](const httplib::Request &, httplib::Response &response) {
         if (!response.body.empty()) {
             return;
