Settings test covers the warm-up time; lint findings mended

Cause: the full run of the checks failed at the schema test, whose sample lacked the new member, and at two lint errors. Change: the sample holds warmUpMs; a captured structured binding and a const local that prevented a move are gone.

--- a/bench/callers/loadreport.cpp
+++ b/bench/callers/loadreport.cpp
@@ -49,8 +49,10 @@
 {
     for (auto &[name, result] : results) {
         for (const auto &[key, said] : result.runs) {
-            const auto found
-                = std::find_if(runs.begin(), runs.end(), [&key](const auto &run) { return run.first.ends_with(key); });
+            const std::string &wanted = key;
+            // The stand-in knows a request by its ticket, if it has one, and the caller's key behind it.
+            const auto found = std::find_if(
+                runs.begin(), runs.end(), [&wanted](const auto &run) { return run.first.ends_with(wanted); });
             const std::uint64_t count = found == runs.end() ? 0 : found->second;
             if (count > 1) {
                 ++result.wrong["a request ran twice"];
--- a/libs/daemon/src/peerlinks.cpp
+++ b/libs/daemon/src/peerlinks.cpp
@@ -95,7 +95,7 @@
 
 std::shared_ptr<detail::PeerLink> PeerLinks::Implementation::connect(DaemonId to)
 {
-    const auto link
+    std::shared_ptr<detail::PeerLink> link
         = std::make_shared<detail::PeerLink>(LinkId{++lastLink}, tcp::socket(loop.context()), context, linkHooks());
     adopt(link);
     outgoing[to] = link;
--- a/libs/settings/tests/schema_test.cpp
+++ b/libs/settings/tests/schema_test.cpp
@@ -67,7 +67,7 @@
     case DocumentKind::Configuration:
         return Json::parse(R"({"classes": [{"name": "c", "backEnd": "b", "latencyMs": 80, "percentile": 99,
             "completeness": 1, "extraLoadPercent": 5, "givesWay": "latency", "idempotent": false}],
-            "backEnds": [{"name": "b", "slots": 2, "connections": 25, "connectionCostMs": 6, "coldAllowance": 1}],
+            "backEnds": [{"name": "b", "slots": 2, "connections": 25, "connectionCostMs": 6, "coldAllowance": 1, "warmUpMs": 500}],
             "domainsOut": ["a"]})");
     case DocumentKind::ShardMap:
         return Json::parse(R"({"backEnds": [{"name": "b", "searchers": [{"id": 1, "address": "127.0.0.1:1",
