--- a/fuzz/configworld.cpp
+++ b/fuzz/configworld.cpp
@@ -167,6 +167,20 @@
     start(daemon % daemonCount);
 }
 
+// The versions that each daemon but \p target has in force or has passed. What only some have may still be on its way,
+// and a newcomer that asks the others cannot know of it.
+std::array<ConfigVersion, configKeyCount> ConfigWorld::versionsOfAllBut(std::size_t target) const
+{
+    std::array<ConfigVersion, configKeyCount> least;
+    least.fill(ConfigVersion{UINT64_MAX});
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+        for (std::size_t key = 0; i != target && key < configKeyCount; ++key) {
+            least[key] = std::min(least[key], daemons_[i].inForce[key]);
+        }
+    }
+    return least;
+}
+
 // In a fleet that is otherwise healthy, a newcomer never takes an older version than the fleet had, however stale the
 // service is.
 void ConfigWorld::restartInCalm(std::size_t daemon, std::size_t versionsBack)
@@ -177,7 +191,9 @@
     const std::array<ConfigVersion, configKeyCount> before = daemons_[target].inForce;
     setService(versionsBack, versionsBack);
     start(target);
+    daemons_[target].floor = versionsOfAllBut(target);
     runCalm(healingTime);
+    daemons_[target].floor = {};
     for (const ConfigKey key : keys) {
         const std::size_t index = static_cast<std::size_t>(key);
         require(daemons_[target].inForce[index] >= before[index],
@@ -330,6 +346,7 @@
 {
     const std::size_t index = static_cast<std::size_t>(value.key);
     ConfigVersion &inForce = daemons_[daemon].inForce[index];
+    require(value.version >= daemons_[daemon].floor[index], "a newcomer took an older version than the fleet has");
     require(value.version > inForce, std::string(name(value.key)) + " went back within a life");
     inForce = value.version;
     const bool isPublished = value.version.value >= 1 && value.version.value <= texts_[index].size()
--- a/fuzz/configworld.h
+++ b/fuzz/configworld.h
@@ -43,6 +43,8 @@
         bool isPaused = false;
         std::size_t gossipTurn = 0;
         std::array<ConfigVersion, configKeyCount> inForce;
+        /// Versions that a newcomer of a healthy fleet may not fall below.
+        std::array<ConfigVersion, configKeyCount> floor;
     };
 
     struct Message {
@@ -81,6 +83,7 @@
     void reply(const Read &read);
     void handle(const Message &message);
     void apply(std::size_t daemon, SpreadActions &actions);
+    std::array<ConfigVersion, configKeyCount> versionsOfAllBut(std::size_t target) const;
     void noteAccepted(std::size_t daemon, const AcceptedValue &value);
     ConfigVersion served(ConfigKey key) const;
     const std::vector<std::string> &texts(ConfigKey key) const { return texts_[static_cast<std::size_t>(key)]; }
--- a/libs/daemon/include/daemon/leaftask.h
+++ b/libs/daemon/include/daemon/leaftask.h
@@ -30,6 +30,8 @@
     std::function<LeaseState()> checkLease;
     std::function<void(DaemonId to, WarmthQuery query)> sendWarmthQuery;
     std::function<void(LinkId link, WarmthReply reply)> sendWarmthReply;
+    /// A searcher's answer could not be decoded; for the log.
+    std::function<void(const Error &error)> onError;
     /// The span of a call that has ended; only for sampled traces and calls that were not answered.
     std::function<void(Span span)> onSpan;
 };
--- a/libs/daemon/src/daemonhooks.cpp
+++ b/libs/daemon/src/daemonhooks.cpp
@@ -26,6 +26,7 @@
     hooks.checkLease = [this] { return fleet->checkLease(); };
     hooks.sendWarmthQuery = [this](DaemonId to, WarmthQuery query) { links->send(to, std::move(query)); };
     hooks.sendWarmthReply = [this](LinkId link, WarmthReply reply) { links->reply(link, std::move(reply)); };
+    hooks.onError = [this](const Error &error) { log(error); };
     hooks.onSpan = [this](Span span) {
         const TraceContext context = span.context;
         const bool isRefused = span.status == SpanStatus::Error;
--- a/libs/daemon/src/leafcalls.cpp
+++ b/libs/daemon/src/leafcalls.cpp
@@ -154,6 +154,11 @@
     calls.erase(found);
     inFlight = calls.size();
     learnOfCrash(searcher, call, jobEnd);
+    if (jobEnd.answer.error == Errc::BadMessage) {
+        const Searcher *published = view->map->searcher(searcher);
+        const std::string peer = published == nullptr ? std::string() : published->address.toString();
+        hooks.onError(Error(Errc::BadMessage, Step::Receive, peer, "the answer cannot be decoded"));
+    }
     const BackEndAnswer &answer = jobEnd.answer;
     const bool isWrongVersion = answer.outcome == CallOutcome::Answered && call.request->kind == WorkKind::Search
         && answer.version != call.call.version;
--- a/standins/searcher.cpp
+++ b/standins/searcher.cpp
@@ -67,7 +67,8 @@
     SearcherEnd result = ended(end, incarnation);
     result.index = index;
     lock.unlock();
-    if (mustCut && cutHook_) {
+    // A request of a life that ended may get here before the one that ended it has cut the connections.
+    if ((mustCut || end == RunEnd::Lost) && cutHook_) {
         cutHook_();
     }
     return result;
