Daemon: an address in use ends the start at once; leaf keeps its books by sender; searchers taken out are left alone

Cause: a daemon whose operators' address was in use hung instead of ending (stack: CallerServer::stop joined a server that had not begun to run when it was told to stop). Refused calls stayed counted as in flight, which a planned stop waits for. Health checks and new connections went on to searchers of a failure domain taken out. Change: all addresses are bound before callers are served, and a started server is waited for; LeafTask takes calls out of its books in one place and finds cancelled calls by their sender in place of a scan; searchers that may receive no work are neither asked for health nor connected to. The process tests end their processes also when a start fails. Conclusion: found by a run of the process tests at ports that the system also gives to outgoing connections.

--- a/libs/daemon/src/callerserver.cpp
+++ b/libs/daemon/src/callerserver.cpp
@@ -19,6 +19,8 @@
 /// Idle time after which a connection is closed, in seconds.
 constexpr time_t idleTimeout = 5;
 constexpr std::size_t maxRequestsPerConnection = 1'000'000;
+/// Time between two looks at whether the server runs.
+constexpr std::chrono::milliseconds startPoll{1};
 /// Longest idempotency key, in bytes.
 constexpr std::size_t maxKey = 128;
 constexpr const char *jsonType = "application/json";
@@ -164,6 +166,10 @@
     }
     Implementation *const raw = implementation.get();
     implementation->thread = std::thread([raw] { raw->server.listen_after_bind(); });
+    // A stop that comes before the server runs would be lost, and with it the end of the thread.
+    while (!implementation->server.is_running()) {
+        std::this_thread::sleep_for(startPoll);
+    }
     return std::unique_ptr<CallerServer>(new CallerServer(std::move(implementation)));
 }
 
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -83,14 +83,14 @@
         return builtFleet.error();
     }
     fleet = std::move(builtFleet.value());
+    if (const Result<void> started = startControl(); started.has_error()) {
+        return started.error();
+    }
     Result<std::unique_ptr<CallerServer>> builtCallers = CallerServer::start(settings.callers, callerHooks());
     if (builtCallers.has_error()) {
         return builtCallers.error();
     }
     callers = std::move(builtCallers.value());
-    if (const Result<void> started = startControl(); started.has_error()) {
-        return started.error();
-    }
     links->run();
     fleet->run();
     return boost::outcome_v2::success();
--- a/libs/daemon/src/leafcalls.cpp
+++ b/libs/daemon/src/leafcalls.cpp
@@ -57,6 +57,7 @@
     const Result<TraceContext> parent = TraceContext::parse(request->traceparent);
     const TraceContext trace = parent.has_value() ? parent.value().child(random) : TraceContext();
     calls.emplace(id, detail::LeafCall{origin, request, call, trace, deadline, now, now, wallClockMicros()});
+    callsByOrigin[{origin, request->entryIncarnation, call.call}] = id;
     inFlight = calls.size();
     const auto found = held.find(call.searcher);
     if (found == held.end()) {
@@ -146,13 +147,11 @@
 void LeafTask::Implementation::end(SearcherId searcher, const detail::SearcherJobEnd &jobEnd)
 {
     const TimePoint now = BootClock::now();
-    const auto found = calls.find(jobEnd.call);
-    if (found == calls.end()) {
+    const std::optional<detail::LeafCall> taken = take(jobEnd.call);
+    if (!taken) {
         return;
     }
-    const detail::LeafCall call = std::move(found->second);
-    calls.erase(found);
-    inFlight = calls.size();
+    const detail::LeafCall &call = *taken;
     learnOfCrash(searcher, call, jobEnd);
     if (jobEnd.answer.error == Errc::BadMessage) {
         const Searcher *published = view->map->searcher(searcher);
@@ -193,18 +192,28 @@
     }
 }
 
-void LeafTask::Implementation::refuse(CallId id, Errc reason)
+// Takes a call out of the books; nothing if it is not there any more.
+std::optional<detail::LeafCall> LeafTask::Implementation::take(CallId id)
 {
     const auto found = calls.find(id);
     if (found == calls.end()) {
-        return;
+        return std::nullopt;
     }
-    const detail::LeafCall call = std::move(found->second);
+    std::optional<detail::LeafCall> call = std::move(found->second);
     calls.erase(found);
-    reply(call,
-          {call.call.call, call.call.searcher, call.call.version, CallOutcome::Refused, reason, false, {}},
-          {},
-          Duration{0});
+    callsByOrigin.erase({call->origin, call->request->entryIncarnation, call->call.call});
+    inFlight = calls.size();
+    return call;
+}
+
+void LeafTask::Implementation::refuse(CallId id, Errc reason)
+{
+    const std::optional<detail::LeafCall> call = take(id);
+    if (!call) {
+        return;
+    }
+    const SearchCall &asked = call->call;
+    reply(*call, {asked.call, asked.searcher, asked.version, CallOutcome::Refused, reason, false, {}}, {}, Duration{0});
 }
 
 void LeafTask::Implementation::recordSpan(const detail::LeafCall &call, const SearchReply &reply, Duration queued)
@@ -248,15 +257,12 @@
 
 void LeafTask::Implementation::cancel(const LeafOrigin &origin, const LeafCancel &cancel)
 {
-    std::vector<CallId> wanted;
-    for (auto &[id, call] : calls) {
-        const bool isNamed = std::find(cancel.calls.begin(), cancel.calls.end(), call.call.call) != cancel.calls.end();
-        if (isNamed && call.origin == origin && call.request->entryIncarnation == cancel.entryIncarnation
-            && call.request->kind == WorkKind::Search) {
-            wanted.push_back(id);
+    for (const CallId named : cancel.calls) {
+        const auto local = callsByOrigin.find({origin, cancel.entryIncarnation, named});
+        if (local == callsByOrigin.end() || calls.at(local->second).request->kind != WorkKind::Search) {
+            continue;
         }
-    }
-    for (const CallId id : wanted) {
+        const CallId id = local->second;
         detail::LeafCall &call = calls.at(id);
         call.isCancelled = true;
         const auto found = held.find(call.call.searcher);
@@ -270,8 +276,7 @@
         const SearcherId searcher = call.call.searcher;
         GateActions actions;
         found->second.gate.cancel(BootClock::now(), id, actions);
-        calls.erase(id);
-        inFlight = calls.size();
+        take(id);
         apply(searcher, actions);
     }
 }
--- a/libs/daemon/src/leafimplementation.h
+++ b/libs/daemon/src/leafimplementation.h
@@ -22,6 +22,15 @@
 namespace detail
 {
 
+/// What the sender of a call calls it.
+struct OriginCall {
+    LeafOrigin origin;
+    Incarnation entryIncarnation;
+    CallId call;
+
+    auto operator<=>(const OriginCall &) const noexcept = default;
+};
+
 /// A call that waits or runs here.
 struct LeafCall {
     LeafOrigin origin;
@@ -51,6 +60,8 @@
     std::shared_ptr<const PublishedView> view;
     std::map<SearcherId, detail::HeldSearcher> held;
     std::unordered_map<CallId, detail::LeafCall> calls;
+    /// The calls by what their senders call them.
+    std::map<detail::OriginCall, CallId> callsByOrigin;
     std::uint64_t lastCall = 0;
     Random random;
     TimePoint lastTick = BootClock::now();
@@ -82,6 +93,7 @@
     WarmthReply answerWarmth(const WarmthQuery &query) const;
     void takeWarmth(const WarmthReply &reply);
     std::vector<HeldStatus> status() const;
+    std::optional<detail::LeafCall> take(CallId id);
     void refuse(CallId call, Errc reason);
     void reply(const detail::LeafCall &call, SearchReply reply, std::string result, Duration served);
     void recordSpan(const detail::LeafCall &call, const SearchReply &reply, Duration queued);
--- a/libs/daemon/src/leaftask.cpp
+++ b/libs/daemon/src/leaftask.cpp
@@ -124,6 +124,10 @@
         if (hasSlept) {
             searcher.gate.suspend(now);
         }
+        if (!mayReceiveWork(searcher.published)) {
+            // Left alone, it falls silent and is warmed like a new one when it comes back.
+            continue;
+        }
         searcher.openConnection(now);
         if (now - searcher.askedAt > healthInterval) {
             searcher.askedAt = now;
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -46,6 +46,15 @@
         self.count, self.daemons, self.others = daemons, {}, []
         subprocess.run([os.path.join(ROOT, "scripts/deployment.py"), user, self.directory, "--port", str(port), "--daemons", str(daemons)],
                        check=True)
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+
+    def start(self):
+        """Starts all processes and waits until the daemons are ready."""
+        port, daemons = self.port, self.count
         self.start_other("standins/platform_standin", "--listen", f"127.0.0.1:{port}")
         self.start_other("standins/backend_standin", "--searchers", self.path("searchers.json"))
         wait_until(lambda: http("GET", self.platform("/control/calls"))[0] == 200, "the platform stand-in answers")
--- a/tests/process/process_test.py
+++ b/tests/process/process_test.py
@@ -22,6 +22,7 @@
 
 
 class ProcessTest(unittest.TestCase):
+    # Below the ports that the system gives to outgoing connections.
     port = 24000
 
     def setUp(self):
@@ -36,8 +37,9 @@
             self.assertEqual(record["connectionsRefused"], 0, f"searcher {number} had too many connections")
 
     def arrivals(self, searchers):
+        """Requests that each searcher got, and connections opened to it."""
         records = self.fleet.records()
-        return {number: records[number]["arrived"] for number in searchers}
+        return {number: (records[number]["arrived"], records[number]["connectionsOpened"]) for number in searchers}
 
     def take_out(self, domains):
         value = self.fleet.value("configuration")
@@ -57,7 +59,7 @@
         load = self.fleet.start_load(LONG_PAUSE_S + 8, *LOADS)
         time.sleep(2)
         searchers = self.fleet.searchers_in("b")
-        self.assertTrue(any(self.arrivals(searchers).values()))
+        self.assertTrue(any(arrived for arrived, _ in self.arrivals(searchers).values()))
         self.fleet.signal(2, signal.SIGSTOP)
         self.take_out(["b"])
         time.sleep(max(IN_FORCE_S, LONG_PAUSE_S))
