Router without the confirmation time that the lease has replaced; refusals built in one place

Cause: a read of the whole change: RouterView::confirmedAt and ReplicaRouter::confirm() were written for an expiry that KnowledgeLease now checks at the moment of sending, and nobody read them; two places built a refusal by hand beside CallerOutcome::failure(). Behaviour is unchanged; no check was touched.

--- a/bench/decisions/decision_cost.cpp
+++ b/bench/decisions/decision_cost.cpp
@@ -110,7 +110,7 @@
         HolderTable::Builder holders;
         holders.map(*map_).daemons(daemons).holdersOf("shards", 2);
         const auto table = std::make_shared<const HolderTable>(holders.build());
-        router_.setView({map_, std::make_shared<const Configuration>(), table, now_});
+        router_.setView({map_, std::make_shared<const Configuration>(), table});
         const BackEndLimits limits{"shards", 2, 25, 6ms, 2};
         for (std::uint32_t i = 0; i < size.searchers; ++i) {
             gates_.push_back(SearcherGate::Builder().limits(limits).share({0, 1}).build());
--- a/bench/decisions/tier.cpp
+++ b/bench/decisions/tier.cpp
@@ -140,7 +140,7 @@
 void Tier::applyView()
 {
     for (Entry &entry : entries_) {
-        entry.router.setView({map_, configuration_, holders_, loop_.now()});
+        entry.router.setView({map_, configuration_, holders_});
     }
 }
 
--- a/fuzz/searchworld.cpp
+++ b/fuzz/searchworld.cpp
@@ -303,7 +303,6 @@
     }
     view_.map = maps_.back();
     view_.configuration = std::make_shared<const Configuration>(std::move(configuration));
-    view_.confirmedAt = now_;
 }
 
 // Each daemon computes the table of holders by itself.
--- a/libs/daemon/src/daemonrequests.cpp
+++ b/libs/daemon/src/daemonrequests.cpp
@@ -60,9 +60,7 @@
     }
     const CallerReply counted = recorded(request, reply);
     if (std::optional<Error> refusal = refusalWhileStopping()) {
-        CallerOutcome outcome;
-        outcome.error = std::move(refusal);
-        counted(std::move(outcome));
+        counted(CallerOutcome::failure(std::move(*refusal), Ran::No));
     } else {
         entry->query(std::move(query), request.context.toTraceparent(), counted);
     }
@@ -85,9 +83,7 @@
     }
     const CallerReply counted = recorded(request, reply);
     if (refusal) {
-        CallerOutcome outcome;
-        outcome.error = std::move(refusal);
-        counted(std::move(outcome));
+        counted(CallerOutcome::failure(std::move(*refusal), Ran::No));
     } else {
         const Duration target = cls->target.latency;
         const Duration timeLeft = onceRequest.run.timeLeft ? std::min(*onceRequest.run.timeLeft, target) : target;
--- a/libs/daemon/src/entrytask.cpp
+++ b/libs/daemon/src/entrytask.cpp
@@ -17,7 +17,7 @@
 {
     view = std::move(next);
     const TimePoint now = BootClock::now();
-    router.setView({view->map, view->configuration, view->holders, now});
+    router.setView({view->map, view->configuration, view->holders});
     for (const RequestClass &cls : view->configuration->classes) {
         classes.try_emplace(cls.name, cls).first->second.setTarget(cls);
     }
--- a/libs/fanout/include/fanout/replicarouter.h
+++ b/libs/fanout/include/fanout/replicarouter.h
@@ -33,8 +33,6 @@
     std::shared_ptr<const ShardMap> map;
     std::shared_ptr<const Configuration> configuration;
     std::shared_ptr<const HolderTable> holders;
-    /// The time at which the published values were last confirmed.
-    TimePoint confirmedAt;
 };
 
 /// Knows which searchers may be used, how fast they answered, and which index versions they lack.
@@ -57,9 +55,6 @@
     /// Takes new published values. What was learned of searchers that remain is kept.
     void setView(RouterView view);
 
-    /// Notes at \p now that the published values are still in force.
-    void confirm(TimePoint now) noexcept;
-
     /// Sets the daemons that are not to be used as holders, such as suspected and leaving ones.
     void setUnusableDaemons(std::unordered_set<DaemonId> daemons);
 
--- a/libs/fanout/src/replicarouter.cpp
+++ b/libs/fanout/src/replicarouter.cpp
@@ -43,11 +43,6 @@
     std::erase_if(states_, [this](const auto &entry) { return view_.map->searcher(entry.first) == nullptr; });
 }
 
-void ReplicaRouter::confirm(TimePoint now) noexcept
-{
-    view_.confirmedAt = now;
-}
-
 void ReplicaRouter::setUnusableDaemons(std::unordered_set<DaemonId> daemons)
 {
     unusableDaemons_ = std::move(daemons);
--- a/libs/fanout/tests/replicarouter_test.cpp
+++ b/libs/fanout/tests/replicarouter_test.cpp
@@ -32,7 +32,6 @@
     const std::vector<DaemonId> daemons{self, other};
     view.holders = std::make_shared<const HolderTable>(
         HolderTable::Builder().map(*view.map).daemons(daemons).holdersOf("riders", 2).build());
-    view.confirmedAt = origin;
     return view;
 }
 
