--- /dev/null
+++ b/libs/catalog/src/storefollower.cpp
@@ -0,0 +1,133 @@
+#include "catalog/storefollower.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sassafrasvane
+{
+
+const char *name(StoreFailure failure) noexcept
+{
+    constexpr std::array<const char *, 5> names{"unreachable", "silent", "refused", "history_lost", "bad_answer"};
+    return names.at(static_cast<std::size_t>(failure));
+}
+
+StoreFollower::StoreFollower(std::vector<std::string> prefixes, std::uint64_t seed)
+    : prefixes_(std::move(prefixes)), random_(seed), dueAt_(TimePoint{})
+{
+}
+
+void StoreFollower::onPage(TimePoint now, StorePage page, StoreActions &actions)
+{
+    isCallOpen_ = false;
+    onAnswered(now, actions);
+    if (revision_ == 0) {
+        revision_ = page.asOf;
+    }
+    const bool isAdvancing = !page.items.empty() && page.items.back().key > lastKey_;
+    if (page.hasMore && isAdvancing) {
+        lastKey_ = page.items.back().key;
+    } else {
+        ++prefix_;
+        lastKey_.clear();
+    }
+    actions.items = std::move(page.items);
+    if (prefix_ == prefixes_.size()) {
+        isListing_ = false;
+        actions.isListComplete = true;
+    }
+    schedule(now, actions);
+}
+
+void StoreFollower::onChanges(TimePoint now, StoreChanges changes, StoreActions &actions)
+{
+    isCallOpen_ = false;
+    onAnswered(now, actions);
+    revision_ = std::max(revision_, changes.asOf);
+    const bool hasChanges = !changes.items.empty();
+    actions.items = std::move(changes.items);
+    schedule(hasChanges ? now + watchPause() : now, actions);
+}
+
+void StoreFollower::onAnswered(TimePoint now, StoreActions &actions)
+{
+    const bool wasLong = failedSince_ && now - *failedSince_ >= outageTime();
+    actions.hasReturned = hasOutage_ || wasLong;
+    hasOutage_ = false;
+    failedSince_.reset();
+    isConnected_ = true;
+    answeredAt_ = now;
+    retryPause_ = firstRetryPause();
+}
+
+void StoreFollower::onFailure(TimePoint now, StoreFailure failure, StoreActions &actions)
+{
+    isCallOpen_ = false;
+    if (failure == StoreFailure::HistoryLost) {
+        onAnswered(now, actions);
+        startList();
+        schedule(now, actions);
+        return;
+    }
+    const bool isFirst = !failedSince_;
+    if (isFirst) {
+        failedSince_ = now;
+    }
+    // A watch that breaks off alone is no outage: the store may cut it at any time.
+    hasOutage_ = hasOutage_ || failure == StoreFailure::Silent || failure == StoreFailure::Refused;
+    isConnected_ = false;
+    if (isListing_) {
+        startList();
+    }
+    const Duration spread(static_cast<Duration::rep>(random_.below(static_cast<std::uint64_t>(retryPause_.count()))));
+    const bool isCut = isFirst && failure == StoreFailure::Unreachable;
+    schedule(isCut ? now : now + retryPause_ / 2 + spread, actions);
+    retryPause_ = std::min(retryPause_ * 2, longestRetryPause());
+}
+
+void StoreFollower::onTimer(TimePoint now, StoreActions &actions)
+{
+    if (isCallOpen_ || !dueAt_) {
+        return;
+    }
+    if (now < *dueAt_) {
+        actions.wakeAt = dueAt_;
+        return;
+    }
+    dueAt_.reset();
+    isCallOpen_ = true;
+    actions.call = nextCall();
+}
+
+void StoreFollower::startList()
+{
+    isListing_ = true;
+    prefix_ = 0;
+    lastKey_.clear();
+    revision_ = 0;
+}
+
+void StoreFollower::schedule(TimePoint at, StoreActions &actions)
+{
+    dueAt_ = at;
+    actions.wakeAt = at;
+}
+
+StoreCall StoreFollower::nextCall() const
+{
+    StoreCall call;
+    if (isListing_) {
+        call.kind = StoreCall::Kind::List;
+        call.prefix = prefixes_[prefix_];
+        call.afterKey = lastKey_;
+        call.timeout = listTimeout();
+        return call;
+    }
+    call.kind = StoreCall::Kind::Watch;
+    call.afterRevision = revision_;
+    call.wait = watchWait();
+    call.timeout = watchWait() + watchSlack();
+    return call;
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/entry/include/entry/dispatcher.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "base/error.h"
+#include "entry/protocol.h"
+#include "entry/searcherlinks.h"
+#include "observe/eventlog.h"
+#include "placement/searcherpool.h"
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+
+/// \file
+/// Sends calls to searchers.
+
+namespace sassafrasvane
+{
+
+/// What became of a call.
+struct CallVerdict {
+    CallEnd end = CallEnd::Cancelled;
+    /// Whether the searcher may have run the call.
+    Ran ran = Ran::Unknown;
+    /// The searcher's response, if there is one.
+    std::optional<http::Response> response;
+    SearcherReply reply;
+    Duration elapsed{0};
+};
+
+/// One call to make.
+struct CallOrder {
+    std::shared_ptr<TrackedSearcher> searcher;
+    /// The caller's request without the headers that concern its connection.
+    std::shared_ptr<const http::Request> request;
+    std::string requestId;
+    TimePoint deadline;
+    /// Usual time of the route's calls.
+    Duration typical{0};
+    /// False if a connection that may have gone stale must not be used.
+    bool isIdempotent = true;
+    /// True if only a success will do: the part of a merged answer.
+    bool isPart = false;
+};
+
+/// A call that has been made; cancel() with it.
+using CallHandle = std::weak_ptr<void>;
+
+/// Sends calls to searchers over kept connections, judges their responses, and tells the pool how they ended.
+class Dispatcher
+{
+public:
+    using Done = std::function<void(CallVerdict outcome)>;
+
+    /// Time for which a call goes on whose answer nobody waits for: breaking it off costs the searcher a connection.
+    static constexpr Duration detachedTime() noexcept { return std::chrono::milliseconds(200); }
+
+    Dispatcher(boost::asio::io_context &context, const EntryProtocol &protocol, SearcherPool &pool, EventLog &log);
+    ~Dispatcher();
+    Dispatcher(const Dispatcher &) = delete;
+    Dispatcher &operator=(const Dispatcher &) = delete;
+
+    /// Sets what is called when a searcher of a back end may have become free.
+    void setOnFree(std::function<void(const std::string &backend)> hook) { onFree_ = std::move(hook); }
+
+    /// Makes a call; \p done is called once unless the call is cancelled or detached first.
+    /// \return nothing if no connection may be used; the call was not made then.
+    std::optional<CallHandle> send(const CallOrder &order, Done done);
+
+    /// Breaks the call off: the searcher sees its connection close.
+    void cancel(const CallHandle &handle);
+
+    /// Lets the call go on for a short time without telling how it ends.
+    void detach(const CallHandle &handle);
+
+    /// Ends calls whose time is over and closes stale connections. To be called several times a second.
+    void onTick(TimePoint now);
+
+    /// Closes the idle connections to a searcher that is registered no more.
+    void forget(const std::string &instance) { links_.forget(instance); }
+
+    std::size_t openCalls() const noexcept { return calls_.size(); }
+    const SearcherLinks &links() const noexcept { return links_; }
+
+private:
+    struct Call;
+    using CallPtr = std::shared_ptr<Call>;
+
+    void onOpened(const CallPtr &call, const std::error_code &error);
+    void transmit(const CallPtr &call);
+    void onResult(const CallPtr &call, http::CallResult result);
+    CallVerdict judge(const Call &call, http::CallResult result) const;
+    void end(const CallPtr &call, CallVerdict outcome);
+    void breakOff(const CallPtr &call, CallEnd end);
+
+    const EntryProtocol &protocol_;
+    SearcherPool &pool_;
+    EventLog &log_;
+    SearcherLinks links_;
+    std::list<CallPtr> calls_;
+    std::function<void(const std::string &backend)> onFree_;
+};
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/entry/src/dispatcher.cpp
@@ -0,0 +1,235 @@
+#include "entry/dispatcher.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+/// Longest time in which a connection must open.
+constexpr Duration connectTimeout = std::chrono::milliseconds(300);
+/// Idle time after which a connection does not carry a call that must not be repeated.
+constexpr Duration freshTime = std::chrono::milliseconds(500);
+constexpr Duration anyIdleTime = std::chrono::hours(1);
+
+constexpr unsigned firstSuccess = 200;
+constexpr unsigned firstRedirect = 300;
+constexpr unsigned firstServerError = 500;
+
+// Statuses below 500 that ask for another attempt.
+bool mayBeRepeated(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429;
+}
+
+} // namespace
+
+struct Dispatcher::Call {
+    CallOrder order;
+    Done done;
+    std::shared_ptr<http::ClientConnection> connection;
+    std::uint64_t number = 0;
+    TimePoint startedAt;
+    /// When the call is given up.
+    TimePoint expiresAt;
+    bool isSent = false;
+    bool isEnded = false;
+    std::list<CallPtr>::iterator place;
+};
+
+Dispatcher::Dispatcher(boost::asio::io_context &context,
+                       const EntryProtocol &protocol,
+                       SearcherPool &pool,
+                       EventLog &log)
+    : protocol_(protocol), pool_(pool), log_(log), links_(context)
+{
+}
+
+Dispatcher::~Dispatcher()
+{
+    for (const CallPtr &call : calls_) {
+        call->connection->close();
+    }
+}
+
+std::optional<CallHandle> Dispatcher::send(const CallOrder &order, Done done)
+{
+    const TimePoint now = BootClock::now();
+    const std::size_t limit = pool_.connectionLimit(*order.searcher);
+    const SearcherLinks::Lease lease =
+        links_.acquire(now, *order.searcher, limit, order.isIdempotent ? anyIdleTime : freshTime);
+    if (!lease.connection) {
+        return std::nullopt;
+    }
+    const CallPtr call = std::make_shared<Call>();
+    call->order = order;
+    call->done = std::move(done);
+    call->connection = lease.connection;
+    call->startedAt = now;
+    call->expiresAt = lease.isNew ? std::min(order.deadline, now + connectTimeout) : order.deadline;
+    call->number = order.searcher->begin(now, order.typical);
+    call->place = calls_.insert(calls_.end(), call);
+    if (lease.isNew) {
+        call->connection->open([this, call](const std::error_code &error) { onOpened(call, error); });
+    } else {
+        transmit(call);
+    }
+    return CallHandle(call);
+}
+
+void Dispatcher::onOpened(const CallPtr &call, const std::error_code &error)
+{
+    if (error) {
+        breakOff(call, CallEnd::NotConnected);
+    } else if (!call->isEnded) {
+        transmit(call);
+    }
+}
+
+void Dispatcher::transmit(const CallPtr &call)
+{
+    const TimePoint now = BootClock::now();
+    call->isSent = true;
+    call->expiresAt = call->order.deadline;
+    http::Request request = *call->order.request;
+    const Duration timeLeft = std::max(Duration{0}, call->order.deadline - now);
+    protocol_.addressCall(request, timeLeft, call->order.searcher->entry().instance);
+    const std::string &requestId = call->order.requestId;
+    call->connection->call(
+        std::move(request),
+        [this, requestId](const http::Response &response) {
+            const std::string answered = protocol_.readSearcherReply(response).requestId;
+            return answered.empty() || answered == requestId;
+        },
+        [this, call](http::CallResult result) { onResult(call, std::move(result)); });
+}
+
+void Dispatcher::onResult(const CallPtr &call, http::CallResult result)
+{
+    if (call->isEnded) {
+        return;
+    }
+    const TimePoint now = BootClock::now();
+    const bool isReusable = result.isReusable;
+    CallVerdict outcome = judge(*call, std::move(result));
+    if (isReusable) {
+        links_.release(now, *call->order.searcher, call->connection, outcome.reply.idleTimeout);
+    } else {
+        links_.discard(*call->order.searcher);
+    }
+    end(call, std::move(outcome));
+}
+
+CallVerdict Dispatcher::judge(const Call &call, http::CallResult result) const
+{
+    CallVerdict outcome;
+    if (!result.response) {
+        outcome.end = result.mayHaveArrived ? CallEnd::Broken : CallEnd::NotConnected;
+        outcome.ran = result.mayHaveArrived ? Ran::Unknown : Ran::No;
+        return outcome;
+    }
+    outcome.response = std::move(result.response);
+    outcome.reply = protocol_.readSearcherReply(*outcome.response);
+    const unsigned status = outcome.response->result_int();
+    if (outcome.reply.isWrongSearcher || outcome.reply.isNotRun) {
+        outcome.end = outcome.reply.isWrongSearcher ? CallEnd::WrongSearcher : CallEnd::Rejected;
+        outcome.ran = Ran::No;
+        return outcome;
+    }
+    const bool isSuccess = status >= firstSuccess && status < firstRedirect;
+    const bool isWhole = !outcome.reply.proof.empty() && !outcome.reply.isEncoded
+        && outcome.reply.requestId == call.order.requestId;
+    const bool isFinal = isSuccess || (!call.order.isPart && status < firstServerError && !mayBeRepeated(status));
+    const bool isAnswer = isWhole && isFinal;
+    outcome.end = isAnswer ? CallEnd::Answered : CallEnd::ServerError;
+    outcome.ran = isWhole ? Ran::Yes : Ran::Unknown;
+    return outcome;
+}
+
+void Dispatcher::end(const CallPtr &call, CallVerdict outcome)
+{
+    const TimePoint now = BootClock::now();
+    call->isEnded = true;
+    calls_.erase(call->place);
+    outcome.elapsed = now - call->startedAt;
+    TrackedSearcher &searcher = *call->order.searcher;
+    searcher.end(now, call->number, outcome.end, outcome.reply.load);
+    const bool isFailure = outcome.end != CallEnd::Answered && outcome.end != CallEnd::Cancelled;
+    if (isFailure) {
+        log_.line(EventRank::Important, "call_failed")
+            .text("request", call->order.requestId)
+            .text("backend", searcher.entry().backend)
+            .text("searcher", searcher.entry().instance)
+            .text("peer", searcher.entry().address.toString())
+            .text("end", name(outcome.end))
+            .text("ran", name(outcome.ran))
+            .count("status", outcome.response ? outcome.response->result_int() : 0)
+            .milliseconds("elapsed_ms", outcome.elapsed)
+            .count("failures_in_row", searcher.failuresInRow());
+    }
+    const std::string backend = searcher.entry().backend;
+    if (const Done done = std::move(call->done)) {
+        done(std::move(outcome));
+    }
+    if (onFree_) {
+        onFree_(backend);
+    }
+}
+
+void Dispatcher::breakOff(const CallPtr &call, CallEnd callEnd)
+{
+    if (call->isEnded) {
+        return;
+    }
+    call->connection->close();
+    links_.discard(*call->order.searcher);
+    CallVerdict outcome;
+    outcome.end = callEnd;
+    outcome.ran = call->isSent ? Ran::Unknown : Ran::No;
+    end(call, std::move(outcome));
+}
+
+void Dispatcher::cancel(const CallHandle &handle)
+{
+    const CallPtr call = std::static_pointer_cast<Call>(handle.lock());
+    if (!call || call->isEnded) {
+        return;
+    }
+    call->done = nullptr;
+    breakOff(call, CallEnd::Cancelled);
+}
+
+void Dispatcher::detach(const CallHandle &handle)
+{
+    const CallPtr call = std::static_pointer_cast<Call>(handle.lock());
+    if (!call || call->isEnded) {
+        return;
+    }
+    call->done = nullptr;
+    if (call->isSent) {
+        call->expiresAt = std::min(call->expiresAt, BootClock::now() + detachedTime());
+    } else {
+        breakOff(call, CallEnd::Cancelled);
+    }
+}
+
+void Dispatcher::onTick(TimePoint now)
+{
+    std::vector<CallPtr> expired;
+    for (const CallPtr &call : calls_) {
+        if (now >= call->expiresAt) {
+            expired.push_back(call);
+        }
+    }
+    for (const CallPtr &call : expired) {
+        breakOff(call, call->isSent ? CallEnd::TimedOut : CallEnd::NotConnected);
+    }
+    links_.closeStale(now);
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/entry/src/entryprocess.cpp
@@ -0,0 +1,374 @@
+#include "entry/entryprocess.h"
+
+#include "entry/dispatcher.h"
+#include "entry/entryserver.h"
+#include "entry/peertask.h"
+#include "entry/publishedstate.h"
+#include "entry/storetask.h"
+#include "http/server.h"
+#include "metricstext.h"
+#include "observe/eventlog.h"
+#include "placement/searcherpool.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <optional>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+/// Period of the housekeeping.
+constexpr Duration tickPeriod = std::chrono::milliseconds(50);
+/// Ticks between two rounds of the slower housekeeping.
+constexpr unsigned slowTicks = 10;
+/// How long callers keep a list of entry VMs.
+constexpr Duration directoryLifetime = std::chrono::seconds(2);
+/// Time before the end of the grace period by which everything is closed.
+constexpr Duration stopMargin = std::chrono::milliseconds(400);
+/// A tick that is later than this means that the process stood still.
+constexpr Duration pauseBound = std::chrono::milliseconds(1'500);
+/// Proves membership among the entry processes of one private network.
+constexpr const char *peerKey = "sassafrasvane-entry-peers";
+
+PoolBounds poolBounds(const EntryBounds &bounds)
+{
+    PoolBounds pool;
+    pool.retryRatio = bounds.retryRatio;
+    pool.retrySlack = bounds.retrySlack;
+    pool.coldFactor = bounds.coldFactor;
+    pool.coldSlack = bounds.coldSlack;
+    return pool;
+}
+
+Address peerAddressOf(const EntrySettings &settings)
+{
+    return {settings.listeners.control.ip, settings.peerPort};
+}
+
+http::ServerLimits serverLimits(const CallerLimits &limits, std::uint64_t fileDescriptors)
+{
+    /// Descriptors kept for searchers, peers and files.
+    constexpr std::uint64_t reservedDescriptors = 1'000;
+    http::ServerLimits server;
+    server.headerBytes = limits.headerBytes;
+    server.bodyBytes = limits.bodyBytes;
+    server.headerTimeout = limits.headerTimeout;
+    server.idleTimeout = limits.idleTimeout;
+    server.connections = std::max<std::uint64_t>(200, fileDescriptors - std::min(fileDescriptors, reservedDescriptors));
+    return server;
+}
+
+} // namespace
+
+class EntryProcess::Implementation
+{
+public:
+    Implementation(const EntrySettings &settings, std::string settingsPath, EntryProtocol protocol)
+        : settings_(settings)
+        , settingsPath_(std::move(settingsPath))
+        , protocol_(std::move(protocol))
+        , log_(STDOUT_FILENO, settings.vm)
+        , seed_(mix(daemonId(peerAddressOf(settings)).value, wallClockMicros()))
+        , pool_(peerAddressOf(settings).toString(), settings.failureDomain, poolBounds(settings.bounds), seed_)
+        , dispatcher_(context_, protocol_, pool_, log_)
+        , state_(protocol_, pool_, log_)
+        , entry_(context_, protocol_, pool_, dispatcher_, state_, log_)
+        , store_(context_, protocol_, settings.store, mix(seed_), state_, log_)
+        , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+        , ticker_(context_)
+    {
+    }
+
+    Result<void> open();
+    int run();
+
+private:
+    using ExchangePtr = std::shared_ptr<http::Exchange>;
+
+    Result<std::unique_ptr<http::Server>> listen(const Address &address, http::RequestHandler handler);
+    void answerReadiness(const ExchangePtr &exchange) const;
+    void answerDirectory(const ExchangePtr &exchange) const;
+    void answerMetrics(const ExchangePtr &exchange);
+    bool isReady() const noexcept { return !stopBegunAt_ && state_.routes() != nullptr; }
+    void waitForSignal();
+    void onSignal(int signal);
+    void beginStop();
+    void continueStop(TimePoint now);
+    void endStop();
+    void reload();
+    void setSeeds();
+    void tick();
+    void onTick();
+    void onSlowTick(TimePoint now);
+
+    EntrySettings settings_;
+    std::string settingsPath_;
+    EntryProtocol protocol_;
+    boost::asio::io_context context_{1};
+    EventLog log_;
+    std::uint64_t seed_;
+    SearcherPool pool_;
+    Dispatcher dispatcher_;
+    PublishedState state_;
+    EntryServer entry_;
+    StoreTask store_;
+    std::unique_ptr<PeerTask> peers_;
+    std::unique_ptr<http::Server> callers_;
+    std::unique_ptr<http::Server> readiness_;
+    std::unique_ptr<http::Server> directory_;
+    std::unique_ptr<http::Server> control_;
+    std::unique_ptr<http::Server> metrics_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer ticker_;
+    TimePoint lastTick_ = BootClock::now();
+    unsigned ticks_ = 0;
+    std::optional<TimePoint> stopBegunAt_;
+    bool isAccepting_ = true;
+};
+
+Result<std::unique_ptr<http::Server>> EntryProcess::Implementation::listen(const Address &address,
+                                                                           http::RequestHandler handler)
+{
+    return http::Server::Builder(context_)
+        .address(address)
+        .limits(serverLimits(CallerLimits(), settings_.fileDescriptors))
+        .handler(std::move(handler))
+        .build();
+}
+
+Result<void> EntryProcess::Implementation::open()
+{
+    struct Listener {
+        Address address;
+        std::unique_ptr<http::Server> *server;
+        http::RequestHandler handler;
+    };
+    const Address metrics{settings_.listeners.control.ip, settings_.metricsPort};
+    std::vector<Listener> listeners{
+        {settings_.listeners.callers, &callers_, [this](const ExchangePtr &exchange) { entry_.handle(exchange); }},
+        {settings_.listeners.readiness, &readiness_, [this](const ExchangePtr &exchange) { answerReadiness(exchange); }},
+        {settings_.listeners.directory, &directory_, [this](const ExchangePtr &exchange) { answerDirectory(exchange); }},
+        {settings_.listeners.control, &control_, [this](const ExchangePtr &exchange) { answerMetrics(exchange); }}};
+    if (settings_.metricsPort != 0) {
+        listeners.push_back({metrics, &metrics_, [this](const ExchangePtr &exchange) { answerMetrics(exchange); }});
+    }
+    for (Listener &listener : listeners) {
+        Result<std::unique_ptr<http::Server>> server = listen(listener.address, std::move(listener.handler));
+        if (server.has_error()) {
+            return server.error();
+        }
+        *listener.server = std::move(server.value());
+    }
+    EntryIdentity identity;
+    identity.peer = peerAddressOf(settings_);
+    identity.callers = settings_.listeners.callers;
+    identity.failureDomain = settings_.failureDomain;
+    identity.region = settings_.region;
+    identity.key = peerKey;
+    Result<std::unique_ptr<PeerTask>> peers = PeerTask::create(context_, identity, log_);
+    if (peers.has_error()) {
+        return peers.error();
+    }
+    peers_ = std::move(peers.value());
+    return boost::outcome_v2::success();
+}
+
+int EntryProcess::Implementation::run()
+{
+    log_.line(EventRank::Important, "process_started")
+        .text("callers", settings_.listeners.callers.toString())
+        .text("failure_domain", settings_.failureDomain)
+        .text("settings", settingsPath_);
+    state_.setOnConfiguration([this](const RouteTable &routes) {
+        callers_->setLimits(serverLimits(routes.configuration().callerLimits, settings_.fileDescriptors));
+        entry_.onConfiguration(routes);
+    });
+    state_.setOnSearcherGone([this](const std::string &instance) { dispatcher_.forget(instance); });
+    peers_->setOnMembers([this] { pool_.setFleet(peers_->fleet(BootClock::now())); });
+    setSeeds();
+    peers_->start();
+    store_.start();
+    waitForSignal();
+    tick();
+    context_.run();
+    log_.line(EventRank::Important, "process_stopped").count("open_requests", entry_.openRequests());
+    log_.flush();
+    return 0;
+}
+
+void EntryProcess::Implementation::answerReadiness(const ExchangePtr &exchange) const
+{
+    constexpr unsigned ok = 200;
+    constexpr unsigned unavailable = 503;
+    exchange->respond(http::emptyResponse(isReady() ? ok : unavailable));
+}
+
+void EntryProcess::Implementation::answerDirectory(const ExchangePtr &exchange) const
+{
+    constexpr unsigned notFound = 404;
+    const std::optional<DirectoryQuestion> question = protocol_.readDirectoryQuestion(exchange->request());
+    if (!question) {
+        exchange->respond(http::emptyResponse(notFound));
+        return;
+    }
+    const std::vector<Address> addresses = peers_->callerAddresses(BootClock::now());
+    exchange->respond(protocol_.writeDirectoryAnswer(addresses, std::min(directoryLifetime, settings_.bounds.directoryLifetime)));
+}
+
+void EntryProcess::Implementation::answerMetrics(const ExchangePtr &exchange)
+{
+    detail::MetricsSources sources{entry_, dispatcher_, state_, store_, *peers_, *callers_, log_};
+    exchange->respond(http::textResponse(200, "text/plain; version=0.0.4", detail::metricsText(sources)));
+}
+
+void EntryProcess::Implementation::waitForSignal()
+{
+    signals_.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (!error) {
+            onSignal(signal);
+            waitForSignal();
+        }
+    });
+}
+
+void EntryProcess::Implementation::onSignal(int signal)
+{
+    if (signal == SIGHUP) {
+        reload();
+    } else if (!stopBegunAt_) {
+        beginStop();
+    }
+}
+
+void EntryProcess::Implementation::reload()
+{
+    const Result<EntrySettings> settings = readEntrySettingsFile(settingsPath_);
+    if (settings.has_error()) {
+        log_.line(EventRank::Important, "settings_refused").error(settings.error());
+        return;
+    }
+    settings_.seeds = settings.value().seeds;
+    settings_.bounds = settings.value().bounds;
+    log_.line(EventRank::Important, "settings_reloaded").count("seeds", settings_.seeds.size());
+    setSeeds();
+}
+
+void EntryProcess::Implementation::setSeeds()
+{
+    std::vector<Address> peers;
+    for (const Address &seed : settings_.seeds) {
+        peers.push_back({seed.ip, settings_.peerPort});
+    }
+    peers_->setSeeds(peers);
+}
+
+void EntryProcess::Implementation::beginStop()
+{
+    stopBegunAt_ = BootClock::now();
+    log_.line(EventRank::Important, "stop_begun").count("open_requests", entry_.openRequests());
+    peers_->leave();
+    callers_->closeAfterResponses();
+}
+
+// Callers keep connecting until their list of entry VMs has expired, so the listener stays open for that long.
+void EntryProcess::Implementation::continueStop(TimePoint now)
+{
+    const Duration elapsed = now - *stopBegunAt_;
+    const Duration acceptTime = settings_.bounds.stopGrace / 2;
+    if (isAccepting_ && elapsed >= acceptTime) {
+        isAccepting_ = false;
+        callers_->stopAccepting();
+        callers_->closeIdle();
+    }
+    const bool isDone = !isAccepting_ && callers_->counters().openConnections == 0;
+    if (isDone || elapsed >= settings_.bounds.stopGrace - stopMargin) {
+        endStop();
+    } else if (!isAccepting_) {
+        callers_->closeIdle();
+    }
+}
+
+void EntryProcess::Implementation::endStop()
+{
+    peers_->stop();
+    store_.stop();
+    signals_.cancel();
+    ticker_.cancel();
+    context_.stop();
+}
+
+void EntryProcess::Implementation::tick()
+{
+    ticker_.expires_after(tickPeriod);
+    ticker_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            onTick();
+            tick();
+        }
+    });
+}
+
+void EntryProcess::Implementation::onTick()
+{
+    const TimePoint now = BootClock::now();
+    if (now - lastTick_ > pauseBound) {
+        log_.line(EventRank::Important, "process_paused").milliseconds("pause_ms", now - lastTick_);
+        store_.reconnect();
+    }
+    lastTick_ = now;
+    dispatcher_.onTick(now);
+    entry_.onTick(now);
+    state_.onTick(now);
+    if (++ticks_ % slowTicks == 0) {
+        onSlowTick(now);
+    }
+    if (stopBegunAt_) {
+        continueStop(now);
+    }
+    log_.flush();
+}
+
+void EntryProcess::Implementation::onSlowTick(TimePoint now)
+{
+    for (const std::unique_ptr<http::Server> *server : {&callers_, &readiness_, &directory_, &control_, &metrics_}) {
+        if (*server) {
+            (*server)->closeExpired(now);
+        }
+    }
+    pool_.setFleet(peers_->fleet(now));
+}
+
+Result<std::unique_ptr<EntryProcess>> EntryProcess::create(const EntrySettings &settings,
+                                                           std::string settingsPath,
+                                                           EntryProtocol protocol)
+{
+    std::unique_ptr<Implementation> implementation =
+        std::make_unique<Implementation>(settings, std::move(settingsPath), std::move(protocol));
+    const Result<void> opened = implementation->open();
+    if (opened.has_error()) {
+        return opened.error();
+    }
+    return std::unique_ptr<EntryProcess>(new EntryProcess(std::move(implementation)));
+}
+
+EntryProcess::EntryProcess(std::unique_ptr<Implementation> implementation) : implementation_(std::move(implementation))
+{
+}
+
+EntryProcess::~EntryProcess() = default;
+
+int EntryProcess::run()
+{
+    return implementation_->run();
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/entry/src/entryserver.cpp
@@ -0,0 +1,120 @@
+#include "entry/entryserver.h"
+
+#include "requesttask.h"
+
+#include <algorithm>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+constexpr unsigned badRequest = 400;
+constexpr unsigned notFound = 404;
+constexpr unsigned unavailable = 503;
+/// Time after which a refused caller may come back, as the header gives it.
+constexpr const char *retryAfter = "0.20";
+
+} // namespace
+
+EntryServer::EntryServer(boost::asio::io_context &context,
+                         const EntryProtocol &protocol,
+                         SearcherPool &pool,
+                         Dispatcher &dispatcher,
+                         PublishedState &state,
+                         EventLog &log)
+    : protocol_(protocol)
+    , pool_(pool)
+    , state_(state)
+    , log_(log)
+    , shared_(new detail::RequestContext{context, protocol, pool, dispatcher, waiting_, log, counters_, {}})
+{
+    shared_->release = [this](const detail::RequestTask *request) { requests_.erase(request); };
+    dispatcher.setOnFree([this](const std::string &backend) { waiting_.onFree(backend); });
+}
+
+EntryServer::~EntryServer() = default;
+
+void EntryServer::handle(const std::shared_ptr<http::Exchange> &exchange)
+{
+    CallerTerms terms = protocol_.readCallerTerms(exchange->request());
+    const std::shared_ptr<const RouteTable> routes = state_.routes();
+    if (!routes) {
+        ++counters_.unconfigured;
+        refuse(exchange, terms, unavailable, "no configuration yet");
+        return;
+    }
+    const http::Request &request = exchange->request();
+    const std::string_view host = http::headerOf(request, "Host");
+    const RequestRoute *route = routes->match(host, http::fromView(request.target()));
+    if (route == nullptr) {
+        ++counters_.unrouted;
+        refuse(exchange, terms, notFound, "no route");
+        return;
+    }
+    if (terms.requestId.empty()) {
+        ++counters_.malformed;
+        refuse(exchange, terms, badRequest, "no request id");
+        return;
+    }
+    if (requests_.size() >= mostRequests()) {
+        ++counters_.overloaded;
+        refuse(exchange, terms, unavailable, "too many requests");
+        return;
+    }
+    const std::shared_ptr<detail::RequestTask> task = std::make_shared<detail::RequestTask>(
+        *shared_, exchange, std::move(terms), routes, *route, backendsOf(*route), timesOf(*route));
+    requests_.emplace(task.get(), task);
+    task->start();
+}
+
+void EntryServer::refuse(const std::shared_ptr<http::Exchange> &exchange,
+                         const CallerTerms &terms,
+                         unsigned status,
+                         const char *reason)
+{
+    http::Response response = http::emptyResponse(status);
+    if (status == unavailable) {
+        response.set(boost::beast::http::field::retry_after, retryAfter);
+    }
+    exchange->respond(std::move(response));
+    log_.line(EventRank::Important, "request_refused")
+        .text("request", terms.requestId)
+        .text("host", http::headerOf(exchange->request(), "Host"))
+        .text("target", http::fromView(exchange->request().target()))
+        .text("reason", reason)
+        .count("status", status)
+        .count("open_requests", requests_.size())
+        .count("configuration", state_.routes() ? state_.routes()->version() : 0);
+}
+
+std::vector<BackendPool *> EntryServer::backendsOf(const RequestRoute &route)
+{
+    std::vector<BackendPool *> backends;
+    if (route.isGathered()) {
+        for (const std::string &shard : route.shards) {
+            backends.push_back(&pool_.backend(shard));
+        }
+    } else {
+        backends.push_back(&pool_.backend(route.split[splits_.next(route)].backend));
+    }
+    return backends;
+}
+
+CallTimes &EntryServer::timesOf(const RequestRoute &route)
+{
+    return times_.try_emplace(route.name, route.latencyTarget).first->second;
+}
+
+void EntryServer::onConfiguration(const RouteTable &routes)
+{
+    splits_.keepOnly(routes.configuration());
+}
+
+void EntryServer::onTick(TimePoint)
+{
+    waiting_.onTick();
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/entry/src/metricstext.cpp
@@ -0,0 +1,59 @@
+#include "metricstext.h"
+
+#include <string_view>
+
+namespace sassafrasvane::detail
+{
+
+namespace
+{
+
+void add(std::string &text, std::string_view name, std::string_view type, std::uint64_t value)
+{
+    text.append("# TYPE sassafrasvane_").append(name).append(" ").append(type).append("\n");
+    text.append("sassafrasvane_").append(name).append(" ").append(std::to_string(value)).append("\n");
+}
+
+void addEnds(std::string &text, const EntryCounters &counters)
+{
+    text.append("# TYPE sassafrasvane_requests_total counter\n");
+    for (std::size_t end = 0; end < counters.ends.size(); ++end) {
+        text.append("sassafrasvane_requests_total{end=\"")
+            .append(name(static_cast<GatherEnd>(end)))
+            .append("\"} ")
+            .append(std::to_string(counters.ends.at(end)))
+            .append("\n");
+    }
+}
+
+} // namespace
+
+std::string metricsText(const MetricsSources &sources)
+{
+    const EntryCounters &counters = sources.entry.counters();
+    const http::ServerCounters server = sources.callers.counters();
+    std::string text;
+    addEnds(text, counters);
+    add(text, "requests_abandoned_total", "counter", counters.abandoned);
+    add(text, "requests_unrouted_total", "counter", counters.unrouted);
+    add(text, "requests_unconfigured_total", "counter", counters.unconfigured);
+    add(text, "requests_malformed_total", "counter", counters.malformed + server.malformedRequests);
+    add(text, "requests_overloaded_total", "counter", counters.overloaded);
+    add(text, "requests_open", "gauge", sources.entry.openRequests());
+    add(text, "calls_open", "gauge", sources.dispatcher.openCalls());
+    add(text, "calls_waiting", "gauge", sources.entry.waitingCalls());
+    add(text, "caller_connections_open", "gauge", server.openConnections);
+    add(text, "caller_connections_total", "counter", server.accepted);
+    add(text, "searcher_connections_open", "gauge", sources.dispatcher.links().openConnections());
+    add(text, "searcher_connections_total", "counter", sources.dispatcher.links().openedConnections());
+    add(text, "searchers", "gauge", sources.state.searchers());
+    add(text, "configuration_version", "gauge", sources.state.routes() ? sources.state.routes()->version() : 0);
+    add(text, "store_revision", "gauge", sources.state.revision());
+    add(text, "store_calls_total", "counter", sources.store.calls());
+    add(text, "store_connected", "gauge", sources.store.isConnected() ? 1 : 0);
+    add(text, "members_reachable", "gauge", sources.peers.reachable());
+    add(text, "log_lines_dropped_total", "counter", sources.log.droppedLines());
+    return text;
+}
+
+} // namespace sassafrasvane::detail
--- /dev/null
+++ b/libs/entry/src/metricstext.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "entry/dispatcher.h"
+#include "entry/entryserver.h"
+#include "entry/peertask.h"
+#include "entry/publishedstate.h"
+#include "entry/storetask.h"
+#include "http/server.h"
+
+#include <string>
+
+/// \file
+/// The metrics of an entry process in the Prometheus text format.
+
+namespace sassafrasvane::detail
+{
+
+/// Where the metrics come from.
+struct MetricsSources {
+    const EntryServer &entry;
+    const Dispatcher &dispatcher;
+    const PublishedState &state;
+    const StoreTask &store;
+    const PeerTask &peers;
+    const http::Server &callers;
+    const EventLog &log;
+};
+
+/// All series.
+std::string metricsText(const MetricsSources &sources);
+
+} // namespace sassafrasvane::detail
--- /dev/null
+++ b/libs/entry/src/peertask.cpp
@@ -0,0 +1,288 @@
+#include "entry/peertask.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+using boost::asio::ip::udp;
+
+/// Time between two rounds of probes. Callers must not be sent to a lost VM for more than a second or two.
+constexpr Duration probePeriod = std::chrono::milliseconds(400);
+constexpr Duration directTimeout = std::chrono::milliseconds(150);
+constexpr Duration syncPeriod = std::chrono::seconds(5);
+constexpr double messagesPerSecond = 40;
+constexpr double messageBurst = 12;
+
+MemberRecord recordOf(const EntryIdentity &identity, Incarnation incarnation)
+{
+    MemberRecord record;
+    record.daemon = daemonId(identity.peer);
+    record.incarnation = incarnation;
+    record.callers = identity.callers;
+    record.failureDomain = identity.failureDomain;
+    record.region = identity.region;
+    return record;
+}
+
+MembershipLimits limits()
+{
+    MembershipLimits limits;
+    limits.period = probePeriod;
+    limits.directTimeout = directTimeout;
+    limits.syncPeriod = syncPeriod;
+    limits.messagesPerSecond = messagesPerSecond;
+    limits.messageBurst = messageBurst;
+    return limits;
+}
+
+const char *stateName(const MemberChange &change)
+{
+    switch (change.state) {
+    case MemberState::Alive:
+        return change.phase == MemberPhase::Leaving ? "leaving" : "alive";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Dead:
+        return "dead";
+    case MemberState::Left:
+        return "left";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+Result<std::unique_ptr<PeerTask>> PeerTask::create(boost::asio::io_context &context,
+                                                   const EntryIdentity &identity,
+                                                   EventLog &log)
+{
+    const Incarnation incarnation{wallClockMicros()};
+    const std::array<std::string, 1> keys{identity.key};
+    Result<GossipCodec> codec =
+        GossipCodec::Builder().self(daemonId(identity.peer)).incarnation(incarnation).keys(keys).build();
+    if (codec.has_error()) {
+        return codec.error();
+    }
+    std::unique_ptr<PeerTask> task(new PeerTask(context, identity, incarnation, std::move(codec.value()), log));
+    const udp::endpoint endpoint(boost::asio::ip::address_v4(identity.peer.ip), identity.peer.port);
+    boost::system::error_code error;
+    task->socket_.open(udp::v4(), error);
+    if (!error) {
+        task->socket_.bind(endpoint, error);
+    }
+    if (error) {
+        return Error{Errc::Unavailable, Step::Gossip, identity.peer.toString(), error.message()};
+    }
+    return task;
+}
+
+PeerTask::PeerTask(boost::asio::io_context &context,
+                   const EntryIdentity &identity,
+                   Incarnation incarnation,
+                   GossipCodec codec,
+                   EventLog &log)
+    : log_(log)
+    , codec_(std::move(codec))
+    , membership_(Membership::Builder()
+                      .self(recordOf(identity, incarnation))
+                      .seed(mix(daemonId(identity.peer).value, incarnation.value))
+                      .limits(limits())
+                      .build(BootClock::now()))
+    , socket_(context)
+    , timer_(context)
+{
+}
+
+PeerTask::~PeerTask()
+{
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+void PeerTask::setSeeds(std::span<const Address> peers)
+{
+    VmList list;
+    for (const Address &peer : peers) {
+        if (daemonId(peer) == membership_.self().daemon) {
+            continue;
+        }
+        Vm vm;
+        vm.peer = peer;
+        list.vms.push_back(vm);
+    }
+    membership_.setPublished(BootClock::now(), list, actions_);
+    apply();
+}
+
+void PeerTask::start()
+{
+    receive();
+    membership_.onTimer(BootClock::now(), actions_);
+    apply();
+}
+
+void PeerTask::leave()
+{
+    isLeaving_ = true;
+    membership_.leave(BootClock::now(), actions_);
+    apply();
+}
+
+void PeerTask::stop()
+{
+    membership_.depart(BootClock::now(), actions_);
+    apply();
+    timer_.cancel();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+void PeerTask::receive()
+{
+    socket_.async_receive_from(
+        boost::asio::buffer(input_), sender_, [this](const boost::system::error_code &error, std::size_t size) {
+            if (error == boost::asio::error::operation_aborted || !socket_.is_open()) {
+                return;
+            }
+            if (!error) {
+                take({input_.data(), size});
+            }
+            receive();
+        });
+}
+
+void PeerTask::take(std::string_view bytes)
+{
+    const Address from{sender_.address().to_v4().to_uint(), sender_.port()};
+    const Result<FleetMessage> message = codec_.decode(from, bytes);
+    if (message.has_error()) {
+        log_.line(EventRank::Routine, "peer_message_refused").error(message.error());
+        return;
+    }
+    const GossipMessage *gossip = std::get_if<GossipMessage>(&message.value());
+    if (gossip == nullptr) {
+        return;
+    }
+    const Result<void> taken = membership_.handle(BootClock::now(), *gossip, actions_);
+    if (taken.has_error()) {
+        log_.line(EventRank::Routine, "peer_message_refused").error(taken.error());
+    }
+    apply();
+}
+
+void PeerTask::apply()
+{
+    MembershipActions actions = std::move(actions_);
+    actions_.clear();
+    if (actions.ownIncarnation) {
+        codec_.setIncarnation(*actions.ownIncarnation);
+    }
+    for (const GossipSend &out : actions.sends) {
+        send(out);
+    }
+    if (!actions.changes.empty()) {
+        members_ = membership_.members();
+        logChanges(actions.changes);
+        if (onMembers_) {
+            onMembers_();
+        }
+    }
+    schedule(actions.wakeAt);
+}
+
+void PeerTask::send(const GossipSend &out)
+{
+    if (codec_.encode(out.to, out.message, output_).has_error()) {
+        return;
+    }
+    const Address to = peerAddress(out.to);
+    boost::system::error_code error;
+    socket_.send_to(boost::asio::buffer(output_), {boost::asio::ip::address_v4(to.ip), to.port}, 0, error);
+    if (error) {
+        log_.line(EventRank::Routine, "peer_send_failed").text("peer", to.toString()).text("detail", error.message());
+    }
+}
+
+void PeerTask::schedule(std::optional<TimePoint> at)
+{
+    if (!at) {
+        return;
+    }
+    timer_.expires_after(std::max(Duration{0}, *at - BootClock::now()));
+    timer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            membership_.onTimer(BootClock::now(), actions_);
+            apply();
+        }
+    });
+}
+
+void PeerTask::logChanges(const std::vector<MemberChange> &changes)
+{
+    for (const MemberChange &change : changes) {
+        log_.line(EventRank::Important, "member_changed")
+            .text("peer", peerAddress(change.member).toString())
+            .text("state", stateName(change))
+            .count("incarnation", change.incarnation.value)
+            .count("reachable", membership_.reachableCount());
+    }
+}
+
+std::vector<Address> PeerTask::callerAddresses(TimePoint now) const
+{
+    std::vector<Address> alive;
+    std::vector<Address> lost;
+    for (const Member &member : members_) {
+        if (member.record.callers == Address{}) {
+            continue;
+        }
+        if (member.takesWork()) {
+            alive.push_back(member.record.callers);
+        } else if (member.record.state != MemberState::Left && member.record.phase == MemberPhase::Serving
+                   && now - member.since < namedAfterMassLoss()) {
+            lost.push_back(member.record.callers);
+        }
+    }
+    std::vector<Address> addresses;
+    if (!isLeaving_ || alive.empty()) {
+        addresses.push_back(membership_.self().callers);
+    }
+    addresses.insert(addresses.end(), alive.begin(), alive.end());
+    if (lost.size() > addresses.size()) {
+        addresses.insert(addresses.end(), lost.begin(), lost.end());
+    }
+    return addresses;
+}
+
+std::set<std::string> PeerTask::fleet(TimePoint now) const
+{
+    std::set<std::string> fleet{peerAddress(membership_.self().daemon).toString()};
+    for (const Member &member : members_) {
+        const bool isReachable =
+            member.record.state == MemberState::Alive || member.record.state == MemberState::Suspect;
+        if (isReachable || now - member.since < countedAfterLoss()) {
+            fleet.insert(peerAddress(member.record.daemon).toString());
+        }
+    }
+    return fleet;
+}
+
+std::vector<Address> PeerTask::alivePeers() const
+{
+    std::vector<Address> peers;
+    for (const Member &member : members_) {
+        if (member.record.state == MemberState::Alive) {
+            peers.push_back(peerAddress(member.record.daemon));
+        }
+    }
+    return peers;
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/entry/src/publishedstate.cpp
@@ -0,0 +1,179 @@
+#include "entry/publishedstate.h"
+
+#include <algorithm>
+
+namespace sassafrasvane
+{
+
+PublishedState::PublishedState(const EntryProtocol &protocol, SearcherPool &pool, EventLog &log)
+    : protocol_(protocol), pool_(pool), log_(log)
+{
+}
+
+void PublishedState::apply(TimePoint now, const std::vector<StoreItem> &items)
+{
+    for (const StoreItem &item : items) {
+        listed_.insert(item.key);
+        apply(now, item);
+    }
+    updateDomainsOut();
+}
+
+void PublishedState::apply(TimePoint now, const StoreItem &item)
+{
+    const std::unordered_map<std::string, StoreItem>::iterator known = items_.find(item.key);
+    if (known != items_.end() && known->second.revision >= item.revision) {
+        return;
+    }
+    revision_ = std::max(revision_, item.revision);
+    if (item.isRemoved) {
+        remove(now, item);
+        return;
+    }
+    items_[item.key] = item;
+    PublishedItem published = protocol_.readItem(item);
+    SearcherCatalog::Notices notices;
+    if (RoutingConfiguration *configuration = std::get_if<RoutingConfiguration>(&published)) {
+        take(std::move(*configuration));
+    } else if (const SearcherEntry *entry = std::get_if<SearcherEntry>(&published)) {
+        if (!catalog_.put(now, *entry, notices)) {
+            log_.line(EventRank::Important, "searcher_ignored")
+                .text("searcher", entry->instance)
+                .text("reason", "older than the one known")
+                .count("sequence", entry->sequence)
+                .count("revision", item.revision);
+        }
+    } else if (const DomainOut *domain = std::get_if<DomainOut>(&published)) {
+        domainsOut_[item.key] = domain->failureDomain;
+    } else if (const UnreadableSearcher *unreadable = std::get_if<UnreadableSearcher>(&published)) {
+        log_.line(EventRank::Important, "searcher_unreadable")
+            .text("searcher", unreadable->instance)
+            .text("reason", unreadable->reason)
+            .count("revision", item.revision);
+        catalog_.remove(now, unreadable->instance, notices);
+    } else if (const UnreadableConfiguration *bad = std::get_if<UnreadableConfiguration>(&published)) {
+        log_.line(EventRank::Important, "configuration_refused")
+            .text("reason", bad->reason)
+            .count("revision", item.revision)
+            .count("in_force", routes_ ? routes_->version() : 0);
+    }
+    tell(notices, now);
+}
+
+void PublishedState::remove(TimePoint now, const StoreItem &item)
+{
+    const std::unordered_map<std::string, StoreItem>::iterator known = items_.find(item.key);
+    if (known == items_.end()) {
+        return;
+    }
+    const PublishedItem before = protocol_.readItem(known->second);
+    items_.erase(known);
+    domainsOut_.erase(item.key);
+    SearcherCatalog::Notices notices;
+    if (const SearcherEntry *entry = std::get_if<SearcherEntry>(&before)) {
+        catalog_.remove(now, entry->instance, notices);
+    }
+    tell(notices, now);
+}
+
+void PublishedState::take(RoutingConfiguration configuration)
+{
+    const std::uint64_t before = routes_ ? routes_->version() : 0;
+    if (configuration.version <= before) {
+        if (configuration.version < before) {
+            log_.line(EventRank::Important, "configuration_ignored")
+                .count("version", configuration.version)
+                .count("in_force", before);
+        }
+        return;
+    }
+    routes_ = RouteTable::create(std::move(configuration));
+    pool_.setTerms(routes_->configuration().backends);
+    log_.line(EventRank::Important, "configuration_in_force")
+        .count("version", routes_->version())
+        .count("before", before)
+        .count("routes", routes_->configuration().routes.size());
+    if (onConfiguration_) {
+        onConfiguration_(*routes_);
+    }
+}
+
+void PublishedState::tell(const SearcherCatalog::Notices &notices, TimePoint now)
+{
+    for (const SearcherNotice &notice : notices) {
+        if (notice.change == SearcherChange::Removed) {
+            pool_.remove(notice.entry.instance);
+            if (onSearcherGone_) {
+                onSearcherGone_(notice.entry.instance);
+            }
+        } else {
+            pool_.put(now, notice.entry);
+        }
+        log_.line(EventRank::Important, "searcher_changed")
+            .text("searcher", notice.entry.instance)
+            .text("change", name(notice.change))
+            .text("backend", notice.entry.backend)
+            .text("peer", notice.entry.address.toString())
+            .flag("leaving", notice.entry.isLeaving)
+            .milliseconds("cold_left_ms", notice.entry.coldLeft)
+            .count("sequence", notice.entry.sequence);
+    }
+}
+
+void PublishedState::updateDomainsOut()
+{
+    std::set<std::string> domains;
+    for (const auto &[key, domain] : domainsOut_) {
+        domains.insert(domain);
+    }
+    if (pool_.setDomainsOut(domains)) {
+        EventLine line = log_.line(EventRank::Important, "failure_domains_out");
+        line.count("domains", domains.size());
+        for (const std::string &domain : domains) {
+            line.text("domain", domain);
+        }
+    }
+}
+
+void PublishedState::beginList()
+{
+    listed_.clear();
+}
+
+void PublishedState::onListComplete(TimePoint now)
+{
+    std::vector<StoreItem> missing;
+    for (const auto &[key, item] : items_) {
+        if (!listed_.contains(key)) {
+            missing.push_back(item);
+        }
+    }
+    for (const StoreItem &item : missing) {
+        remove(now, item);
+    }
+    updateDomainsOut();
+}
+
+void PublishedState::onStoreReturned(TimePoint now)
+{
+    catalog_.onStoreReturned(now);
+}
+
+void PublishedState::onTick(TimePoint now)
+{
+    SearcherCatalog::Notices notices;
+    catalog_.onTimer(now, notices);
+    tell(notices, now);
+}
+
+std::vector<StoreItem> PublishedState::items() const
+{
+    std::vector<StoreItem> items;
+    items.reserve(items_.size());
+    for (const auto &[key, item] : items_) {
+        items.push_back(item);
+    }
+    return items;
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/entry/src/requesttask.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "entry/dispatcher.h"
+#include "entry/counters.h"
+#include "entry/waitinglist.h"
+#include "gather/gather.h"
+#include "http/server.h"
+#include "placement/calltimes.h"
+#include "routing/routetable.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// \file
+/// One request of a caller, from its arrival to its answer.
+
+namespace sassafrasvane::detail
+{
+
+class RequestTask;
+
+/// What all requests of a process use.
+struct RequestContext {
+    boost::asio::io_context &context;
+    const EntryProtocol &protocol;
+    SearcherPool &pool;
+    Dispatcher &dispatcher;
+    WaitingList &waiting;
+    EventLog &log;
+    EntryCounters &counters;
+    /// Ends the ownership of a request.
+    std::function<void(const RequestTask *request)> release;
+};
+
+/// Serves one request: places its parts, and answers the caller when Gather says so.
+class RequestTask : public std::enable_shared_from_this<RequestTask>
+{
+public:
+    /// \param route of \p table, whose version the request keeps. \param backends where the parts go.
+    RequestTask(RequestContext &shared,
+                std::shared_ptr<http::Exchange> exchange,
+                CallerTerms terms,
+                std::shared_ptr<const RouteTable> table,
+                const RequestRoute &route,
+                std::vector<BackendPool *> backends,
+                CallTimes &times);
+
+    /// Sends the parts, or refuses the request at once if it cannot be served.
+    void start();
+
+private:
+    struct Part {
+        BackendPool *backend = nullptr;
+        std::vector<std::shared_ptr<TrackedSearcher>> tried;
+        std::vector<CallHandle> calls;
+        std::optional<http::Response> response;
+        std::string proof;
+        /// True if the last call never reached a searcher, so that the next one is no extra call.
+        bool isNextFree = false;
+    };
+
+    GatherTerms gatherTerms() const;
+    GatherHooks gatherHooks();
+    bool canBeServed(TimePoint now) const;
+    Placement place(std::size_t part, CallPurpose purpose);
+    Placement place(std::size_t part, CallPurpose purpose, bool mayWait);
+    bool spendBudget(Part &part, CallPurpose purpose);
+    Placement wait(std::size_t part, CallPurpose purpose);
+    void onCallEnded(std::size_t part, CallVerdict outcome);
+    void schedule();
+    void onTimer();
+    void onAbandoned();
+    void finish(GatherEnd end);
+    void endCalls(bool isAbandoned);
+    http::Response answer(GatherEnd end);
+    http::Response mergedAnswer();
+    http::Response refusal(unsigned status) const;
+    void logEnd(GatherEnd end, unsigned status) const;
+
+    RequestContext &shared_;
+    std::shared_ptr<http::Exchange> exchange_;
+    CallerTerms terms_;
+    std::shared_ptr<const RouteTable> table_;
+    const RequestRoute &route_;
+    CallTimes &times_;
+    std::shared_ptr<const http::Request> request_;
+    std::vector<Part> parts_;
+    TimePoint deadline_;
+    Gather gather_;
+    boost::asio::steady_timer timer_;
+    std::optional<TimePoint> timerAt_;
+    /// A searcher's own failure, which is passed on if nothing better comes.
+    std::optional<http::Response> failure_;
+    std::uint32_t extraCalls_ = 0;
+};
+
+} // namespace sassafrasvane::detail
--- /dev/null
+++ b/libs/entry/src/searcherlinks.cpp
@@ -0,0 +1,119 @@
+#include "entry/searcherlinks.h"
+
+#include <algorithm>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+/// How long an idle connection is kept if the searcher does not say.
+constexpr Duration defaultIdleTime = std::chrono::seconds(8);
+/// Time before the searcher's timeout at which a connection is no longer used.
+constexpr Duration idleMargin = std::chrono::milliseconds(700);
+
+// A restarted searcher may keep its instance, so its start belongs to the key.
+std::string keyOf(const TrackedSearcher &searcher)
+{
+    return searcher.entry().instance + '/' + std::to_string(searcher.entry().startedAtMs);
+}
+
+} // namespace
+
+SearcherLinks::SearcherLinks(boost::asio::io_context &context) : context_(context) {}
+
+SearcherLinks::Lease SearcherLinks::acquire(TimePoint now,
+                                            const TrackedSearcher &searcher,
+                                            std::size_t limit,
+                                            Duration longestIdle)
+{
+    Links &links = links_[keyOf(searcher)];
+    while (!links.idle.empty()) {
+        const Idle idle = links.idle.back();
+        links.idle.pop_back();
+        idle.connection->setOnLost(nullptr);
+        const bool isFresh = idle.connection->isOpen() && now < idle.expiresAt && now - idle.since <= longestIdle;
+        if (isFresh) {
+            return {idle.connection, false};
+        }
+        idle.connection->close();
+        --links.open;
+        --open_;
+    }
+    if (links.open >= limit) {
+        return {};
+    }
+    ++links.open;
+    ++open_;
+    ++opened_;
+    return {http::ClientConnection::create(context_, searcher.entry().address), true};
+}
+
+void SearcherLinks::release(TimePoint now,
+                            const TrackedSearcher &searcher,
+                            const std::shared_ptr<http::ClientConnection> &connection,
+                            std::optional<Duration> idleTimeout)
+{
+    const std::string key = keyOf(searcher);
+    const Duration kept = std::max(Duration{0}, idleTimeout.value_or(defaultIdleTime) - idleMargin);
+    links_[key].idle.push_back({connection, now, now + kept});
+    connection->setOnLost([this, key, lost = connection.get()] { drop(key, lost); });
+}
+
+void SearcherLinks::discard(const TrackedSearcher &searcher)
+{
+    Links &links = links_[keyOf(searcher)];
+    links.open -= std::min<std::size_t>(links.open, 1);
+    --open_;
+}
+
+void SearcherLinks::drop(const std::string &instance, const http::ClientConnection *connection)
+{
+    Links &links = links_[instance];
+    const std::vector<Idle>::iterator found =
+        std::find_if(links.idle.begin(), links.idle.end(), [connection](const Idle &idle) {
+            return idle.connection.get() == connection;
+        });
+    if (found == links.idle.end()) {
+        return;
+    }
+    links.idle.erase(found);
+    --links.open;
+    --open_;
+}
+
+void SearcherLinks::closeStale(TimePoint now)
+{
+    for (std::unordered_map<std::string, Links>::iterator entry = links_.begin(); entry != links_.end();) {
+        Links &links = entry->second;
+        const std::vector<Idle>::iterator stale =
+            std::partition(links.idle.begin(), links.idle.end(), [now](const Idle &idle) {
+                return now < idle.expiresAt;
+            });
+        for (std::vector<Idle>::iterator idle = stale; idle != links.idle.end(); ++idle) {
+            idle->connection->close();
+            --links.open;
+            --open_;
+        }
+        links.idle.erase(stale, links.idle.end());
+        entry = links.open == 0 ? links_.erase(entry) : std::next(entry);
+    }
+}
+
+void SearcherLinks::forget(const std::string &instance)
+{
+    for (auto &[key, links] : links_) {
+        if (!key.starts_with(instance + '/')) {
+            continue;
+        }
+        for (const Idle &idle : links.idle) {
+            idle.connection->close();
+        }
+        open_ -= links.idle.size();
+        links.open -= links.idle.size();
+        links.idle.clear();
+    }
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/entry/src/storetask.cpp
@@ -0,0 +1,199 @@
+#include "entry/storetask.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+
+namespace sassafrasvane
+{
+
+StoreTask::StoreTask(boost::asio::io_context &context,
+                     const EntryProtocol &protocol,
+                     const Address &store,
+                     std::uint64_t seed,
+                     PublishedState &state,
+                     EventLog &log)
+    : context_(context)
+    , protocol_(protocol)
+    , store_(store)
+    , state_(state)
+    , log_(log)
+    , follower_(protocol.storePrefixes, seed)
+    , timer_(context)
+    , timeout_(context)
+{
+}
+
+StoreTask::~StoreTask()
+{
+    stop();
+}
+
+void StoreTask::start()
+{
+    onTimer();
+}
+
+void StoreTask::stop()
+{
+    isStopped_ = true;
+    timer_.cancel();
+    timeout_.cancel();
+    if (connection_) {
+        connection_->close();
+        connection_.reset();
+    }
+}
+
+void StoreTask::reconnect()
+{
+    if (connection_ && !isStopped_) {
+        fail(StoreFailure::Silent);
+    }
+}
+
+void StoreTask::onTimer()
+{
+    StoreActions actions;
+    follower_.onTimer(BootClock::now(), actions);
+    act(std::move(actions));
+}
+
+void StoreTask::act(StoreActions actions)
+{
+    const TimePoint now = BootClock::now();
+    if (actions.hasReturned) {
+        state_.onStoreReturned(now);
+    }
+    state_.apply(now, actions.items);
+    if (actions.isListComplete) {
+        state_.onListComplete(now);
+    }
+    if (actions.call) {
+        makeCall(*actions.call);
+    }
+    if (actions.wakeAt) {
+        schedule(*actions.wakeAt);
+    }
+}
+
+void StoreTask::schedule(TimePoint at)
+{
+    timer_.expires_after(std::max(Duration{0}, at - BootClock::now()));
+    timer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error && !isStopped_) {
+            onTimer();
+        }
+    });
+}
+
+void StoreTask::makeCall(const StoreCall &call)
+{
+    ++calls_;
+    const bool isListBegin =
+        call.kind == StoreCall::Kind::List && call.prefix == protocol_.storePrefixes.front() && call.afterKey.empty();
+    if (isListBegin) {
+        state_.beginList();
+    }
+    timeout_.expires_after(call.timeout);
+    timeout_.async_wait([this](const boost::system::error_code &error) {
+        if (!error && !isStopped_) {
+            onTimeout();
+        }
+    });
+    if (connection_ && connection_->isOpen()) {
+        send(call);
+        return;
+    }
+    connection_ = http::ClientConnection::create(context_, store_);
+    connection_->open([this, call, opened = connection_.get()](const std::error_code &error) {
+        if (opened != connection_.get()) {
+            return;
+        }
+        if (error) {
+            fail(StoreFailure::Unreachable);
+        } else {
+            send(call);
+        }
+    });
+}
+
+void StoreTask::send(const StoreCall &call)
+{
+    connection_->call(protocol_.writeStoreCall(call), nullptr, [this, call](http::CallResult result) {
+        onResult(call, std::move(result));
+    });
+}
+
+void StoreTask::onTimeout()
+{
+    fail(StoreFailure::Silent);
+}
+
+void StoreTask::onResult(const StoreCall &call, http::CallResult result)
+{
+    if (isStopped_) {
+        return;
+    }
+    if (!result.response) {
+        fail(result.failure == Errc::BadMessage ? StoreFailure::BadAnswer : StoreFailure::Unreachable);
+        return;
+    }
+    timeout_.cancel();
+    if (!result.isReusable) {
+        connection_.reset();
+    }
+    if (const std::optional<StoreFailure> failure = protocol_.readStoreFailure(*result.response)) {
+        fail(*failure);
+        return;
+    }
+    take(call, *result.response);
+}
+
+void StoreTask::take(const StoreCall &call, const http::Response &response)
+{
+    const TimePoint now = BootClock::now();
+    StoreActions actions;
+    if (call.kind == StoreCall::Kind::List) {
+        Result<StorePage> page = protocol_.readStorePage(response);
+        if (page.has_error()) {
+            log_.line(EventRank::Important, "store_answer_unreadable").error(page.error());
+            fail(StoreFailure::BadAnswer);
+            return;
+        }
+        follower_.onPage(now, std::move(page.value()), actions);
+    } else {
+        Result<StoreChanges> changes = protocol_.readStoreChanges(response);
+        if (changes.has_error()) {
+            log_.line(EventRank::Important, "store_answer_unreadable").error(changes.error());
+            fail(StoreFailure::BadAnswer);
+            return;
+        }
+        follower_.onChanges(now, std::move(changes.value()), actions);
+    }
+    if (isLost_) {
+        isLost_ = false;
+        log_.line(EventRank::Important, "store_regained").text("peer", store_.toString()).flag("outage", actions.hasReturned);
+    }
+    act(std::move(actions));
+}
+
+void StoreTask::fail(StoreFailure failure)
+{
+    timeout_.cancel();
+    const bool isAnswered = failure == StoreFailure::HistoryLost || failure == StoreFailure::Refused;
+    if (connection_ && !isAnswered) {
+        connection_->close();
+        connection_.reset();
+    }
+    log_.line(EventRank::Important, "store_call_failed")
+        .text("peer", store_.toString())
+        .text("failure", name(failure))
+        .flag("first", !isLost_);
+    isLost_ = isLost_ || failure != StoreFailure::HistoryLost;
+    StoreActions actions;
+    follower_.onFailure(BootClock::now(), failure, actions);
+    act(std::move(actions));
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/gather/src/gather.cpp
@@ -0,0 +1,207 @@
+#include "gather/gather.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sassafrasvane
+{
+
+const char *name(CallPurpose purpose) noexcept
+{
+    constexpr std::array<const char *, 3> names{"first", "retry", "hedge"};
+    return names.at(static_cast<std::size_t>(purpose));
+}
+
+const char *name(GatherEnd end) noexcept
+{
+    constexpr std::array<const char *, 4> names{"answered", "unserved", "failed", "timed_out"};
+    return names.at(static_cast<std::size_t>(end));
+}
+
+Gather::Gather(const GatherTerms &terms, GatherHooks hooks)
+    : terms_(terms), hooks_(std::move(hooks)), parts_(terms.parts)
+{
+}
+
+void Gather::start(TimePoint now)
+{
+    isStarting_ = true;
+    for (std::size_t part = 0; part < parts_.size(); ++part) {
+        place(now, part, CallPurpose::First);
+    }
+    isStarting_ = false;
+    check(now);
+}
+
+void Gather::place(TimePoint now, std::size_t part, CallPurpose purpose)
+{
+    Part &state = parts_[part];
+    switch (hooks_.place(part, purpose)) {
+    case Placement::Sent:
+        onPlaced(now, part);
+        break;
+    case Placement::Waiting:
+        if (state.openCalls == 0) {
+            state.state = State::Waiting;
+        }
+        break;
+    case Placement::Declined:
+        if (state.openCalls == 0) {
+            lose(part);
+        }
+        break;
+    }
+}
+
+void Gather::onPlaced(TimePoint now, std::size_t part)
+{
+    Part &state = parts_[part];
+    if (isFinished_) {
+        return;
+    }
+    ++sent_;
+    ++state.openCalls;
+    ++state.attempts;
+    if (state.state != State::Answered) {
+        state.state = State::Running;
+    }
+    state.sentAt = now;
+}
+
+void Gather::onUnplaceable(TimePoint now, std::size_t part)
+{
+    if (isFinished_ || parts_[part].state != State::Waiting) {
+        return;
+    }
+    lose(part);
+    check(now);
+}
+
+void Gather::lose(std::size_t part)
+{
+    parts_[part].state = State::Lost;
+    ++lost_;
+}
+
+void Gather::onAnswered(TimePoint now, std::size_t part)
+{
+    Part &state = parts_[part];
+    mayHaveRun_ = true;
+    if (isFinished_) {
+        return;
+    }
+    state.openCalls -= std::min<std::uint32_t>(state.openCalls, 1);
+    if (state.state == State::Answered) {
+        return;
+    }
+    state.state = State::Answered;
+    ++answered_;
+    check(now);
+}
+
+void Gather::onFailed(TimePoint now, std::size_t part, Ran ran)
+{
+    Part &state = parts_[part];
+    mayHaveRun_ = mayHaveRun_ || ran != Ran::No;
+    if (isFinished_) {
+        return;
+    }
+    state.openCalls -= std::min<std::uint32_t>(state.openCalls, 1);
+    if (ran == Ran::No) {
+        state.attempts -= std::min<std::uint32_t>(state.attempts, 1);
+    }
+    if (state.state != State::Running || state.openCalls > 0) {
+        return;
+    }
+    const bool mayRepeat = ran == Ran::No || (terms_.isIdempotent && state.attempts < terms_.maxAttempts);
+    if (mayRepeat && now < terms_.deadline) {
+        place(now, part, CallPurpose::Retry);
+    } else {
+        lose(part);
+    }
+    check(now);
+}
+
+void Gather::check(TimePoint now)
+{
+    if (isFinished_ || isStarting_) {
+        return;
+    }
+    const std::size_t possible = parts_.size() - lost_;
+    if (possible < terms_.leastParts) {
+        const bool isRunning = std::any_of(
+            parts_.begin(), parts_.end(), [](const Part &part) { return part.openCalls > 0; });
+        finish(mayHaveRun_ || isRunning ? GatherEnd::Failed : GatherEnd::Unserved);
+        return;
+    }
+    const bool isComplete = answered_ == possible;
+    const bool isEnough = answered_ >= terms_.leastParts && now >= terms_.targetAt;
+    if (isComplete || isEnough) {
+        finish(GatherEnd::Answered);
+    }
+}
+
+void Gather::onTimer(TimePoint now)
+{
+    if (isFinished_) {
+        return;
+    }
+    if (now >= terms_.deadline) {
+        if (answered_ >= terms_.leastParts) {
+            finish(GatherEnd::Answered);
+        } else {
+            finish(sent_ == 0 ? GatherEnd::Unserved : GatherEnd::TimedOut);
+        }
+        return;
+    }
+    if (sent_ == 0 && now >= terms_.refuseAt) {
+        finish(GatherEnd::Unserved);
+        return;
+    }
+    hedgeLate(now);
+    check(now);
+}
+
+bool Gather::mayHedge(const Part &part) const noexcept
+{
+    return terms_.isIdempotent && part.state == State::Running && !part.isHedged && part.attempts < terms_.maxAttempts;
+}
+
+void Gather::hedgeLate(TimePoint now)
+{
+    for (std::size_t part = 0; part < parts_.size(); ++part) {
+        Part &state = parts_[part];
+        if (mayHedge(state) && now >= state.sentAt + terms_.hedgeDelay) {
+            state.isHedged = true;
+            place(now, part, CallPurpose::Hedge);
+        }
+    }
+}
+
+std::optional<TimePoint> Gather::wakeAt() const
+{
+    if (isFinished_) {
+        return std::nullopt;
+    }
+    TimePoint next = terms_.deadline;
+    for (const Part &part : parts_) {
+        if (mayHedge(part)) {
+            next = std::min(next, part.sentAt + terms_.hedgeDelay);
+        }
+    }
+    if (sent_ == 0) {
+        next = std::min(next, terms_.refuseAt);
+    }
+    if (answered_ >= terms_.leastParts) {
+        next = std::min(next, terms_.targetAt);
+    }
+    return next;
+}
+
+void Gather::finish(GatherEnd end)
+{
+    isFinished_ = true;
+    hooks_.finish(end);
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/http/include/http/clientconnection.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "base/address.h"
+#include "base/error.h"
+#include "base/time.h"
+#include "http/message.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace boost::asio
+{
+class io_context;
+}
+
+/// \file
+/// One HTTP/1.1 connection to a server, on the event loop.
+
+namespace sassafrasvane::http
+{
+
+/// What became of a call.
+struct CallResult {
+    /// The whole response; nothing if the connection failed first.
+    std::optional<Response> response;
+    /// Set if there is no response: Errc::ConnectionLost or Errc::BadMessage.
+    Errc failure = Errc::ConnectionLost;
+    /// True if bytes of the request may have reached the server.
+    bool mayHaveArrived = true;
+    /// True if the connection may take another call.
+    bool isReusable = false;
+};
+
+/// A connection that carries one call at a time.
+///
+/// The connection is read on while idle, so that a server's close is noticed at once. Bytes after a response, or a
+/// response before the request was written, make the connection unusable for further calls. A response that the
+/// filter does not accept belongs to an earlier call: it is dropped, and the next one is awaited.
+///
+/// \code
+/// std::shared_ptr<ClientConnection> connection = ClientConnection::create(context, address);
+/// connection->open([](const std::error_code &error) { ... });
+/// connection->call(request, filter, [](CallResult result) { ... });
+/// \endcode
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>
+{
+public:
+    using OpenHandler = std::function<void(const std::error_code &error)>;
+    using CallHandler = std::function<void(CallResult result)>;
+    using ResponseFilter = std::function<bool(const Response &response)>;
+
+    /// Largest response that is taken, in bytes of body.
+    static constexpr std::uint64_t maxResponseBytes = 8 * 1024 * 1024;
+
+    static std::shared_ptr<ClientConnection> create(boost::asio::io_context &context, const Address &server);
+
+    virtual ~ClientConnection() = default;
+
+    /// Opens the connection; \p handler is called once unless close() comes first.
+    virtual void open(OpenHandler handler) = 0;
+
+    /// Sends \p request; \p handler is called once unless close() comes first.
+    virtual void call(Request request, ResponseFilter filter, CallHandler handler) = 0;
+
+    /// Sets what is called when the connection is lost while idle.
+    virtual void setOnLost(std::function<void()> hook) = 0;
+
+    /// Closes the connection at once and drops all handlers.
+    virtual void close() = 0;
+
+    /// True while the connection is open.
+    virtual bool isOpen() const noexcept = 0;
+
+    /// Calls that were answered on this connection.
+    virtual std::uint64_t answeredCalls() const noexcept = 0;
+};
+
+} // namespace sassafrasvane::http
--- /dev/null
+++ b/libs/http/src/clientconnection.cpp
@@ -0,0 +1,248 @@
+#include "http/clientconnection.h"
+
+#include "socketoptions.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace sassafrasvane::http
+{
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+constexpr std::size_t readBytes = 16 * 1024;
+constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
+
+/// The connection on a TCP socket.
+class TcpClientConnection final : public ClientConnection
+{
+public:
+    TcpClientConnection(boost::asio::io_context &context, const Address &server)
+        : socket_(context), server_(boost::asio::ip::address_v4(server.ip), server.port)
+    {
+    }
+
+    void open(OpenHandler handler) override;
+    void call(Request request, ResponseFilter filter, CallHandler handler) override;
+    void setOnLost(std::function<void()> hook) override { onLost_ = std::move(hook); }
+    void close() override;
+    bool isOpen() const noexcept override { return socket_.is_open(); }
+    std::uint64_t answeredCalls() const noexcept override { return answeredCalls_; }
+
+private:
+    using Parser = beast_http::response_parser<beast_http::string_body>;
+
+    std::shared_ptr<TcpClientConnection> self()
+    {
+        return std::static_pointer_cast<TcpClientConnection>(shared_from_this());
+    }
+    void read();
+    void onRead(const boost::system::error_code &error, std::size_t size);
+    void onReadError(const boost::system::error_code &error);
+    void onWritten(const boost::system::error_code &error, std::size_t size);
+    void parse();
+    void beginResponse();
+    void complete();
+    void fail(Errc failure);
+    void finish(CallResult result);
+
+    tcp::socket socket_;
+    tcp::endpoint server_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<Request> request_;
+    std::optional<Parser> parser_;
+    ResponseFilter filter_;
+    CallHandler handler_;
+    std::function<void()> onLost_;
+    std::uint64_t answeredCalls_ = 0;
+    bool isReadPending_ = false;
+    bool isWriting_ = false;
+    bool hasWritten_ = false;
+};
+
+void TcpClientConnection::open(OpenHandler handler)
+{
+    boost::system::error_code error;
+    socket_.open(tcp::v4(), error);
+    if (error) {
+        handler(error);
+        return;
+    }
+    detail::setOptions(socket_);
+    socket_.async_connect(server_, [self = self(), handler](const boost::system::error_code &connectError) {
+        if (!self->socket_.is_open()) {
+            return;
+        }
+        handler(connectError);
+    });
+}
+
+void TcpClientConnection::call(Request request, ResponseFilter filter, CallHandler handler)
+{
+    request_.emplace(std::move(request));
+    filter_ = std::move(filter);
+    handler_ = std::move(handler);
+    hasWritten_ = false;
+    isWriting_ = true;
+    beginResponse();
+    beast_http::async_write(
+        socket_, *request_, [self = self()](const boost::system::error_code &error, std::size_t size) {
+            self->onWritten(error, size);
+        });
+    read();
+}
+
+void TcpClientConnection::beginResponse()
+{
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(maxHeaderBytes);
+    parser_->body_limit(maxResponseBytes);
+}
+
+void TcpClientConnection::onWritten(const boost::system::error_code &error, std::size_t size)
+{
+    isWriting_ = false;
+    hasWritten_ = hasWritten_ || size > 0;
+    // A server may answer and close before it has read the whole request, so the answer is still read.
+    if (error && !isReadPending_) {
+        fail(Errc::ConnectionLost);
+    }
+}
+
+void TcpClientConnection::read()
+{
+    if (isReadPending_ || !socket_.is_open()) {
+        return;
+    }
+    isReadPending_ = true;
+    socket_.async_read_some(buffer_.prepare(readBytes),
+                            [self = self()](const boost::system::error_code &error, std::size_t size) {
+                                self->onRead(error, size);
+                            });
+}
+
+void TcpClientConnection::onRead(const boost::system::error_code &error, std::size_t size)
+{
+    isReadPending_ = false;
+    if (!socket_.is_open()) {
+        return;
+    }
+    if (error) {
+        onReadError(error);
+        return;
+    }
+    buffer_.commit(size);
+    if (!handler_) {
+        // Bytes that no call asked for.
+        fail(Errc::BadMessage);
+        return;
+    }
+    parse();
+    read();
+}
+
+void TcpClientConnection::onReadError(const boost::system::error_code &error)
+{
+    const bool isUnframedEnd =
+        error == boost::asio::error::eof && handler_ && parser_->is_header_done() && parser_->need_eof();
+    if (isUnframedEnd) {
+        boost::system::error_code ended;
+        parser_->put_eof(ended);
+        if (!ended && parser_->is_done()) {
+            complete();
+            return;
+        }
+    }
+    fail(Errc::ConnectionLost);
+}
+
+void TcpClientConnection::parse()
+{
+    while (handler_ && buffer_.size() > 0) {
+        boost::system::error_code error;
+        const std::size_t used = parser_->put(buffer_.data(), error);
+        buffer_.consume(used);
+        if (error && error != beast_http::error::need_more) {
+            fail(Errc::BadMessage);
+            return;
+        }
+        if (parser_->is_done()) {
+            complete();
+            return;
+        }
+        if (used == 0) {
+            return;
+        }
+    }
+}
+
+void TcpClientConnection::complete()
+{
+    const bool isInformational = parser_->get().result_int() < 200;
+    if (isInformational || (filter_ && !filter_(parser_->get()))) {
+        const bool canFollow = isInformational || parser_->keep_alive();
+        beginResponse();
+        if (!canFollow) {
+            fail(Errc::BadMessage);
+            return;
+        }
+        parse();
+        return;
+    }
+    CallResult result;
+    result.isReusable = parser_->keep_alive() && !isWriting_ && buffer_.size() == 0;
+    result.response.emplace(parser_->release());
+    ++answeredCalls_;
+    finish(std::move(result));
+}
+
+void TcpClientConnection::fail(Errc failure)
+{
+    CallResult result;
+    result.failure = failure;
+    result.mayHaveArrived = hasWritten_ || isWriting_;
+    finish(std::move(result));
+}
+
+void TcpClientConnection::finish(CallResult result)
+{
+    const std::shared_ptr<TcpClientConnection> alive = self();
+    const CallHandler handler = std::move(handler_);
+    handler_ = nullptr;
+    filter_ = nullptr;
+    const std::function<void()> onLost = handler ? nullptr : onLost_;
+    if (!result.isReusable) {
+        close();
+    }
+    if (handler) {
+        handler(std::move(result));
+    } else if (onLost) {
+        onLost();
+    }
+}
+
+void TcpClientConnection::close()
+{
+    handler_ = nullptr;
+    filter_ = nullptr;
+    onLost_ = nullptr;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+} // namespace
+
+std::shared_ptr<ClientConnection> ClientConnection::create(boost::asio::io_context &context, const Address &server)
+{
+    return std::make_shared<TcpClientConnection>(context, server);
+}
+
+} // namespace sassafrasvane::http
--- /dev/null
+++ b/libs/http/src/server.cpp
@@ -0,0 +1,231 @@
+#include "http/server.h"
+
+#include "serverconnection.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <vector>
+
+namespace sassafrasvane::http
+{
+
+namespace
+{
+
+constexpr int listenBacklog = 1'024;
+constexpr unsigned internalError = 500;
+
+} // namespace
+
+Exchange::Exchange(std::shared_ptr<detail::ServerConnection> connection, Request request, TimePoint receivedAt)
+    : connection_(std::move(connection)), request_(std::move(request)), receivedAt_(receivedAt)
+{
+}
+
+Exchange::~Exchange()
+{
+    if (!isAnswered_ && !isAbandoned_) {
+        connection_->respond(emptyResponse(internalError));
+    }
+}
+
+const Address &Exchange::client() const noexcept
+{
+    return connection_->client();
+}
+
+void Exchange::respond(Response response)
+{
+    if (isAnswered_ || isAbandoned_) {
+        return;
+    }
+    isAnswered_ = true;
+    onAbandoned_ = nullptr;
+    connection_->respond(std::move(response));
+}
+
+void Exchange::abandon()
+{
+    if (isAnswered_ || isAbandoned_) {
+        return;
+    }
+    isAbandoned_ = true;
+    if (const std::function<void()> hook = std::move(onAbandoned_)) {
+        hook();
+    }
+}
+
+Response emptyResponse(unsigned status)
+{
+    Response response;
+    response.result(status);
+    response.prepare_payload();
+    return response;
+}
+
+Response textResponse(unsigned status, std::string_view contentType, std::string body)
+{
+    Response response;
+    response.result(status);
+    response.set(beast_http::field::content_type, toView(contentType));
+    response.body() = std::move(body);
+    response.prepare_payload();
+    return response;
+}
+
+namespace detail
+{
+
+ServerState::ServerState(boost::asio::io_context &context, const ServerLimits &limits, RequestHandler handler)
+    : acceptor(context), limits(limits), handler(std::move(handler))
+{
+}
+
+boost::system::error_code ServerState::listen(const Address &address)
+{
+    using boost::asio::ip::tcp;
+    const tcp::endpoint endpoint(boost::asio::ip::address_v4(address.ip), address.port);
+    boost::system::error_code error;
+    acceptor.open(tcp::v4(), error);
+    if (!error) {
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor.listen(listenBacklog, error);
+    }
+    return error;
+}
+
+void ServerState::accept()
+{
+    acceptor.async_accept([self = shared_from_this()](const boost::system::error_code &error,
+                                                      boost::asio::ip::tcp::socket socket) {
+        if (!self->acceptor.is_open() || error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            self->take(std::move(socket));
+        }
+        self->accept();
+    });
+}
+
+void ServerState::take(boost::asio::ip::tcp::socket socket)
+{
+    if (connections.size() >= limits.connections) {
+        ++counters.refusedConnections;
+        return;
+    }
+    ++counters.accepted;
+    const std::shared_ptr<ServerConnection> connection =
+        std::make_shared<ServerConnection>(std::move(socket), shared_from_this());
+    add(connection);
+    connection->start();
+}
+
+void ServerState::add(const std::shared_ptr<ServerConnection> &connection)
+{
+    connections.insert(connection);
+    counters.openConnections = connections.size();
+}
+
+void ServerState::remove(const std::shared_ptr<ServerConnection> &connection)
+{
+    connections.erase(connection);
+    counters.openConnections = connections.size();
+}
+
+} // namespace detail
+
+Server::Server(std::shared_ptr<detail::ServerState> state) : state_(std::move(state)) {}
+
+Server::~Server()
+{
+    stopAccepting();
+    const std::vector<std::shared_ptr<detail::ServerConnection>> open(state_->connections.begin(),
+                                                                      state_->connections.end());
+    for (const std::shared_ptr<detail::ServerConnection> &connection : open) {
+        connection->close();
+    }
+}
+
+void Server::setLimits(const ServerLimits &limits)
+{
+    state_->limits = limits;
+}
+
+void Server::closeAfterResponses()
+{
+    state_->isClosingAfterResponses = true;
+}
+
+void Server::closeIdle()
+{
+    const std::vector<std::shared_ptr<detail::ServerConnection>> open(state_->connections.begin(),
+                                                                      state_->connections.end());
+    for (const std::shared_ptr<detail::ServerConnection> &connection : open) {
+        if (connection->isIdle()) {
+            connection->close();
+        }
+    }
+}
+
+void Server::stopAccepting()
+{
+    boost::system::error_code ignored;
+    state_->acceptor.close(ignored);
+}
+
+void Server::closeExpired(TimePoint now)
+{
+    std::vector<std::shared_ptr<detail::ServerConnection>> expired;
+    for (const std::shared_ptr<detail::ServerConnection> &connection : state_->connections) {
+        if (connection->isExpired(now)) {
+            expired.push_back(connection);
+        }
+    }
+    for (const std::shared_ptr<detail::ServerConnection> &connection : expired) {
+        connection->close();
+    }
+}
+
+ServerCounters Server::counters() const noexcept
+{
+    return state_->counters;
+}
+
+Server::Builder::Builder(boost::asio::io_context &context) : context_(context) {}
+
+Server::Builder &Server::Builder::address(const Address &address) noexcept
+{
+    address_ = address;
+    return *this;
+}
+
+Server::Builder &Server::Builder::limits(const ServerLimits &limits) noexcept
+{
+    limits_ = limits;
+    return *this;
+}
+
+Server::Builder &Server::Builder::handler(RequestHandler handler)
+{
+    handler_ = std::move(handler);
+    return *this;
+}
+
+Result<std::unique_ptr<Server>> Server::Builder::build() const
+{
+    const std::shared_ptr<detail::ServerState> state =
+        std::make_shared<detail::ServerState>(context_, limits_, handler_);
+    if (const boost::system::error_code error = state->listen(address_)) {
+        return Error{Errc::Unavailable, Step::Accept, address_.toString(), error.message()};
+    }
+    state->accept();
+    return std::unique_ptr<Server>(new Server(state));
+}
+
+} // namespace sassafrasvane::http
--- /dev/null
+++ b/libs/http/src/serverconnection.cpp
@@ -0,0 +1,206 @@
+#include "serverconnection.h"
+
+#include "socketoptions.h"
+
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace sassafrasvane::http::detail
+{
+
+namespace
+{
+
+constexpr std::size_t readBytes = 8 * 1024;
+/// Bytes of following requests that are read while one is worked on.
+constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+
+unsigned statusOf(const boost::system::error_code &error)
+{
+    if (error == beast_http::error::header_limit) {
+        return 431;
+    }
+    if (error == beast_http::error::body_limit) {
+        return 413;
+    }
+    return 400;
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<ServerState> state)
+    : socket_(std::move(socket)), state_(std::move(state)), since_(BootClock::now())
+{
+    boost::system::error_code ignored;
+    const boost::asio::ip::tcp::endpoint remote = socket_.remote_endpoint(ignored);
+    if (remote.address().is_v4()) {
+        client_ = Address{remote.address().to_v4().to_uint(), remote.port()};
+    }
+    setOptions(socket_);
+}
+
+void ServerConnection::start()
+{
+    beginRequest();
+    read();
+}
+
+void ServerConnection::beginRequest()
+{
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(state_->limits.headerBytes);
+    parser_->body_limit(state_->limits.bodyBytes);
+    phase_ = Phase::Reading;
+    isRequestBegun_ = false;
+    since_ = BootClock::now();
+}
+
+void ServerConnection::read()
+{
+    if (isReadPending_ || isClosed_ || isInputEnded_ || buffer_.size() > maxPipelinedBytes) {
+        return;
+    }
+    isReadPending_ = true;
+    socket_.async_read_some(
+        buffer_.prepare(readBytes),
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+            self->onRead(error, size);
+        });
+}
+
+void ServerConnection::onRead(const boost::system::error_code &error, std::size_t size)
+{
+    isReadPending_ = false;
+    if (isClosed_) {
+        return;
+    }
+    if (error) {
+        isInputEnded_ = true;
+        onEnd();
+        return;
+    }
+    buffer_.commit(size);
+    if (phase_ == Phase::Reading) {
+        parse();
+    }
+    read();
+}
+
+// The client has closed, or at least sends nothing more; either way it no longer waits for an answer.
+void ServerConnection::onEnd()
+{
+    if (const std::shared_ptr<Exchange> exchange = exchange_.lock(); exchange && phase_ == Phase::Working) {
+        exchange->abandon();
+    }
+    if (phase_ != Phase::Writing) {
+        close();
+    }
+}
+
+void ServerConnection::parse()
+{
+    while (phase_ == Phase::Reading && buffer_.size() > 0) {
+        if (!isRequestBegun_) {
+            isRequestBegun_ = true;
+            since_ = BootClock::now();
+        }
+        const bool hadHeader = parser_->is_header_done();
+        boost::system::error_code error;
+        const std::size_t used = parser_->put(buffer_.data(), error);
+        buffer_.consume(used);
+        if (error && error != beast_http::error::need_more) {
+            refuse(error);
+            return;
+        }
+        if (!hadHeader && parser_->is_header_done()) {
+            since_ = BootClock::now();
+        }
+        if (parser_->is_done()) {
+            dispatch();
+            return;
+        }
+        if (used == 0) {
+            return;
+        }
+    }
+}
+
+void ServerConnection::dispatch()
+{
+    phase_ = Phase::Working;
+    isKeptAlive_ = parser_->keep_alive();
+    const std::shared_ptr<Exchange> exchange =
+        std::make_shared<Exchange>(shared_from_this(), parser_->release(), BootClock::now());
+    exchange_ = exchange;
+    ++state_->counters.openExchanges;
+    state_->handler(exchange);
+}
+
+void ServerConnection::refuse(const boost::system::error_code &error)
+{
+    ++state_->counters.malformedRequests;
+    ++state_->counters.openExchanges;
+    isKeptAlive_ = false;
+    phase_ = Phase::Working;
+    respond(emptyResponse(statusOf(error)));
+}
+
+void ServerConnection::respond(Response response)
+{
+    if (isClosed_ || phase_ != Phase::Working) {
+        return;
+    }
+    --state_->counters.openExchanges;
+    phase_ = Phase::Writing;
+    isKeptAlive_ = isKeptAlive_ && !state_->isClosingAfterResponses;
+    response.version(11);
+    response.keep_alive(isKeptAlive_);
+    response_.emplace(std::move(response));
+    beast_http::async_write(
+        socket_, *response_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+            self->onWritten(error);
+        });
+}
+
+void ServerConnection::onWritten(const boost::system::error_code &error)
+{
+    if (isClosed_) {
+        return;
+    }
+    response_.reset();
+    if (error || !isKeptAlive_ || isInputEnded_) {
+        close();
+        return;
+    }
+    beginRequest();
+    parse();
+    read();
+}
+
+bool ServerConnection::isExpired(TimePoint now) const noexcept
+{
+    if (phase_ == Phase::Working) {
+        return false;
+    }
+    const bool isWaiting = phase_ == Phase::Reading && !isRequestBegun_;
+    return now - since_ > (isWaiting ? state_->limits.idleTimeout : state_->limits.headerTimeout)
+        && phase_ == Phase::Reading;
+}
+
+void ServerConnection::close()
+{
+    if (isClosed_) {
+        return;
+    }
+    if (phase_ == Phase::Working) {
+        --state_->counters.openExchanges;
+    }
+    isClosed_ = true;
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+    state_->remove(shared_from_this());
+}
+
+} // namespace sassafrasvane::http::detail
--- /dev/null
+++ b/libs/http/src/socketoptions.cpp
@@ -0,0 +1,41 @@
+#include "socketoptions.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace sassafrasvane::http::detail
+{
+
+namespace
+{
+
+/// Idle time before the first keep-alive probe, in seconds.
+constexpr int keepAliveIdleSeconds = 1;
+/// Time between two keep-alive probes, in seconds.
+constexpr int keepAliveIntervalSeconds = 1;
+/// Unanswered keep-alive probes after which the connection is lost.
+constexpr int keepAliveProbes = 2;
+/// Time after which sent bytes that are not acknowledged end the connection, in milliseconds.
+constexpr unsigned unacknowledgedMilliseconds = 3'000;
+
+template<typename Value>
+void set(int descriptor, int level, int option, Value value)
+{
+    // An option that the system does not know leaves only a slower detection.
+    (void)setsockopt(descriptor, level, option, &value, sizeof value);
+}
+
+} // namespace
+
+void setOptions(boost::asio::ip::tcp::socket &socket)
+{
+    const int descriptor = socket.native_handle();
+    set(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    set(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    set(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    set(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    set(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
+}
+
+} // namespace sassafrasvane::http::detail
--- /dev/null
+++ b/libs/http/src/socketoptions.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+/// \file
+/// Options that all TCP sockets of the event loop share.
+
+namespace sassafrasvane::http::detail
+{
+
+/// Sends without delay, and detects a peer that has vanished without a reset within about three seconds.
+void setOptions(boost::asio::ip::tcp::socket &socket);
+
+} // namespace sassafrasvane::http::detail
--- /dev/null
+++ b/libs/placement/include/placement/searcherpool.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "base/random.h"
+#include "base/time.h"
+#include "catalog/searcherentry.h"
+#include "placement/retrybudget.h"
+#include "placement/trackedsearcher.h"
+#include "routing/configuration.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+/// \file
+/// Which searcher takes a call.
+
+namespace sassafrasvane
+{
+
+/// Bounds that hold over all entry VMs together.
+struct PoolBounds {
+    double retryRatio = 0.2;
+    double retrySlack = 50;
+    double coldFactor = 1.5;
+    double coldSlack = 5;
+};
+
+/// Why no searcher was chosen.
+enum class Unplaced {
+    None,      ///< One was chosen.
+    Unknown,   ///< No searcher of the back end may be used at all.
+    Blocked,   ///< All that may be used have failed lately.
+    Saturated, ///< All that may be used have as many calls as they are given.
+};
+
+/// Stable lower-case name of \p reason, for log lines.
+const char *name(Unplaced reason) noexcept;
+
+/// A choice; searcher is null if none may take the call.
+struct Choice {
+    std::shared_ptr<TrackedSearcher> searcher;
+    Unplaced reason = Unplaced::None;
+};
+
+/// The searchers of one back end.
+class BackendPool
+{
+public:
+    BackendPool(std::string name, const RetryBudget &budget);
+
+    const std::string &name() const noexcept { return name_; }
+    RetryBudget &budget() noexcept { return budget_; }
+    const std::vector<std::shared_ptr<TrackedSearcher>> &searchers() const noexcept { return searchers_; }
+
+private:
+    friend class SearcherPool;
+
+    std::string name_;
+    RetryBudget budget_;
+    std::vector<std::shared_ptr<TrackedSearcher>> searchers_;
+    BackendTerms terms_;
+};
+
+/// All searchers, by back end.
+///
+/// Connections and cold starts are limits over all entry VMs. The connections of a searcher are divided by the number
+/// of entry VMs; the calls of a cold searcher belong to the one entry VM that rendezvous hashing names.
+///
+/// \code
+/// BackendPool &backend = pool.backend("desk");
+/// const Choice choice = pool.choose(now, backend, tried);
+/// \endcode
+class SearcherPool
+{
+public:
+    /// \param self name of this VM. \param seed of the random choices.
+    SearcherPool(std::string self, std::string failureDomain, const PoolBounds &bounds, std::uint64_t seed);
+
+    /// Takes a registration.
+    void put(TimePoint now, const SearcherEntry &entry);
+
+    /// Forgets \p instance. Its open calls go on.
+    void remove(std::string_view instance);
+
+    /// Takes the terms of all back ends.
+    void setTerms(const std::vector<BackendTerms> &terms);
+
+    /// Sets the failure domains whose searchers take no calls. \return false if they are the same as before.
+    bool setDomainsOut(const std::set<std::string> &domains);
+
+    /// Sets the names of all entry VMs that may be sending, this one included.
+    void setFleet(const std::set<std::string> &vms);
+
+    /// The back end called \p name, which need not have searchers.
+    BackendPool &backend(std::string_view name);
+
+    /// Chooses a searcher for one more call, or says why there is none.
+    /// \param tried searchers that the request has already been sent to.
+    Choice choose(TimePoint now, BackendPool &backend, std::span<const std::shared_ptr<TrackedSearcher>> tried);
+
+    /// True if some searcher of \p backend may be tried now or soon.
+    bool isServing(TimePoint now, const BackendPool &backend) const;
+
+    /// Connections that this process may have to \p searcher.
+    std::size_t connectionLimit(const TrackedSearcher &searcher) const;
+
+    /// The registered searcher \p instance; null if there is none.
+    std::shared_ptr<TrackedSearcher> find(std::string_view instance) const;
+
+private:
+    struct ColdPace {
+        TimePoint nextAt;
+    };
+
+    bool isUsable(const TrackedSearcher &searcher) const;
+    bool mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms);
+    std::size_t callLimit(const TrackedSearcher &searcher, const BackendTerms &terms) const;
+
+    std::string self_;
+    std::string failureDomain_;
+    PoolBounds bounds_;
+    Random random_;
+    std::map<std::string, std::unique_ptr<BackendPool>, std::less<>> backends_;
+    std::unordered_map<std::string, std::shared_ptr<TrackedSearcher>> searchers_;
+    std::unordered_map<std::string, ColdPace> coldPaces_;
+    std::set<std::string> domainsOut_;
+    std::set<std::string> fleet_;
+};
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "base/time.h"
+#include "catalog/searcherentry.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+/// \file
+/// One searcher as this process has found it.
+
+namespace sassafrasvane
+{
+
+/// What a searcher says of its load.
+struct LoadReport {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/// How a call to a searcher ended.
+enum class CallEnd {
+    Answered,      ///< The searcher answered as it should.
+    Rejected,      ///< The searcher says that it did not run the call.
+    WrongSearcher, ///< Another searcher has the address.
+    ServerError,   ///< The searcher ran the call and answered with a failure, or with bytes that are no answer.
+    Broken,        ///< The connection was lost after the call was sent.
+    NotConnected,  ///< No connection could be opened; nothing was sent.
+    TimedOut,      ///< No answer in time.
+    Cancelled,     ///< Nobody waits for the answer any more; says nothing of the searcher.
+};
+
+/// Stable lower-case name of \p end, for log lines.
+const char *name(CallEnd end) noexcept;
+
+/// A searcher with what this process's own calls tell of it.
+///
+/// Searchers are compared by the time that a call is expected to take, in multiples of the usual time of its route.
+class TrackedSearcher
+{
+public:
+    TrackedSearcher(TimePoint now, const SearcherEntry &entry);
+
+    const SearcherEntry &entry() const noexcept { return entry_; }
+
+    /// Takes a new registration of the same process.
+    void update(TimePoint now, const SearcherEntry &entry);
+
+    /// True if the searcher is cold.
+    bool isCold(TimePoint now) const noexcept { return now < coldUntil_; }
+
+    /// True if the searcher is left alone after failures.
+    bool isBlocked(TimePoint now) const noexcept { return now < blockedUntil_; }
+
+    /// When the searcher may be tried again.
+    TimePoint blockedUntil() const noexcept { return blockedUntil_; }
+
+    /// Calls of this process that are open.
+    std::size_t openCalls() const noexcept { return calls_.size(); }
+
+    /// Notes a call. \param typical usual time of the call's route. \return a number that identifies it.
+    std::uint64_t begin(TimePoint now, Duration typical);
+
+    /// Notes the end of call \p number. \param load what the searcher said of its load, if it did.
+    void end(TimePoint now, std::uint64_t number, CallEnd end, std::optional<LoadReport> load);
+
+    /// True if an open call has taken much longer than usual: the searcher may be standing still.
+    bool isOverdue(TimePoint now) const noexcept;
+
+    /// Expected time of one more call, in multiples of the usual time.
+    double cost(TimePoint now) const noexcept;
+
+    /// Failures in a row.
+    std::uint32_t failuresInRow() const noexcept { return failuresInRow_; }
+
+    /// Measured time of calls, in multiples of the usual time; fades towards 1.
+    double slowness(TimePoint now) const noexcept;
+
+private:
+    struct OpenCall {
+        std::uint64_t number = 0;
+        TimePoint startedAt;
+        Duration typical{0};
+        TimePoint overdueAt;
+    };
+
+    void onGood(TimePoint now, Duration elapsed, Duration typical);
+    void onBad(TimePoint now, CallEnd end);
+    void addSlowness(TimePoint now, double sample);
+    void addFailure(TimePoint now, double sample);
+    double failureShare(TimePoint now) const noexcept;
+    double expectedQueue(TimePoint now) const noexcept;
+
+    SearcherEntry entry_;
+    std::vector<OpenCall> calls_;
+    std::uint64_t lastNumber_ = 0;
+    double slowness_ = 1;
+    TimePoint slownessAt_;
+    double failureShare_ = 0;
+    TimePoint failureAt_;
+    std::uint32_t failuresInRow_ = 0;
+    TimePoint blockedUntil_;
+    TimePoint coldUntil_;
+    /// Calls of other processes that the searcher had when it last told its load.
+    double othersCalls_ = 0;
+    TimePoint loadAt_;
+};
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/placement/src/retrybudget.cpp
@@ -0,0 +1,46 @@
+#include "placement/retrybudget.h"
+
+#include <algorithm>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+/// Extra calls that a process may make before the first request; low, as many processes may start at once.
+constexpr double firstTokens = 1;
+
+} // namespace
+
+RetryBudget::RetryBudget(double ratio, double burst) noexcept
+    : ratio_(ratio), burst_(burst), tokens_(std::min(burst, firstTokens))
+{
+}
+
+void RetryBudget::setBurst(double burst) noexcept
+{
+    burst_ = burst;
+    tokens_ = std::min(tokens_, burst_);
+}
+
+void RetryBudget::onRequest() noexcept
+{
+    tokens_ = std::min(burst_, tokens_ + ratio_);
+}
+
+bool RetryBudget::spend() noexcept
+{
+    if (tokens_ < 1) {
+        return false;
+    }
+    tokens_ -= 1;
+    return true;
+}
+
+void RetryBudget::refund() noexcept
+{
+    tokens_ = std::min(burst_, tokens_ + 1);
+}
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/placement/tests/searcherpool_test.cpp
@@ -0,0 +1,199 @@
+#include "placement/searcherpool.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace sassafrasvane;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Duration typical = 10ms;
+
+SearcherEntry entry(const std::string &instance, const std::string &domain = "a")
+{
+    SearcherEntry entry;
+    entry.instance = instance;
+    entry.backend = "desk";
+    entry.failureDomain = domain;
+    entry.slots = 2;
+    return entry;
+}
+
+/// A pool of three searchers of one back end.
+struct World {
+    TimePoint now{1'000s};
+    SearcherPool pool{"vm-1", "a", PoolBounds(), 7};
+
+    World()
+    {
+        BackendTerms terms;
+        terms.name = "desk";
+        terms.maxConnections = 26;
+        pool.setTerms({terms});
+        for (const char *instance : {"s1", "s2", "s3"}) {
+            pool.put(now, entry(instance));
+        }
+    }
+
+    BackendPool &desk() { return pool.backend("desk"); }
+
+    Choice choose(std::vector<std::shared_ptr<TrackedSearcher>> tried = {}) { return pool.choose(now, desk(), tried); }
+
+    /// Makes a call that ends after \p elapsed.
+    void call(const std::string &instance, Duration elapsed, CallEnd end)
+    {
+        const std::shared_ptr<TrackedSearcher> searcher = pool.find(instance);
+        const std::uint64_t number = searcher->begin(now, typical);
+        now += elapsed;
+        searcher->end(now, number, end, std::nullopt);
+    }
+
+    /// How often each searcher is chosen in \p choices choices.
+    std::map<std::string, int> counts(int choices)
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < choices; ++i) {
+            const Choice choice = choose();
+            ++counts[choice.searcher ? choice.searcher->entry().instance : "none"];
+        }
+        return counts;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(equalSearchersShareTheCalls)
+{
+    World world;
+    for (const auto &[instance, count] : world.counts(900)) {
+        BOOST_TEST(count > 200, instance);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(slowSearcherIsAvoidedAndTriedAgainLater)
+{
+    World world;
+    for (int i = 0; i < 8; ++i) {
+        world.call("s1", typical, CallEnd::Answered);
+        world.call("s2", typical, CallEnd::Answered);
+        world.call("s3", typical * 10, CallEnd::Answered);
+    }
+    BOOST_TEST(world.counts(300)["s3"] == 0);
+    world.now += 40s;
+    BOOST_TEST(world.counts(300)["s3"] > 0);
+}
+
+BOOST_AUTO_TEST_CASE(searcherWithAnOverdueCallIsAvoided)
+{
+    World world;
+    world.pool.find("s1")->begin(world.now, typical);
+    world.now += typical * 4;
+    BOOST_TEST(world.pool.find("s1")->isOverdue(world.now));
+    BOOST_TEST(world.counts(300)["s1"] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(searcherThatCannotBeReachedIsLeftAloneForGrowingTimes)
+{
+    World world;
+    const std::shared_ptr<TrackedSearcher> searcher = world.pool.find("s1");
+    Duration last{0};
+    for (int failure = 0; failure < 10; ++failure) {
+        world.call("s1", 1ms, CallEnd::NotConnected);
+        BOOST_TEST(searcher->isBlocked(world.now));
+        const Duration block = searcher->blockedUntil() - world.now;
+        BOOST_TEST((block >= last));
+        BOOST_TEST((block <= Duration(2s)));
+        last = block;
+        world.now = searcher->blockedUntil();
+    }
+    BOOST_TEST(!searcher->isBlocked(world.now));
+    world.call("s1", typical, CallEnd::Answered);
+    BOOST_TEST(searcher->failuresInRow() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(reasonSaysWhyNobodyIsChosen)
+{
+    World world;
+    BOOST_TEST((world.pool.choose(world.now, world.pool.backend("other"), {}).reason == Unplaced::Unknown));
+    for (const char *instance : {"s1", "s2", "s3"}) {
+        world.call(instance, 1ms, CallEnd::NotConnected);
+    }
+    BOOST_TEST((world.choose().reason == Unplaced::Blocked));
+    BOOST_TEST(!world.pool.isServing(world.now, world.desk()));
+    world.now += 200ms;
+    for (const char *instance : {"s1", "s2", "s3"}) {
+        const std::shared_ptr<TrackedSearcher> searcher = world.pool.find(instance);
+        while (searcher->openCalls() < world.pool.connectionLimit(*searcher)) {
+            searcher->begin(world.now, typical);
+        }
+    }
+    BOOST_TEST((world.choose().reason == Unplaced::Saturated));
+}
+
+BOOST_AUTO_TEST_CASE(triedLeavingAndTakenOutSearchersAreNotChosen)
+{
+    World world;
+    SearcherEntry leaving = entry("s1");
+    leaving.isLeaving = true;
+    world.pool.put(world.now, leaving);
+    world.pool.put(world.now, entry("s4", "b"));
+    BOOST_TEST(world.pool.setDomainsOut({"b"}));
+    BOOST_TEST(!world.pool.setDomainsOut({"b"}));
+    const std::vector<std::shared_ptr<TrackedSearcher>> tried{world.pool.find("s2")};
+    for (int i = 0; i < 20; ++i) {
+        const Choice choice = world.choose(tried);
+        BOOST_REQUIRE(choice.searcher);
+        BOOST_TEST(choice.searcher->entry().instance == "s3");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(connectionsAreDividedAmongTheFleet)
+{
+    World world;
+    std::set<std::string> fleet;
+    for (int vm = 0; vm < 12; ++vm) {
+        fleet.insert("vm-" + std::to_string(vm));
+    }
+    world.pool.setFleet(fleet);
+    const std::size_t limit = world.pool.connectionLimit(*world.pool.find("s1"));
+    BOOST_TEST(limit * fleet.size() <= 26U);
+    BOOST_TEST(limit >= 1U);
+}
+
+BOOST_AUTO_TEST_CASE(coldSearcherGetsItsRateOverAllEntryVms)
+{
+    const std::set<std::string> fleet{"vm-1", "vm-2", "vm-3"};
+    int calls = 0;
+    for (const std::string &self : fleet) {
+        SearcherPool pool(self, "a", PoolBounds(), 7);
+        BackendTerms terms;
+        terms.name = "desk";
+        terms.maxConnections = 26;
+        terms.coldCallsPerSecond = 10;
+        pool.setTerms({terms});
+        pool.setFleet(fleet);
+        SearcherEntry cold = entry("s1");
+        cold.coldLeft = 10s;
+        TimePoint now{1'000s};
+        pool.put(now, cold);
+        for (int step = 0; step < 1'000; ++step, now += 1ms) {
+            calls += pool.choose(now, pool.backend("desk"), {}).searcher ? 1 : 0;
+        }
+    }
+    BOOST_TEST(calls > 0);
+    BOOST_TEST(calls <= 10 * 1.5 + 5);
+}
+
+BOOST_AUTO_TEST_CASE(newProcessOfASearcherStartsWithACleanRecord)
+{
+    World world;
+    world.call("s1", 1ms, CallEnd::NotConnected);
+    SearcherEntry restarted = entry("s1");
+    restarted.startedAtMs = 99;
+    world.pool.put(world.now, restarted);
+    BOOST_TEST(!world.pool.find("s1")->isBlocked(world.now));
+    BOOST_TEST(world.desk().searchers().size() == 3U);
+}
--- /dev/null
+++ b/libs/routing/tests/routetable_test.cpp
@@ -0,0 +1,76 @@
+#include "routing/routetable.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sassafrasvane;
+
+namespace
+{
+
+RequestRoute route(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    RequestRoute route;
+    route.name = name;
+    route.host = host;
+    route.pathPrefix = prefix;
+    route.split = {{"desk", 1}};
+    return route;
+}
+
+std::shared_ptr<const RouteTable> table()
+{
+    RoutingConfiguration configuration;
+    configuration.version = 7;
+    configuration.routes = {route("all", "a.example", "/"),
+                            route("boards", "a.example", "/boards/"),
+                            route("today", "a.example", "/boards/today/"),
+                            route("other", "b.example", "/boards/")};
+    configuration.backends = {{"desk", 26, 0, Duration(0)}};
+    return RouteTable::create(configuration);
+}
+
+std::string matched(std::string_view host, std::string_view target)
+{
+    const std::shared_ptr<const RouteTable> routes = table();
+    const RequestRoute *found = routes->match(host, target);
+    return found == nullptr ? "none" : found->name;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(longestPrefixOfTheHostWins)
+{
+    BOOST_TEST(matched("a.example", "/boards/today/4") == "today");
+    BOOST_TEST(matched("a.example", "/boards/tomorrow") == "boards");
+    BOOST_TEST(matched("a.example", "/lanes") == "all");
+    BOOST_TEST(matched("b.example", "/boards/today/4") == "other");
+}
+
+BOOST_AUTO_TEST_CASE(prefixEndsAtItsSlash)
+{
+    BOOST_TEST(matched("b.example", "/boards") == "none");
+    BOOST_TEST(matched("b.example", "/boardsmore/x") == "none");
+    BOOST_TEST(matched("b.example", "/boards/") == "other");
+}
+
+BOOST_AUTO_TEST_CASE(queryIsNoPartOfThePath)
+{
+    BOOST_TEST(matched("b.example", "/x?y=/boards/") == "none");
+    BOOST_TEST(matched("b.example", "/boards/x?y=/z/") == "other");
+}
+
+BOOST_AUTO_TEST_CASE(hostIsReadWithoutPortAndCase)
+{
+    BOOST_TEST(matched("B.Example:8080", "/boards/x") == "other");
+    BOOST_TEST(matched("c.example", "/boards/x") == "none");
+    BOOST_TEST(matched("", "") == "none");
+}
+
+BOOST_AUTO_TEST_CASE(backendsAreFoundByName)
+{
+    const std::shared_ptr<const RouteTable> routes = table();
+    BOOST_REQUIRE(routes->backend("desk") != nullptr);
+    BOOST_TEST(routes->backend("desk")->maxConnections == 26U);
+    BOOST_TEST(routes->backend("none") == nullptr);
+    BOOST_TEST(routes->version() == 7U);
+}
--- /dev/null
+++ b/libs/settings/src/entrysettings.cpp
@@ -0,0 +1,111 @@
+#include "settings/entrysettings.h"
+
+#include "jsonreader.h"
+#include "settings/textfile.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+using detail::JsonReader;
+using Names = std::string_view[];
+
+constexpr Names knownMembers{"vm",           "failureDomain", "region",       "listeners", "peerPort", "metricsPort",
+                             "seeds",        "store",         "memoryMb",     "fileDescriptors", "bounds"};
+constexpr Names knownListeners{"callers", "readiness", "directory", "control"};
+constexpr Names knownBounds{"stopGraceS", "retryRatio", "retryWindowS",       "retrySlack",
+                            "coldFactor", "coldSlack",  "directoryLifetimeS"};
+
+constexpr detail::NumberRange ports{0, 65'535};
+constexpr detail::NumberRange seconds{0.1, 3'600};
+constexpr detail::NumberRange counts{0, 1e9};
+
+Duration fromSeconds(double value)
+{
+    return fromMilliseconds(value * 1'000);
+}
+
+EntryListeners readListeners(JsonReader &reader)
+{
+    EntryListeners listeners;
+    listeners.callers = reader.address("callers");
+    listeners.readiness = reader.address("readiness");
+    listeners.directory = reader.address("directory");
+    listeners.control = reader.address("control");
+    reader.rejectUnknown(knownListeners);
+    std::array<Address, 4> all{listeners.callers, listeners.readiness, listeners.directory, listeners.control};
+    std::sort(all.begin(), all.end());
+    const bool areAllSet = all.front() != Address{};
+    if (areAllSet && std::adjacent_find(all.begin(), all.end()) != all.end()) {
+        reader.fault("callers", "two listeners have the same address");
+    }
+    return listeners;
+}
+
+EntryBounds readBounds(JsonReader &reader)
+{
+    EntryBounds bounds;
+    bounds.stopGrace = fromSeconds(reader.number("stopGraceS", seconds));
+    bounds.retryRatio = reader.number("retryRatio", {0, 1});
+    bounds.retryWindow = fromSeconds(reader.number("retryWindowS", seconds));
+    bounds.retrySlack = reader.number("retrySlack", counts);
+    bounds.coldFactor = reader.number("coldFactor", {0, 1'000});
+    bounds.coldSlack = reader.number("coldSlack", counts);
+    bounds.directoryLifetime = fromSeconds(reader.number("directoryLifetimeS", seconds));
+    reader.rejectUnknown(knownBounds);
+    return bounds;
+}
+
+void readSeeds(JsonReader &reader, std::vector<Address> &seeds)
+{
+    for (const std::string &text : reader.texts("seeds", false)) {
+        const Result<Address> address = Address::parse(text);
+        if (address.has_error()) {
+            reader.fault("seeds", address.error().detail);
+        } else {
+            seeds.push_back(address.value());
+        }
+    }
+}
+
+} // namespace
+
+Result<EntrySettings> readEntrySettings(std::string_view json)
+{
+    detail::Faults faults;
+    const nlohmann::json document = detail::parseObject(json, faults);
+    JsonReader reader(document, "", faults);
+    EntrySettings settings;
+    settings.vm = reader.text("vm");
+    settings.failureDomain = reader.text("failureDomain");
+    settings.region = reader.text("region");
+    reader.object("listeners", [&settings](JsonReader &part) { settings.listeners = readListeners(part); });
+    settings.peerPort = static_cast<std::uint16_t>(reader.whole("peerPort", ports));
+    settings.metricsPort = static_cast<std::uint16_t>(reader.numberOr("metricsPort", ports, 0));
+    readSeeds(reader, settings.seeds);
+    settings.store = reader.address("store");
+    settings.memoryMb = reader.whole("memoryMb", counts);
+    settings.fileDescriptors = reader.whole("fileDescriptors", counts);
+    reader.object("bounds", [&settings](JsonReader &part) { settings.bounds = readBounds(part); });
+    reader.rejectUnknown(knownMembers);
+    if (!faults.empty()) {
+        return detail::faultsError(faults, Step::Settings);
+    }
+    return settings;
+}
+
+Result<EntrySettings> readEntrySettingsFile(const std::string &path)
+{
+    const Result<std::string> text = readTextFile(path);
+    if (text.has_error()) {
+        return text.error();
+    }
+    return readEntrySettings(text.value());
+}
+
+} // namespace sassafrasvane
--- a/libs/settings/src/jsonreader.cpp
+++ b/libs/settings/src/jsonreader.cpp
@@ -232,6 +232,20 @@
     return parsed.value();
 }
 
+void JsonReader::object(const char *key, const std::function<void(JsonReader &)> &each)
+{
+    const nlohmann::json *value = find(key, true);
+    if (value == nullptr) {
+        return;
+    }
+    if (!value->is_object()) {
+        fault(key, shown(*value) + " is not an object");
+        return;
+    }
+    JsonReader reader(*value, pointerOf(key), faults_);
+    each(reader);
+}
+
 void JsonReader::objects(const char *key, const std::function<void(JsonReader &)> &each)
 {
     const nlohmann::json *value = find(key, true);
--- a/libs/settings/src/jsonreader.h
+++ b/libs/settings/src/jsonreader.h
@@ -72,6 +72,9 @@
     /// A required "ip:port".
     Address address(const char *key);
 
+    /// Calls \p each with the reader of the required object \p key.
+    void object(const char *key, const std::function<void(JsonReader &)> &each);
+
     /// Calls \p each with the reader of every object in the required array \p key.
     void objects(const char *key, const std::function<void(JsonReader &)> &each);
 
--- a/programs/sassafrasvaned/main.cpp
+++ b/programs/sassafrasvaned/main.cpp
@@ -1,8 +1,10 @@
 /// \file
 /// The daemon: every entry VM runs the same one.
 
-#include "daemon/daemon.h"
-#include "settings/processsettings.h"
+#include "entry/entryprocess.h"
+#include "platform/protocol.h"
+#include "settings/entrysettings.h"
+#include "threadeddaemon.h"
 
 #include <getopt.h>
 
@@ -10,7 +12,6 @@
 #include <cstdlib>
 #include <iostream>
 #include <string>
-#include <thread>
 
 namespace
 {
@@ -20,9 +21,11 @@
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
 
-const char *const usage = R"(Usage: sassafrasvaned --settings FILE [--check-settings]
+const char *const usage = R"(Usage: sassafrasvaned [--entry] [--settings FILE] [--check-settings]
 
-  -s, --settings FILE   JSON settings of this process
+  -e, --entry           serve from searchers that the platform's store publishes
+  -s, --settings FILE   JSON settings of this process; with --entry, the file that
+                        SASSAFRASVANE_SETTINGS names by default
   -c, --check-settings  check FILE, print its faults and exit
   -h, --help            print this help
   -V, --version         print the version
@@ -31,20 +34,25 @@
 struct Options {
     std::string settingsPath;
     bool isCheckOnly = false;
+    bool isEntry = false;
 };
 
 /// Ends the process for --help, --version and wrong usage.
 Options readOptions(int argc, char **argv)
 {
-    const option longOptions[] = {{"settings", required_argument, nullptr, 's'},
+    const option longOptions[] = {{"entry", no_argument, nullptr, 'e'},
+                                  {"settings", required_argument, nullptr, 's'},
                                   {"check-settings", no_argument, nullptr, 'c'},
                                   {"help", no_argument, nullptr, 'h'},
                                   {"version", no_argument, nullptr, 'V'},
                                   {nullptr, 0, nullptr, 0}};
     Options options;
     int choice = 0;
-    while ((choice = getopt_long(argc, argv, "s:chV", longOptions, nullptr)) != -1) {
+    while ((choice = getopt_long(argc, argv, "es:chV", longOptions, nullptr)) != -1) {
         switch (choice) {
+        case 'e':
+            options.isEntry = true;
+            break;
         case 's':
             options.settingsPath = optarg;
             break;
@@ -62,6 +70,10 @@
             std::exit(exitUsage);
         }
     }
+    const char *const fromEnvironment = std::getenv("SASSAFRASVANE_SETTINGS");
+    if (options.isEntry && options.settingsPath.empty() && fromEnvironment != nullptr) {
+        options.settingsPath = fromEnvironment;
+    }
     if (options.settingsPath.empty() || optind != argc) {
         std::cerr << usage;
         std::exit(exitUsage);
@@ -69,35 +81,9 @@
     return options;
 }
 
-/// Blocks the stop signals in all threads started later, so that waitForStop() takes them.
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signals;
-}
-
-/// Passes each stop signal on; ends with the process.
-void passOnSignals(const sigset_t &signals, Daemon &daemon)
+int runEntry(const Options &options)
 {
-    std::thread([signals, &daemon] {
-        int received = 0;
-        while (sigwait(&signals, &received) == 0) {
-            daemon.requestStop();
-        }
-    }).detach();
-}
-
-} // namespace
-
-int main(int argc, char **argv)
-{
-    const Options options = readOptions(argc, argv);
-    const Result<ProcessSettings> settings = readProcessSettingsFile(options.settingsPath);
+    const Result<EntrySettings> settings = readEntrySettingsFile(options.settingsPath);
     if (settings.has_error()) {
         std::cerr << options.settingsPath << ":\n" << settings.error().detail << '\n';
         return exitFailure;
@@ -106,15 +92,28 @@
         std::cout << options.settingsPath << " is valid\n";
         return EXIT_SUCCESS;
     }
-    const sigset_t signals = blockStopSignals();
-    const Result<std::unique_ptr<Daemon>> daemon = Daemon::Builder().settings(settings.value()).build();
-    if (daemon.has_error()) {
-        std::cerr << daemon.error().message() << '\n';
+    std::signal(SIGPIPE, SIG_IGN);
+    const Result<std::unique_ptr<EntryProcess>> process =
+        EntryProcess::create(settings.value(), options.settingsPath, platform::protocol());
+    if (process.has_error()) {
+        std::cerr << process.error().message() << '\n';
         return exitFailure;
     }
-    passOnSignals(signals, *daemon.value());
-    const int exitCode = daemon.value()->waitForExit();
-    // The signal thread still refers to the daemon, so the process ends before the daemon is destroyed.
-    std::cout.flush();
-    std::_Exit(exitCode);
+    return process.value()->run();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Options options = readOptions(argc, argv);
+    if (options.isEntry) {
+        return runEntry(options);
+    }
+#ifdef SASSAFRASVANE_THREADED_DAEMON
+    return runThreadedDaemon(options.settingsPath, options.isCheckOnly);
+#else
+    std::cerr << "this build serves with --entry only\n";
+    return exitUsage;
+#endif
 }
