--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -16,7 +16,7 @@
 
 /// Part of the latency target that the way to the caller and back takes.
 constexpr double wayShare = 0.08;
-constexpr Duration shortestWay = std::chrono::milliseconds(6);
+constexpr Duration shortestWay = std::chrono::milliseconds(10);
 /// A request of which nothing could be sent in this share of its latency target is refused.
 constexpr double refuseShare = 0.2;
 /// Time before the caller's deadline at which the answer goes out.
