Three readers follow the store, the other processes follow them; at most as many entry VMs are named as connections allow

Change: readers by rendezvous hashing over the failure domains; the others follow one of them for its changes and two for their revision; the directory names connections / 2 processes.

--- a/libs/catalog/include/catalog/storefollower.h
+++ b/libs/catalog/include/catalog/storefollower.h
@@ -96,9 +96,9 @@
 {
 public:
     /// How long the store may hold a watch. A lost answer is noticed a little later.
-    static constexpr Duration watchWait() noexcept { return std::chrono::milliseconds(2'500); }
+    static constexpr Duration watchWait() noexcept { return std::chrono::milliseconds(1'500); }
     /// Time beyond the wait after which a watch is given up.
-    static constexpr Duration watchSlack() noexcept { return std::chrono::milliseconds(700); }
+    static constexpr Duration watchSlack() noexcept { return std::chrono::milliseconds(500); }
     /// Time after which a list call is given up.
     static constexpr Duration listTimeout() noexcept { return std::chrono::milliseconds(1'500); }
     /// Pause between two watches, so that changes in quick succession share a call.
@@ -106,6 +106,8 @@
     /// First and longest pause after failures.
     static constexpr Duration firstRetryPause() noexcept { return std::chrono::milliseconds(200); }
     static constexpr Duration longestRetryPause() noexcept { return std::chrono::milliseconds(1'000); }
+    /// Factor of the pauses of a patient follower.
+    static constexpr int patientFactor() noexcept { return 4; }
     /// Time of failures after which entries may have lapsed.
     static constexpr Duration outageTime() noexcept { return std::chrono::milliseconds(1'000); }
 
@@ -123,6 +125,24 @@
     /// Makes the next call if it is due.
     void onTimer(TimePoint now, StoreActions &actions);
 
+    /// Whether failed calls are made again after long pauses only: others follow the store as well.
+    void setPatient(bool isPatient) noexcept { isPatient_ = isPatient; }
+
+    /// All items up to \p revision are known from elsewhere: the next call may watch from there.
+    void adopt(std::uint64_t revision) noexcept;
+
+    /// Forgets the open call and makes none until resume().
+    void pause() noexcept;
+
+    /// Goes on where pause() or adopt() left off.
+    void resume(TimePoint now, StoreActions &actions);
+
+    /// The revision up to which all items are known; nothing while a list is incomplete.
+    std::optional<std::uint64_t> completeAsOf() const noexcept
+    {
+        return isListing_ ? std::nullopt : std::optional<std::uint64_t>(revision_);
+    }
+
     /// True if the last call was answered.
     bool isConnected() const noexcept { return isConnected_; }
 
@@ -144,6 +164,8 @@
     /// Revision from which to watch; 0 until the first page of a list is read.
     std::uint64_t revision_ = 0;
     bool isCallOpen_ = false;
+    bool isPaused_ = false;
+    bool isPatient_ = false;
     std::optional<TimePoint> dueAt_;
     Duration retryPause_ = firstRetryPause();
     bool isConnected_ = false;
--- a/libs/catalog/src/storefollower.cpp
+++ b/libs/catalog/src/storefollower.cpp
@@ -79,15 +79,16 @@
     if (isListing_) {
         startList();
     }
-    const Duration spread(static_cast<Duration::rep>(random_.below(static_cast<std::uint64_t>(retryPause_.count()))));
+    const Duration pause = retryPause_ * (isPatient_ ? patientFactor() : 1);
+    const Duration spread(static_cast<Duration::rep>(random_.below(static_cast<std::uint64_t>(pause.count()))));
     const bool isCut = isFirst && failure == StoreFailure::Unreachable;
-    schedule(isCut ? now : now + retryPause_ / 2 + spread, actions);
+    schedule(isCut ? now : now + pause / 2 + spread, actions);
     retryPause_ = std::min(retryPause_ * 2, longestRetryPause());
 }
 
 void StoreFollower::onTimer(TimePoint now, StoreActions &actions)
 {
-    if (isCallOpen_ || !dueAt_) {
+    if (isCallOpen_ || isPaused_ || !dueAt_) {
         return;
     }
     if (now < *dueAt_) {
@@ -99,6 +100,35 @@
     actions.call = nextCall();
 }
 
+void StoreFollower::adopt(std::uint64_t revision) noexcept
+{
+    if (!isPaused_) {
+        return;
+    }
+    isListing_ = false;
+    revision_ = revision;
+}
+
+void StoreFollower::pause() noexcept
+{
+    isPaused_ = true;
+    isCallOpen_ = false;
+    isConnected_ = false;
+    dueAt_.reset();
+}
+
+void StoreFollower::resume(TimePoint now, StoreActions &actions)
+{
+    isPaused_ = false;
+    isCallOpen_ = false;
+    failedSince_.reset();
+    retryPause_ = firstRetryPause();
+    if (isListing_) {
+        startList();
+    }
+    schedule(now, actions);
+}
+
 void StoreFollower::startList()
 {
     isListing_ = true;
--- /dev/null
+++ b/libs/entry/include/entry/feedtask.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "base/random.h"
+#include "entry/feedclient.h"
+#include "entry/publishedstate.h"
+#include "entry/storetask.h"
+
+
+#include <map>
+#include <memory>
+#include <span>
+#include <vector>
+
+/// \file
+/// Decides whether this process follows the store or other processes.
+
+namespace sassafrasvane
+{
+
+/// Keeps what is published in force at a bounded number of calls to the store.
+///
+/// A few processes in different failure domains follow the store. Each of the others follows one of these for its
+/// changes and the rest for their revision, so that a change arrives unless all of them miss it. A process that hears
+/// none of them follows the store itself.
+class FeedTask
+{
+public:
+    /// Processes that follow the store.
+    static constexpr std::size_t readers() noexcept { return 3; }
+    /// Time without an answer of other processes after which this one follows the store, and its random part.
+    static constexpr Duration patience() noexcept { return std::chrono::milliseconds(400); }
+    static constexpr Duration patienceSpread() noexcept { return std::chrono::milliseconds(500); }
+    /// The same at the start, when the readers may have started as well.
+    static constexpr Duration startPatience() noexcept { return std::chrono::milliseconds(800); }
+    /// Time without any source after which registrations may have lapsed.
+    static constexpr Duration outageTime() noexcept { return std::chrono::milliseconds(1'500); }
+
+    FeedTask(boost::asio::io_context &context,
+             PublishedState &state,
+             StoreTask &store,
+             EventLog &log,
+             std::uint64_t seed);
+    ~FeedTask();
+    FeedTask(const FeedTask &) = delete;
+    FeedTask &operator=(const FeedTask &) = delete;
+
+    /// Sets whom to follow: the control addresses of the readers but this process.
+    /// \param isReader true if this process is one of the readers.
+    void setReaders(std::span<const Address> others, bool isReader);
+
+    /// Changes the source if it is due. To be called several times a second.
+    void onTick(TimePoint now);
+
+    bool isFollowingStore() const noexcept { return isFollowingStore_; }
+
+private:
+    void updateClients();
+    void take(FeedAnswer answer);
+    std::uint64_t completeRevision() const;
+    bool isAnyHealthy(TimePoint now) const;
+    void follow(bool store, const char *reason);
+
+    boost::asio::io_context &context_;
+    PublishedState &state_;
+    StoreTask &store_;
+    EventLog &log_;
+    Random random_;
+    /// Which of the readers is followed for its changes.
+    std::uint64_t mainIndex_;
+    std::vector<Address> others_;
+    bool isReader_ = false;
+    using ClientMap = std::map<Address, std::shared_ptr<FeedClient>>;
+    ClientMap clients_;
+    /// The revision up to which all items are in force; 0 until all items were taken once.
+    std::uint64_t complete_ = 0;
+    bool isFollowingStore_ = false;
+    /// When some source last answered.
+    TimePoint heardAt_;
+    TimePoint storeFrom_;
+    bool wasHealthy_ = false;
+};
+
+} // namespace sassafrasvane
--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "fleet/gossipcodec.h"
 #include "fleet/membership.h"
+#include "fleet/subset.h"
 #include "observe/eventlog.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -11,6 +12,8 @@
 
 #include <array>
 #include <functional>
+#include <limits>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -38,8 +41,8 @@
 class PeerTask
 {
 public:
-    /// Time for which a lost member still counts when limits are divided: it may be only cut off.
-    static constexpr Duration countedAfterLoss() noexcept { return std::chrono::seconds(30); }
+    /// Time for which a member that is no longer named still counts when limits are divided.
+    static constexpr Duration countedAfterNamed() noexcept { return std::chrono::seconds(30); }
     /// Time for which lost members are still named to callers if most members were lost: this process may be the one
     /// that is cut off.
     static constexpr Duration namedAfterMassLoss() noexcept { return std::chrono::seconds(3); }
@@ -68,14 +71,20 @@
     /// Tells the others that this process ends, and ends the exchange.
     void stop();
 
-    /// Where callers may connect, this process first unless it is leaving.
+    /// Sets how many entry VMs are named to callers at most.
+    void setMostNamed(std::size_t count) noexcept { mostNamed_ = count; }
+
+    /// Where callers may connect: a part of the members that is spread over the failure domains.
     std::vector<Address> callerAddresses(TimePoint now) const;
 
-    /// Names of the entry VMs among which limits are divided, this one included.
-    std::set<std::string> fleet(TimePoint now) const;
+    /// Names of the entry VMs among which limits are divided: those that are or lately were named to callers, and this
+    /// one.
+    std::set<std::string> fleet(TimePoint now);
+
+    /// The members that should follow the store, this process included.
+    std::vector<DaemonId> readers(std::size_t count) const;
 
-    /// Peer addresses of members that are alive.
-    std::vector<Address> alivePeers() const;
+    DaemonId self() const noexcept { return membership_.self().daemon; }
 
     std::size_t reachable() const noexcept { return membership_.reachableCount(); }
 
@@ -92,6 +101,7 @@
     void send(const GossipSend &out);
     void schedule(std::optional<TimePoint> at);
     void logChanges(const std::vector<MemberChange> &changes);
+    std::vector<SubsetCandidate> candidates() const;
 
     EventLog &log_;
     GossipCodec codec_;
@@ -104,6 +114,8 @@
     std::string output_;
     std::vector<Member> members_;
     std::function<void()> onMembers_;
+    std::map<DaemonId, TimePoint> namedAt_;
+    std::size_t mostNamed_ = std::numeric_limits<std::size_t>::max();
     bool isLeaving_ = false;
 };
 
--- a/libs/entry/include/entry/publishedstate.h
+++ b/libs/entry/include/entry/publishedstate.h
@@ -34,6 +34,9 @@
 class PublishedState
 {
 public:
+    /// Time for which removed items are remembered.
+    static constexpr Duration removalMemory() noexcept { return std::chrono::seconds(60); }
+
     PublishedState(const EntryProtocol &protocol, SearcherPool &pool, EventLog &log);
 
     /// Sets what is called when a configuration has come into force.
@@ -51,8 +54,8 @@
     /// A list begins: items that it does not name will be gone.
     void beginList();
 
-    /// All items were listed.
-    void onListComplete(TimePoint now);
+    /// All items were listed. \param revision the store's revision when the list began.
+    void onListComplete(TimePoint now, std::uint64_t revision);
 
     /// The store answers again after an outage.
     void onStoreReturned(TimePoint now);
@@ -63,15 +66,28 @@
     /// The routes in force; null if no configuration was read yet.
     const std::shared_ptr<const RouteTable> &routes() const noexcept { return routes_; }
 
-    /// The items in force, for processes that cannot reach the store.
+    /// The items in force.
     std::vector<StoreItem> items() const;
 
+    /// The items that changed after \p revision, removed ones included. \p revision is at least historyBegin().
+    std::vector<StoreItem> changesAfter(std::uint64_t revision) const;
+
+    /// The revision from which on removed items are remembered.
+    std::uint64_t historyBegin() const noexcept { return historyBegin_; }
+
     /// The highest revision that was taken.
     std::uint64_t revision() const noexcept { return revision_; }
 
     std::size_t searchers() const noexcept { return catalog_.size(); }
 
 private:
+    /// An item that was removed.
+    struct Removal {
+        std::uint64_t revision = 0;
+        TimePoint at;
+    };
+
+    bool isOutdated(const StoreItem &item) const;
     void apply(TimePoint now, const StoreItem &item);
     void remove(TimePoint now, const StoreItem &item);
     void take(RoutingConfiguration configuration);
@@ -87,6 +103,9 @@
     std::unordered_map<std::string, StoreItem> items_;
     /// Failure domains that are taken out, by key.
     std::unordered_map<std::string, std::string> domainsOut_;
+    /// Items that were removed lately, by key.
+    std::unordered_map<std::string, Removal> removals_;
+    std::uint64_t historyBegin_ = 1;
     std::set<std::string> listed_;
     std::uint64_t revision_ = 0;
     std::function<void(const RouteTable &routes)> onConfiguration_;
--- a/libs/entry/include/entry/storetask.h
+++ b/libs/entry/include/entry/storetask.h
@@ -30,8 +30,24 @@
     StoreTask(const StoreTask &) = delete;
     StoreTask &operator=(const StoreTask &) = delete;
 
-    void start();
-    void stop();
+    /// Makes calls from now on.
+    void resume();
+
+    /// Makes no calls until resume().
+    void pause();
+
+    /// Whether failed calls are made again after long pauses only.
+    void setPatient(bool isPatient) noexcept { follower_.setPatient(isPatient); }
+
+    /// All items up to \p revision are in force; counts only while paused.
+    void adopt(std::uint64_t revision) noexcept { follower_.adopt(revision); }
+
+    /// The revision up to which this process has read all items from the store itself; nothing if it does not follow
+    /// the store or has lost it.
+    std::optional<std::uint64_t> completeAsOf() const noexcept
+    {
+        return isConnected() ? follower_.completeAsOf() : std::nullopt;
+    }
 
     /// Breaks off the open call: the process stood still, so its connection may be dead.
     void reconnect();
@@ -65,7 +81,7 @@
     std::shared_ptr<http::ClientConnection> connection_;
     std::uint64_t calls_ = 0;
     bool isLost_ = true;
-    bool isStopped_ = false;
+    bool isPaused_ = true;
 };
 
 } // namespace sassafrasvane
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -2,6 +2,8 @@
 
 #include "entry/dispatcher.h"
 #include "entry/entryserver.h"
+#include "entry/feedserver.h"
+#include "entry/feedtask.h"
 #include "entry/peertask.h"
 #include "entry/publishedstate.h"
 #include "entry/storetask.h"
@@ -18,6 +20,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <limits>
 #include <optional>
 
 namespace sassafrasvane
@@ -34,6 +37,9 @@
 constexpr Duration directoryLifetime = std::chrono::seconds(2);
 /// Time before the end of the grace period by which everything is closed.
 constexpr Duration stopMargin = std::chrono::milliseconds(400);
+/// Connections to a searcher that each entry VM needs which is named to callers, and VMs that are named at least.
+constexpr std::uint32_t connectionsPerNamed = 2;
+constexpr std::size_t leastNamed = 4;
 /// A tick that is later than this means that the process stood still.
 constexpr Duration pauseBound = std::chrono::milliseconds(1'500);
 /// Proves membership among the entry processes of one private network.
@@ -83,6 +89,8 @@
         , state_(protocol_, pool_, log_)
         , entry_(context_, protocol_, pool_, dispatcher_, state_, log_)
         , store_(context_, protocol_, settings.store, mix(seed_), state_, log_)
+        , feedServer_(state_, store_)
+        , feed_(context_, state_, store_, log_, mix(seed_, 1))
         , signals_(context_, SIGTERM, SIGINT, SIGHUP)
         , ticker_(context_)
     {
@@ -97,7 +105,10 @@
     Result<std::unique_ptr<http::Server>> listen(const Address &address, http::RequestHandler handler);
     void answerReadiness(const ExchangePtr &exchange) const;
     void answerDirectory(const ExchangePtr &exchange) const;
+    void answerControl(const ExchangePtr &exchange);
     void answerMetrics(const ExchangePtr &exchange);
+    void onMembers();
+    void updateNamed(const RouteTable &routes);
     bool isReady() const noexcept { return !stopBegunAt_ && state_.routes() != nullptr; }
     void waitForSignal();
     void onSignal(int signal);
@@ -121,6 +132,8 @@
     PublishedState state_;
     EntryServer entry_;
     StoreTask store_;
+    FeedServer feedServer_;
+    FeedTask feed_;
     std::unique_ptr<PeerTask> peers_;
     std::unique_ptr<http::Server> callers_;
     std::unique_ptr<http::Server> readiness_;
@@ -129,6 +142,7 @@
     std::unique_ptr<http::Server> metrics_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer ticker_;
+    TimePoint startedAt_ = BootClock::now();
     TimePoint lastTick_ = BootClock::now();
     unsigned ticks_ = 0;
     std::optional<TimePoint> stopBegunAt_;
@@ -157,7 +171,7 @@
         {settings_.listeners.callers, &callers_, [this](const ExchangePtr &exchange) { entry_.handle(exchange); }},
         {settings_.listeners.readiness, &readiness_, [this](const ExchangePtr &exchange) { answerReadiness(exchange); }},
         {settings_.listeners.directory, &directory_, [this](const ExchangePtr &exchange) { answerDirectory(exchange); }},
-        {settings_.listeners.control, &control_, [this](const ExchangePtr &exchange) { answerMetrics(exchange); }}};
+        {settings_.listeners.control, &control_, [this](const ExchangePtr &exchange) { answerControl(exchange); }}};
     if (settings_.metricsPort != 0) {
         listeners.push_back({metrics, &metrics_, [this](const ExchangePtr &exchange) { answerMetrics(exchange); }});
     }
@@ -191,12 +205,13 @@
     state_.setOnConfiguration([this](const RouteTable &routes) {
         callers_->setLimits(serverLimits(routes.configuration().callerLimits, settings_.fileDescriptors));
         entry_.onConfiguration(routes);
+        updateNamed(routes);
     });
     state_.setOnSearcherGone([this](const std::string &instance) { dispatcher_.forget(instance); });
-    peers_->setOnMembers([this] { pool_.setFleet(peers_->fleet(BootClock::now())); });
+    peers_->setOnMembers([this] { onMembers(); });
     setSeeds();
     peers_->start();
-    store_.start();
+    onMembers();
     waitForSignal();
     tick();
     context_.run();
@@ -230,6 +245,46 @@
     exchange->respond(http::textResponse(200, "text/plain; version=0.0.4", detail::metricsText(sources)));
 }
 
+void EntryProcess::Implementation::answerControl(const ExchangePtr &exchange)
+{
+    constexpr unsigned notFound = 404;
+    if (!feedServer_.handle(exchange)) {
+        exchange->respond(http::emptyResponse(notFound));
+    }
+}
+
+void EntryProcess::Implementation::onMembers()
+{
+    const TimePoint now = BootClock::now();
+    pool_.setFleet(peers_->fleet(now));
+    // A process that has just started may hear of its peers any moment; until then it asks the seeds.
+    const bool isAlone = peers_->reachable() == 1 && now - startedAt_ < FeedTask::startPatience();
+    std::vector<Address> others;
+    bool isReader = false;
+    if (isAlone) {
+        others = settings_.seeds;
+    } else {
+        for (const DaemonId reader : peers_->readers(FeedTask::readers())) {
+            if (reader == peers_->self()) {
+                isReader = true;
+            } else {
+                others.push_back({peerAddress(reader).ip, settings_.listeners.control.port});
+            }
+        }
+    }
+    std::erase(others, settings_.listeners.control);
+    feed_.setReaders(others, isReader);
+}
+
+void EntryProcess::Implementation::updateNamed(const RouteTable &routes)
+{
+    std::uint32_t connections = std::numeric_limits<std::uint32_t>::max();
+    for (const BackendTerms &terms : routes.configuration().backends) {
+        connections = std::min(connections, terms.maxConnections);
+    }
+    peers_->setMostNamed(std::max<std::size_t>(leastNamed, connections / connectionsPerNamed));
+}
+
 void EntryProcess::Implementation::waitForSignal()
 {
     signals_.async_wait([this](const boost::system::error_code &error, int signal) {
@@ -300,7 +355,7 @@
 void EntryProcess::Implementation::endStop()
 {
     peers_->stop();
-    store_.stop();
+    store_.pause();
     signals_.cancel();
     ticker_.cancel();
     context_.stop();
@@ -328,6 +383,8 @@
     dispatcher_.onTick(now);
     entry_.onTick(now);
     state_.onTick(now);
+    feed_.onTick(now);
+    feedServer_.onTick(now);
     if (++ticks_ % slowTicks == 0) {
         onSlowTick(now);
     }
@@ -344,7 +401,7 @@
             (*server)->closeExpired(now);
         }
     }
-    pool_.setFleet(peers_->fleet(now));
+    onMembers();
 }
 
 Result<std::unique_ptr<EntryProcess>> EntryProcess::create(const EntrySettings &settings,
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -19,6 +19,9 @@
 constexpr Duration syncPeriod = std::chrono::seconds(5);
 constexpr double messagesPerSecond = 40;
 constexpr double messageBurst = 12;
+/// Tell the choice of the named entry VMs from that of the readers.
+constexpr std::uint64_t namedSalt = 1;
+constexpr std::uint64_t readerSalt = 2;
 
 MemberRecord recordOf(const EntryIdentity &identity, Incarnation incarnation)
 {
@@ -235,54 +238,60 @@
     }
 }
 
-std::vector<Address> PeerTask::callerAddresses(TimePoint now) const
+std::vector<SubsetCandidate> PeerTask::candidates() const
 {
-    std::vector<Address> alive;
-    std::vector<Address> lost;
+    std::vector<SubsetCandidate> candidates;
+    if (!isLeaving_) {
+        candidates.push_back({membership_.self().daemon, membership_.self().failureDomain});
+    }
     for (const Member &member : members_) {
-        if (member.record.callers == Address{}) {
-            continue;
-        }
-        if (member.takesWork()) {
-            alive.push_back(member.record.callers);
-        } else if (member.record.state != MemberState::Left && member.record.phase == MemberPhase::Serving
-                   && now - member.since < namedAfterMassLoss()) {
-            lost.push_back(member.record.callers);
+        if (member.takesWork() && member.record.callers != Address{}) {
+            candidates.push_back({member.record.daemon, member.record.failureDomain});
         }
     }
+    return candidates;
+}
+
+std::vector<Address> PeerTask::callerAddresses(TimePoint now) const
+{
+    const std::vector<SubsetCandidate> alive = candidates();
+    const std::vector<DaemonId> named = spreadSubset(alive, namedSalt, mostNamed_);
     std::vector<Address> addresses;
-    if (!isLeaving_ || alive.empty()) {
+    std::vector<Address> lost;
+    if (alive.empty() || std::find(named.begin(), named.end(), membership_.self().daemon) != named.end()) {
         addresses.push_back(membership_.self().callers);
     }
-    addresses.insert(addresses.end(), alive.begin(), alive.end());
-    if (lost.size() > addresses.size()) {
+    for (const Member &member : members_) {
+        const bool isLost = !member.takesWork() && member.record.state != MemberState::Left
+            && member.record.phase == MemberPhase::Serving && now - member.since < namedAfterMassLoss();
+        if (std::find(named.begin(), named.end(), member.record.daemon) != named.end()) {
+            addresses.push_back(member.record.callers);
+        } else if (isLost && member.record.callers != Address{}) {
+            lost.push_back(member.record.callers);
+        }
+    }
+    if (lost.size() > alive.size()) {
         addresses.insert(addresses.end(), lost.begin(), lost.end());
     }
     return addresses;
 }
 
-std::set<std::string> PeerTask::fleet(TimePoint now) const
+std::set<std::string> PeerTask::fleet(TimePoint now)
 {
+    for (const DaemonId daemon : spreadSubset(candidates(), namedSalt, mostNamed_)) {
+        namedAt_[daemon] = now;
+    }
+    std::erase_if(namedAt_, [now](const auto &entry) { return now - entry.second >= countedAfterNamed(); });
     std::set<std::string> fleet{peerAddress(membership_.self().daemon).toString()};
-    for (const Member &member : members_) {
-        const bool isReachable =
-            member.record.state == MemberState::Alive || member.record.state == MemberState::Suspect;
-        if (isReachable || now - member.since < countedAfterLoss()) {
-            fleet.insert(peerAddress(member.record.daemon).toString());
-        }
+    for (const auto &[daemon, at] : namedAt_) {
+        fleet.insert(peerAddress(daemon).toString());
     }
     return fleet;
 }
 
-std::vector<Address> PeerTask::alivePeers() const
+std::vector<DaemonId> PeerTask::readers(std::size_t count) const
 {
-    std::vector<Address> peers;
-    for (const Member &member : members_) {
-        if (member.record.state == MemberState::Alive) {
-            peers.push_back(peerAddress(member.record.daemon));
-        }
-    }
-    return peers;
+    return spreadSubset(candidates(), readerSalt, count);
 }
 
 } // namespace sassafrasvane
--- a/libs/entry/src/publishedstate.cpp
+++ b/libs/entry/src/publishedstate.cpp
@@ -19,10 +19,19 @@
     updateDomainsOut();
 }
 
+bool PublishedState::isOutdated(const StoreItem &item) const
+{
+    const std::unordered_map<std::string, StoreItem>::const_iterator known = items_.find(item.key);
+    if (known != items_.end()) {
+        return known->second.revision >= item.revision;
+    }
+    const std::unordered_map<std::string, Removal>::const_iterator removed = removals_.find(item.key);
+    return removed != removals_.end() && removed->second.revision >= item.revision;
+}
+
 void PublishedState::apply(TimePoint now, const StoreItem &item)
 {
-    const std::unordered_map<std::string, StoreItem>::iterator known = items_.find(item.key);
-    if (known != items_.end() && known->second.revision >= item.revision) {
+    if (isOutdated(item)) {
         return;
     }
     revision_ = std::max(revision_, item.revision);
@@ -30,6 +39,7 @@
         remove(now, item);
         return;
     }
+    removals_.erase(item.key);
     items_[item.key] = item;
     PublishedItem published = protocol_.readItem(item);
     SearcherCatalog::Notices notices;
@@ -62,6 +72,7 @@
 
 void PublishedState::remove(TimePoint now, const StoreItem &item)
 {
+    removals_[item.key] = {item.revision, now};
     const std::unordered_map<std::string, StoreItem>::iterator known = items_.find(item.key);
     if (known == items_.end()) {
         return;
@@ -140,7 +151,7 @@
     listed_.clear();
 }
 
-void PublishedState::onListComplete(TimePoint now)
+void PublishedState::onListComplete(TimePoint now, std::uint64_t revision)
 {
     std::vector<StoreItem> missing;
     for (const auto &[key, item] : items_) {
@@ -148,7 +159,8 @@
             missing.push_back(item);
         }
     }
-    for (const StoreItem &item : missing) {
+    for (StoreItem &item : missing) {
+        item.revision = std::max(item.revision, revision);
         remove(now, item);
     }
     updateDomainsOut();
@@ -164,6 +176,30 @@
     SearcherCatalog::Notices notices;
     catalog_.onTimer(now, notices);
     tell(notices, now);
+    std::erase_if(removals_, [this, now](const auto &entry) {
+        const bool isOld = now - entry.second.at >= removalMemory();
+        historyBegin_ = isOld ? std::max(historyBegin_, entry.second.revision) : historyBegin_;
+        return isOld;
+    });
+}
+
+std::vector<StoreItem> PublishedState::changesAfter(std::uint64_t revision) const
+{
+    std::vector<StoreItem> changes;
+    for (const auto &[key, item] : items_) {
+        if (item.revision > revision) {
+            changes.push_back(item);
+        }
+    }
+    for (const auto &[key, removal] : removals_) {
+        if (removal.revision > revision) {
+            changes.push_back({key, {}, removal.revision, true});
+        }
+    }
+    std::sort(changes.begin(), changes.end(), [](const StoreItem &left, const StoreItem &right) {
+        return left.revision < right.revision;
+    });
+    return changes;
 }
 
 std::vector<StoreItem> PublishedState::items() const
--- a/libs/entry/src/storetask.cpp
+++ b/libs/entry/src/storetask.cpp
@@ -26,17 +26,22 @@
 
 StoreTask::~StoreTask()
 {
-    stop();
+    pause();
 }
 
-void StoreTask::start()
+void StoreTask::resume()
 {
-    onTimer();
+    isPaused_ = false;
+    StoreActions actions;
+    follower_.resume(BootClock::now(), actions);
+    act(std::move(actions));
 }
 
-void StoreTask::stop()
+void StoreTask::pause()
 {
-    isStopped_ = true;
+    isPaused_ = true;
+    isLost_ = true;
+    follower_.pause();
     timer_.cancel();
     timeout_.cancel();
     if (connection_) {
@@ -47,7 +52,7 @@
 
 void StoreTask::reconnect()
 {
-    if (connection_ && !isStopped_) {
+    if (connection_ && !isPaused_) {
         fail(StoreFailure::Silent);
     }
 }
@@ -67,7 +72,7 @@
     }
     state_.apply(now, actions.items);
     if (actions.isListComplete) {
-        state_.onListComplete(now);
+        state_.onListComplete(now, follower_.completeAsOf().value_or(0));
     }
     if (actions.call) {
         makeCall(*actions.call);
@@ -81,7 +86,7 @@
 {
     timer_.expires_after(std::max(Duration{0}, at - BootClock::now()));
     timer_.async_wait([this](const boost::system::error_code &error) {
-        if (!error && !isStopped_) {
+        if (!error && !isPaused_) {
             onTimer();
         }
     });
@@ -97,7 +102,7 @@
     }
     timeout_.expires_after(call.timeout);
     timeout_.async_wait([this](const boost::system::error_code &error) {
-        if (!error && !isStopped_) {
+        if (!error && !isPaused_) {
             onTimeout();
         }
     });
@@ -132,7 +137,7 @@
 
 void StoreTask::onResult(const StoreCall &call, http::CallResult result)
 {
-    if (isStopped_) {
+    if (isPaused_) {
         return;
     }
     if (!result.response) {
--- /dev/null
+++ b/libs/fleet/include/fleet/subset.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/ids.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+/// \file
+/// A few daemons out of many, on which all daemons agree without messages.
+
+namespace sassafrasvane
+{
+
+/// A daemon that may be chosen.
+struct SubsetCandidate {
+    DaemonId daemon;
+    std::string failureDomain;
+};
+
+/// Chooses \p count of \p candidates, spread evenly over the failure domains.
+///
+/// Domains and the daemons of each are ordered by rendezvous hashing, so a daemon that comes or goes changes the choice
+/// by one, and daemons that know the same members choose alike.
+/// \param salt tells one purpose from another. \return all candidates if there are no more than \p count.
+std::vector<DaemonId> spreadSubset(std::span<const SubsetCandidate> candidates, std::uint64_t salt, std::size_t count);
+
+} // namespace sassafrasvane
--- /dev/null
+++ b/libs/fleet/src/subset.cpp
@@ -0,0 +1,31 @@
+#include "fleet/subset.h"
+
+#include "base/random.h"
+
+#include <algorithm>
+#include <map>
+
+namespace sassafrasvane
+{
+
+std::vector<DaemonId> spreadSubset(std::span<const SubsetCandidate> candidates, std::uint64_t salt, std::size_t count)
+{
+    // By hash, so that the order is the same everywhere.
+    std::map<std::uint64_t, std::map<std::uint64_t, DaemonId>> domains;
+    for (const SubsetCandidate &candidate : candidates) {
+        const std::uint64_t domain = mix(salt, hashBytes(candidate.failureDomain));
+        domains[domain].emplace(mix(salt, candidate.daemon.value), candidate.daemon);
+    }
+    std::vector<DaemonId> chosen;
+    const std::size_t wanted = std::min(count, candidates.size());
+    while (chosen.size() < wanted && !domains.empty()) {
+        for (auto domain = domains.begin(); domain != domains.end() && chosen.size() < wanted;) {
+            chosen.push_back(domain->second.begin()->second);
+            domain->second.erase(domain->second.begin());
+            domain = domain->second.empty() ? domains.erase(domain) : std::next(domain);
+        }
+    }
+    return chosen;
+}
+
+} // namespace sassafrasvane
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr std::size_t readBytes = 8 * 1024;
 /// Bytes of following requests that are read while one is worked on.
 constexpr std::size_t maxPipelinedBytes = 64 * 1024;
 
@@ -63,7 +62,7 @@
     }
     isReadPending_ = true;
     socket_.async_read_some(
-        buffer_.prepare(readBytes),
+        boost::asio::buffer(input_),
         [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
             self->onRead(error, size);
         });
@@ -80,7 +79,7 @@
         onEnd();
         return;
     }
-    buffer_.commit(size);
+    buffer_.commit(boost::asio::buffer_copy(buffer_.prepare(size), boost::asio::buffer(input_, size)));
     if (phase_ == Phase::Reading) {
         parse();
     }
--- a/libs/http/src/serverconnection.h
+++ b/libs/http/src/serverconnection.h
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <array>
 #include <optional>
 #include <unordered_set>
 
@@ -78,6 +79,8 @@
     boost::asio::ip::tcp::socket socket_;
     std::shared_ptr<ServerState> state_;
     Address client_;
+    /// Where a read puts its bytes. The buffer may be consumed while a read is open, so it cannot be read into.
+    std::array<char, 4 * 1024> input_;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     std::optional<Response> response_;
