A restarted process goes to the store after 150 ms without peers; questions wait for a list that is being read

Change: patience of 150 ms, 900 ms only at the first start of all; readers hold questions while they list.

--- a/libs/entry/include/entry/feedtask.h
+++ b/libs/entry/include/entry/feedtask.h
@@ -30,8 +30,9 @@
     /// Time without an answer of other processes after which this one follows the store, and its random part.
     static constexpr Duration patience() noexcept { return std::chrono::milliseconds(400); }
     static constexpr Duration patienceSpread() noexcept { return std::chrono::milliseconds(500); }
-    /// The same at the start, when the readers may have started as well.
-    static constexpr Duration startPatience() noexcept { return std::chrono::milliseconds(800); }
+    /// The same at a start, and at the first start of all, when no callers wait yet.
+    static constexpr Duration startPatience() noexcept { return std::chrono::milliseconds(150); }
+    static constexpr Duration firstStartPatience() noexcept { return std::chrono::milliseconds(900); }
     /// Time without any source after which registrations may have lapsed.
     static constexpr Duration outageTime() noexcept { return std::chrono::milliseconds(1'500); }
 
@@ -39,7 +40,8 @@
              PublishedState &state,
              StoreTask &store,
              EventLog &log,
-             std::uint64_t seed);
+             std::uint64_t seed,
+             Duration startPatience);
     ~FeedTask();
     FeedTask(const FeedTask &) = delete;
     FeedTask &operator=(const FeedTask &) = delete;
--- a/libs/entry/include/entry/storetask.h
+++ b/libs/entry/include/entry/storetask.h
@@ -52,6 +52,9 @@
     /// Breaks off the open call: the process stood still, so its connection may be dead.
     void reconnect();
 
+    /// True from resume() until the first call ends.
+    bool isStarting() const noexcept { return isStarting_; }
+
     bool isConnected() const noexcept { return follower_.isConnected(); }
 
     /// When the store last answered; nothing if it never did.
@@ -82,6 +85,7 @@
     std::uint64_t calls_ = 0;
     bool isLost_ = true;
     bool isPaused_ = true;
+    bool isStarting_ = false;
 };
 
 } // namespace sassafrasvane
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -90,7 +90,7 @@
         , entry_(context_, protocol_, pool_, dispatcher_, state_, log_)
         , store_(context_, protocol_, settings.store, mix(seed_), state_, log_)
         , feedServer_(state_, store_)
-        , feed_(context_, state_, store_, log_, mix(seed_, 1))
+        , feed_(context_, state_, store_, log_, mix(seed_, 1), startPatience())
         , signals_(context_, SIGTERM, SIGINT, SIGHUP)
         , ticker_(context_)
     {
@@ -108,6 +108,10 @@
     void answerControl(const ExchangePtr &exchange);
     void answerMetrics(const ExchangePtr &exchange);
     void onMembers();
+    Duration startPatience() const noexcept
+    {
+        return settings_.isFirstStart ? FeedTask::firstStartPatience() : FeedTask::startPatience();
+    }
     void updateNamed(const RouteTable &routes);
     bool isReady() const noexcept { return !stopBegunAt_ && state_.routes() != nullptr; }
     void waitForSignal();
@@ -258,7 +262,7 @@
     const TimePoint now = BootClock::now();
     pool_.setFleet(peers_->fleet(now));
     // A process that has just started may hear of its peers any moment; until then it asks the seeds.
-    const bool isAlone = peers_->reachable() == 1 && now - startedAt_ < FeedTask::startPatience();
+    const bool isAlone = peers_->reachable() == 1 && now - startedAt_ < startPatience();
     std::vector<Address> others;
     bool isReader = false;
     if (isAlone) {
--- a/libs/entry/src/feedserver.cpp
+++ b/libs/entry/src/feedserver.cpp
@@ -45,7 +45,7 @@
     const std::optional<std::uint64_t> asOf = store_.completeAsOf();
     const bool hasNews = asOf && *asOf > waiting.question.afterRevision;
     // A list that is being read is waited for.
-    if (!hasNews && now < waiting.until && store_.isConnected()) {
+    if (!hasNews && now < waiting.until && (store_.isConnected() || store_.isStarting())) {
         return false;
     }
     if (!asOf) {
--- a/libs/entry/src/feedtask.cpp
+++ b/libs/entry/src/feedtask.cpp
@@ -9,7 +9,8 @@
                    PublishedState &state,
                    StoreTask &store,
                    EventLog &log,
-                   std::uint64_t seed)
+                   std::uint64_t seed,
+                   Duration startPatience)
     : context_(context)
     , state_(state)
     , store_(store)
@@ -17,7 +18,7 @@
     , random_(seed)
     , mainIndex_(random_.next())
     , heardAt_(BootClock::now())
-    , storeFrom_(heardAt_ + startPatience())
+    , storeFrom_(heardAt_ + startPatience)
 {
 }
 
--- a/libs/entry/src/storetask.cpp
+++ b/libs/entry/src/storetask.cpp
@@ -32,6 +32,7 @@
 void StoreTask::resume()
 {
     isPaused_ = false;
+    isStarting_ = true;
     StoreActions actions;
     follower_.resume(BootClock::now(), actions);
     act(std::move(actions));
@@ -40,6 +41,7 @@
 void StoreTask::pause()
 {
     isPaused_ = true;
+    isStarting_ = false;
     isLost_ = true;
     follower_.pause();
     timer_.cancel();
@@ -157,6 +159,7 @@
 
 void StoreTask::take(const StoreCall &call, const http::Response &response)
 {
+    isStarting_ = false;
     const TimePoint now = BootClock::now();
     StoreActions actions;
     if (call.kind == StoreCall::Kind::List) {
@@ -185,6 +188,7 @@
 
 void StoreTask::fail(StoreFailure failure)
 {
+    isStarting_ = false;
     timeout_.cancel();
     const bool isAnswered = failure == StoreFailure::HistoryLost || failure == StoreFailure::Refused;
     if (connection_ && !isAnswered) {
--- a/libs/settings/include/settings/entrysettings.h
+++ b/libs/settings/include/settings/entrysettings.h
@@ -58,6 +58,8 @@
     std::vector<Address> seeds;
     /// The store that publishes configuration and searchers.
     Address store;
+    /// True if the whole system starts for the first time, so that no callers wait yet.
+    bool isFirstStart = false;
     std::uint64_t memoryMb = 0;
     std::uint64_t fileDescriptors = 0;
     EntryBounds bounds;
--- a/libs/settings/src/entrysettings.cpp
+++ b/libs/settings/src/entrysettings.cpp
@@ -16,7 +16,7 @@
 using Names = std::string_view[];
 
 constexpr Names knownMembers{"vm",           "failureDomain", "region",       "listeners", "peerPort", "metricsPort",
-                             "seeds",        "store",         "memoryMb",     "fileDescriptors", "bounds"};
+                             "seeds",        "store", "firstStart",        "memoryMb",     "fileDescriptors", "bounds"};
 constexpr Names knownListeners{"callers", "readiness", "directory", "control"};
 constexpr Names knownBounds{"stopGraceS", "retryRatio", "retryWindowS",       "retrySlack",
                             "coldFactor", "coldSlack",  "directoryLifetimeS"};
@@ -89,6 +89,7 @@
     settings.metricsPort = static_cast<std::uint16_t>(reader.numberOr("metricsPort", ports, 0));
     readSeeds(reader, settings.seeds);
     settings.store = reader.address("store");
+    settings.isFirstStart = reader.flagOr("firstStart", false);
     settings.memoryMb = reader.whole("memoryMb", counts);
     settings.fileDescriptors = reader.whole("fileDescriptors", counts);
     reader.object("bounds", [&settings](JsonReader &part) { settings.bounds = readBounds(part); });
