Tests of the entry process: HTTP, adapter, published state, and real processes before stand-ins

The first run found that the stand-in went on working after its connection had closed; the stand-in was mended, not the bound.

--- a/libs/entry/include/entry/publishedstate.h
+++ b/libs/entry/include/entry/publishedstate.h
@@ -88,7 +88,7 @@
     };
 
     bool isOutdated(const StoreItem &item) const;
-    void apply(TimePoint now, const StoreItem &item);
+    void applyItem(TimePoint now, const StoreItem &item);
     void remove(TimePoint now, const StoreItem &item);
     void take(RoutingConfiguration configuration);
     void tell(const SearcherCatalog::Notices &notices, TimePoint now);
--- a/libs/entry/src/publishedstate.cpp
+++ b/libs/entry/src/publishedstate.cpp
@@ -14,7 +14,7 @@
 {
     for (const StoreItem &item : items) {
         listed_.insert(item.key);
-        apply(now, item);
+        applyItem(now, item);
     }
     updateDomainsOut();
 }
@@ -29,7 +29,7 @@
     return removed != removals_.end() && removed->second.revision >= item.revision;
 }
 
-void PublishedState::apply(TimePoint now, const StoreItem &item)
+void PublishedState::applyItem(TimePoint now, const StoreItem &item)
 {
     if (isOutdated(item)) {
         return;
--- /dev/null
+++ b/libs/entry/tests/feedcodec_test.cpp
@@ -0,0 +1,47 @@
+#include "entry/feedcodec.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sassafrasvane;
+
+BOOST_AUTO_TEST_CASE(answersSurviveTheirEncoding)
+{
+    FeedAnswer answer;
+    answer.asOf = 99;
+    answer.isFull = true;
+    answer.items = {{"a", std::string("\x00\xff bytes", 8), 7, false}, {"b", "", 8, true}};
+    const Result<FeedAnswer> decoded = decodeFeedAnswer(encodeFeedAnswer(answer));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded.value().asOf == 99U);
+    BOOST_TEST(decoded.value().isFull);
+    BOOST_REQUIRE(decoded.value().items.size() == 2U);
+    BOOST_TEST(decoded.value().items[0].value == answer.items[0].value);
+    BOOST_TEST(decoded.value().items[1].isRemoved);
+}
+
+BOOST_AUTO_TEST_CASE(brokenAnswersAreRefused)
+{
+    const std::string whole = encodeFeedAnswer({{{"key", "value", 7, false}}, 9, false});
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        BOOST_TEST(decodeFeedAnswer(whole.substr(0, size)).has_error());
+    }
+    BOOST_TEST(decodeFeedAnswer("\x93\x01\x02\x03").has_error());
+}
+
+BOOST_AUTO_TEST_CASE(questionsSurviveTheirEncoding)
+{
+    for (const bool wantsItems : {true, false}) {
+        FeedQuestion question;
+        question.afterRevision = 41;
+        question.wait = std::chrono::milliseconds(1'000);
+        question.wantsItems = wantsItems;
+        const std::optional<FeedQuestion> read = readFeedTarget(feedTarget(question));
+        BOOST_REQUIRE(read.has_value());
+        BOOST_TEST(read->afterRevision == 41U);
+        BOOST_TEST((read->wait == question.wait));
+        BOOST_TEST(read->wantsItems == wantsItems);
+    }
+    for (const char *target : {"/", "/v1/published", "/v1/published?after=x&waitMs=1", "/v1/published?after=1&waitMs="}) {
+        BOOST_TEST(!readFeedTarget(target).has_value(), target);
+    }
+}
--- /dev/null
+++ b/libs/http/tests/http_test.cpp
@@ -0,0 +1,348 @@
+#include "http/clientconnection.h"
+#include "http/server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <vector>
+
+using namespace sassafrasvane;
+using boost::asio::ip::tcp;
+
+namespace
+{
+
+/// Turns of the event loop after which a test gives up.
+constexpr int mostTurns = 20'000;
+
+/// A server, and raw sockets that speak to it, on one event loop.
+struct World {
+    boost::asio::io_context context;
+    std::vector<std::shared_ptr<http::Exchange>> exchanges;
+    std::unique_ptr<http::Server> server;
+    Address address;
+
+    explicit World(http::ServerLimits limits = {})
+    {
+        // The listener's port is chosen by the system: a socket finds a free one first.
+        tcp::acceptor probe(context, {boost::asio::ip::address_v4::loopback(), 0});
+        address = {boost::asio::ip::address_v4::loopback().to_uint(), probe.local_endpoint().port()};
+        probe.close();
+        server = http::Server::Builder(context)
+                     .address(address)
+                     .limits(limits)
+                     .handler([this](const std::shared_ptr<http::Exchange> &exchange) { exchanges.push_back(exchange); })
+                     .build()
+                     .value();
+    }
+
+    /// Runs the loop until \p isDone.
+    bool runUntil(const std::function<bool()> &isDone)
+    {
+        for (int turn = 0; turn < mostTurns && !isDone(); ++turn) {
+            context.restart();
+            context.run_one_for(std::chrono::milliseconds(1));
+        }
+        return isDone();
+    }
+
+    tcp::socket connect()
+    {
+        tcp::socket socket(context);
+        socket.connect({boost::asio::ip::address_v4(address.ip), address.port});
+        return socket;
+    }
+
+    /// What the server sends until \p isWhole or the end of the connection.
+    std::string receive(tcp::socket &socket, const std::function<bool(const std::string &text)> &isWhole)
+    {
+        std::string text;
+        socket.non_blocking(true);
+        runUntil([&] {
+            std::array<char, 4096> chunk{};
+            boost::system::error_code error;
+            const std::size_t size = socket.read_some(boost::asio::buffer(chunk), error);
+            text.append(chunk.data(), size);
+            return (error && error != boost::asio::error::would_block) || isWhole(text);
+        });
+        return text;
+    }
+
+    std::string receiveAll(tcp::socket &socket)
+    {
+        return receive(socket, [](const std::string &) { return false; });
+    }
+
+    void send(tcp::socket &socket, std::string_view text) { boost::asio::write(socket, boost::asio::buffer(text)); }
+};
+
+bool endsWith(const std::string &text, std::string_view end)
+{
+    return text.ends_with(end);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requestsOfOneConnectionAreAnsweredInTurn)
+{
+    World world;
+    tcp::socket socket = world.connect();
+    world.send(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\nPOST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc");
+    BOOST_REQUIRE(world.runUntil([&] { return world.exchanges.size() == 1; }));
+    world.exchanges[0]->respond(http::textResponse(200, "text/plain", "first"));
+    BOOST_REQUIRE(world.runUntil([&] { return world.exchanges.size() == 2; }));
+    BOOST_TEST(world.exchanges[1]->request().body() == "abc");
+    world.exchanges[1]->respond(http::textResponse(200, "text/plain", "second"));
+    const std::string text = world.receive(socket, [](const std::string &received) { return endsWith(received, "second"); });
+    BOOST_TEST(text.find("first") != std::string::npos);
+    BOOST_TEST(endsWith(text, "second"));
+}
+
+BOOST_AUTO_TEST_CASE(requestThatComesWhileAResponseIsWrittenIsReadWhole)
+{
+    // A read is open while the bytes before it are consumed.
+    World world;
+    tcp::socket socket = world.connect();
+    for (int round = 0; round < 50; ++round) {
+        const std::string body(200 + static_cast<std::size_t>(round) * 37, static_cast<char>('a' + round % 26));
+        const std::string request = "POST /" + std::to_string(round) + " HTTP/1.1\r\nHost: x\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const std::size_t half = request.size() / 2;
+        world.send(socket, request.substr(0, half));
+        world.context.poll();
+        if (!world.exchanges.empty()) {
+            world.exchanges.back()->respond(http::emptyResponse(200));
+        }
+        world.send(socket, request.substr(half));
+        BOOST_REQUIRE(world.runUntil([&] { return world.exchanges.size() == static_cast<std::size_t>(round) + 1; }));
+        BOOST_TEST(world.exchanges.back()->request().body() == body);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ambiguousLengthsAreRefused)
+{
+    const std::vector<std::string> requests{
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
+        "nonsense\r\n\r\n"};
+    for (const std::string &request : requests) {
+        World world;
+        tcp::socket socket = world.connect();
+        world.send(socket, request);
+        const std::string text = world.receiveAll(socket);
+        BOOST_TEST(text.starts_with("HTTP/1.1 400"), request);
+        BOOST_TEST(world.exchanges.empty(), request);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(limitsOfHeadersAndBodyHold)
+{
+    http::ServerLimits limits;
+    limits.headerBytes = 200;
+    limits.bodyBytes = 10;
+    World world(limits);
+    tcp::socket large = world.connect();
+    world.send(large, "GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(500, 'y') + "\r\n\r\n");
+    BOOST_TEST(world.receiveAll(large).starts_with("HTTP/1.1 431"));
+    tcp::socket body = world.connect();
+    world.send(body, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n");
+    BOOST_TEST(world.receiveAll(body).starts_with("HTTP/1.1 413"));
+    BOOST_TEST(world.exchanges.empty());
+}
+
+BOOST_AUTO_TEST_CASE(chunkedBodyIsReadWhole)
+{
+    World world;
+    tcp::socket socket = world.connect();
+    world.send(socket, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    BOOST_REQUIRE(world.runUntil([&] { return world.exchanges.size() == 1; }));
+    BOOST_TEST(world.exchanges[0]->request().body() == "abcde");
+}
+
+BOOST_AUTO_TEST_CASE(clientThatLeavesIsNoticed)
+{
+    World world;
+    tcp::socket socket = world.connect();
+    world.send(socket, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    BOOST_REQUIRE(world.runUntil([&] { return world.exchanges.size() == 1; }));
+    bool isTold = false;
+    world.exchanges[0]->setOnAbandoned([&isTold] { isTold = true; });
+    socket.close();
+    BOOST_TEST(world.runUntil([&] { return isTold; }));
+    world.exchanges[0]->respond(http::emptyResponse(200));
+    BOOST_TEST(world.runUntil([&] { return world.server->counters().openConnections == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(stoppingServerClosesAfterItsResponses)
+{
+    World world;
+    tcp::socket socket = world.connect();
+    world.send(socket, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    BOOST_REQUIRE(world.runUntil([&] { return world.exchanges.size() == 1; }));
+    world.server->closeAfterResponses();
+    world.server->stopAccepting();
+    world.server->closeIdle();
+    world.exchanges[0]->respond(http::textResponse(200, "text/plain", "whole"));
+    const std::string text = world.receiveAll(socket);
+    BOOST_TEST(text.find("Connection: close") != std::string::npos);
+    BOOST_TEST(endsWith(text, "whole"));
+}
+
+BOOST_AUTO_TEST_CASE(connectionsOverTheirTimeAreClosed)
+{
+    World world;
+    tcp::socket idle = world.connect();
+    BOOST_REQUIRE(world.runUntil([&] { return world.server->counters().openConnections == 1; }));
+    world.server->closeExpired(BootClock::now() + std::chrono::seconds(10));
+    BOOST_TEST(world.server->counters().openConnections == 1U);
+    world.server->closeExpired(BootClock::now() + std::chrono::seconds(16));
+    BOOST_TEST(world.server->counters().openConnections == 0U);
+}
+
+namespace
+{
+
+/// A raw server that answers with given bytes, and a client connection to it.
+struct ClientWorld {
+    boost::asio::io_context context;
+    tcp::acceptor acceptor{context, {boost::asio::ip::address_v4::loopback(), 0}};
+    std::shared_ptr<http::ClientConnection> connection;
+    tcp::socket peer{context};
+    std::vector<http::CallResult> results;
+
+    ClientWorld()
+    {
+        const Address address{boost::asio::ip::address_v4::loopback().to_uint(), acceptor.local_endpoint().port()};
+        connection = http::ClientConnection::create(context, address);
+        bool isOpen = false;
+        connection->open([&isOpen](const std::error_code &error) { isOpen = !error; });
+        peer = acceptor.accept();
+        BOOST_REQUIRE(runUntil([&] { return isOpen; }));
+    }
+
+    bool runUntil(const std::function<bool()> &isDone)
+    {
+        for (int turn = 0; turn < mostTurns && !isDone(); ++turn) {
+            context.restart();
+            context.run_one_for(std::chrono::milliseconds(1));
+        }
+        return isDone();
+    }
+
+    void call(http::ClientConnection::ResponseFilter filter = nullptr)
+    {
+        http::Request request;
+        request.version(11);
+        request.method(boost::beast::http::verb::get);
+        request.target("/x");
+        request.set(boost::beast::http::field::host, "x");
+        connection->call(request, filter, [this](http::CallResult result) { results.push_back(std::move(result)); });
+        // The request has arrived before it is answered.
+        std::string received;
+        peer.non_blocking(true);
+        BOOST_REQUIRE(runUntil([&] {
+            std::array<char, 4096> chunk{};
+            boost::system::error_code error;
+            received.append(chunk.data(), peer.read_some(boost::asio::buffer(chunk), error));
+            return received.ends_with("\r\n\r\n");
+        }));
+    }
+
+    void answer(std::string_view text) { boost::asio::write(peer, boost::asio::buffer(text)); }
+
+    http::CallResult &result()
+    {
+        BOOST_REQUIRE(runUntil([&] { return !results.empty(); }));
+        return results.back();
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(wholeResponseLeavesTheConnectionUsable)
+{
+    ClientWorld world;
+    world.call();
+    world.answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_TEST(world.result().response->body() == "ok");
+    BOOST_TEST(world.result().isReusable);
+    world.call();
+    world.answer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore");
+    BOOST_TEST(world.runUntil([&] { return world.results.size() == 2; }));
+    BOOST_TEST(world.results.back().response->body() == "more");
+}
+
+BOOST_AUTO_TEST_CASE(bytesAfterAResponseEndTheConnection)
+{
+    ClientWorld world;
+    world.call();
+    world.answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+    BOOST_TEST(world.result().response->body() == "ok");
+    BOOST_TEST(!world.result().isReusable);
+    BOOST_TEST(!world.connection->isOpen());
+}
+
+BOOST_AUTO_TEST_CASE(truncatedResponseIsNone)
+{
+    ClientWorld world;
+    world.call();
+    world.answer("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort");
+    world.peer.close();
+    BOOST_TEST(!world.result().response.has_value());
+    BOOST_TEST(world.result().mayHaveArrived);
+}
+
+BOOST_AUTO_TEST_CASE(responseWithoutLengthEndsWithItsConnection)
+{
+    ClientWorld world;
+    world.call();
+    world.answer("HTTP/1.1 200 OK\r\n\r\nwithout length");
+    world.peer.close();
+    BOOST_TEST(world.result().response->body() == "without length");
+    BOOST_TEST(!world.result().isReusable);
+
+    ClientWorld reset;
+    reset.call();
+    reset.answer("HTTP/1.1 200 OK\r\n\r\ncut");
+    // A close with linger time 0 resets the connection.
+    reset.peer.set_option(boost::asio::socket_base::linger(true, 0));
+    reset.peer.close();
+    BOOST_TEST(!reset.result().response.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(responseOfAnEarlierCallIsDropped)
+{
+    ClientWorld world;
+    world.call([](const http::Response &response) { return http::headerOf(response, "Id") == "2"; });
+    world.answer("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nold");
+    world.answer("HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nnew");
+    BOOST_TEST(world.result().response->body() == "new");
+}
+
+BOOST_AUTO_TEST_CASE(bytesThatAreNoResponseFailTheCall)
+{
+    ClientWorld world;
+    world.call();
+    world.answer("this is not HTTP\r\n\r\n");
+    BOOST_TEST(!world.result().response.has_value());
+    BOOST_TEST((world.result().failure == Errc::BadMessage));
+}
+
+BOOST_AUTO_TEST_CASE(idleConnectionThatIsClosedIsTold)
+{
+    ClientWorld world;
+    bool isLost = false;
+    world.call();
+    world.answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    world.result();
+    world.connection->setOnLost([&isLost] { isLost = true; });
+    world.peer.close();
+    BOOST_TEST(world.runUntil([&] { return isLost; }));
+    BOOST_TEST(!world.connection->isOpen());
+}
--- /dev/null
+++ b/standins/platform/standin.py
@@ -0,0 +1,252 @@
+"""Stand-ins of the platform's store and of searchers, in the platform's protocol.
+
+One asyncio loop on a thread of its own runs the store and any number of searchers, each on an address of its own.
+A test changes their state through plain attributes and methods, and reads what the searchers have recorded.
+"""
+
+import asyncio
+import base64
+import json
+import struct
+import threading
+from urllib.parse import parse_qs, unquote, urlsplit
+
+RECORD_BYTES = 16
+
+
+class Loop:
+    """The thread that all stand-ins of a test share."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+
+    def run(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
+
+    def call(self, function, *arguments):
+        async def wrapped():
+            return function(*arguments)
+
+        return self.run(wrapped())
+
+    def stop(self):
+        async def cancel_all():
+            tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        self.run(cancel_all())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5)
+
+
+class Request:
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+
+async def read_request(reader):
+    """Reads one request; None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Request(method, target, headers, body)
+
+
+def response(status, headers, body):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+class Server:
+    """A listener that can be closed and opened again."""
+
+    def __init__(self, loop, host, port):
+        self.loop = loop
+        self.host = host
+        self.port = port
+        self.server = None
+        self.writers = set()
+
+    @property
+    def address(self):
+        return f"{self.host}:{self.port}"
+
+    def start(self):
+        self.server = self.loop.run(asyncio.start_server(self.serve, self.host, self.port))
+
+    def stop(self):
+        """Closes the listener and cuts all connections."""
+
+        def close():
+            self.server.close()
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+        self.loop.call(close)
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                request = await read_request(reader)
+                if request is None:
+                    break
+                if not await self.handle(request, reader, writer):
+                    break
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+
+class Store(Server):
+    """Keeps items with revisions; serves ranges and watches."""
+
+    def __init__(self, loop, host, port):
+        super().__init__(loop, host, port)
+        self.items = {}
+        self.history = []
+        self.revision = 10
+        self.calls = 0
+        self.refusing = False
+        self.changed = asyncio.Event()
+
+    def put(self, key, value):
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.loop.call(self._record, key, raw)
+
+    def delete(self, key):
+        self.loop.call(self._record, key, None)
+
+    def forget_history(self):
+        self.loop.call(self.history.clear)
+
+    def _record(self, key, raw):
+        self.revision += 1
+        if raw is None:
+            self.items.pop(key, None)
+            event = {"key": key, "revision": self.revision, "deleted": True}
+        else:
+            encoded = base64.b64encode(raw).decode()
+            event = {"key": key, "value": encoded, "revision": self.revision, "created": self.revision, "lease": 0}
+            self.items[key] = event
+        self.history.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def handle(self, request, reader, writer):
+        self.calls += 1
+        if self.refusing:
+            writer.write(response(503, {}, b""))
+            return True
+        parts = urlsplit(request.target)
+        query = {name: unquote(values[0]) for name, values in parse_qs(parts.query, keep_blank_values=True).items()}
+        status, body = 404, {}
+        if parts.path == "/-/kv-range":
+            status, body = 200, self.range(query.get("prefix", ""), query.get("after", ""))
+        elif parts.path == "/-/kv-watch":
+            status, body = await self.watch(int(query["after"]), int(query["waitMs"]) / 1000)
+        writer.write(response(status, {"Content-Type": "application/json"}, json.dumps(body).encode()))
+        return True
+
+    def range(self, prefix, after):
+        page = 3
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        items = [self.items[key] for key in keys[:page]]
+        return {"items": items, "hasMore": len(keys) > page, "asOf": self.revision}
+
+    async def watch(self, after, wait):
+        deadline = self.loop.loop.time() + wait
+        while True:
+            first = self.history[0]["revision"] if self.history else self.revision + 1
+            if after + 1 < first and after < self.revision:
+                return 410, {}
+            events = [event for event in self.history if event["revision"] > after]
+            if events or self.loop.loop.time() >= deadline:
+                return 200, {"events": events, "asOf": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), deadline - self.loop.loop.time())
+            except asyncio.TimeoutError:
+                pass
+
+
+class Searcher(Server):
+    """Answers requests with records, and records what it ran."""
+
+    def __init__(self, loop, store, instance, service, host, port, zone="a", records=()):
+        super().__init__(loop, host, port)
+        self.store = store
+        self.instance = instance
+        self.service = service
+        self.zone = zone
+        self.records = list(records)
+        self.delay = 0.0
+        self.mode = "ok"
+        self.ran = []
+        self.sequence = 0
+        self.born = 1_700_000_000_000
+
+    def register(self, state="ready"):
+        self.sequence += 1
+        entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 2}
+        entry |= {"state": state, "coldRemainingMs": 0, "sequence": self.sequence, "born": self.born}
+        self.store.put("servers/" + self.instance, entry)
+
+    def unregister(self):
+        self.store.delete("servers/" + self.instance)
+
+    async def handle(self, request, reader, writer):
+        request_id = request.headers.get("x-sassafrasvane-request-id", "")
+        if request.headers.get("x-sassafrasvane-expect-instance") != self.instance:
+            writer.write(response(421, {"X-Sassafrasvane-Instance-Id": self.instance}, b""))
+            return True
+        if self.mode == "shed":
+            writer.write(response(503, {"X-Sassafrasvane-Not-Executed": "1"}, b""))
+            return True
+        self.ran.append((request_id, request.method, request.target, request.body))
+        end = self.loop.loop.time() + self.delay
+        while self.loop.loop.time() < end:
+            # The work ends with its connection.
+            if reader.at_eof():
+                return False
+            await asyncio.sleep(0.02)
+        if self.mode == "lost":
+            return False
+        headers = {
+            "X-Sassafrasvane-Request-Id": request_id,
+            "X-Sassafrasvane-Server-Stamp": f"stamp.{self.instance}.{request_id}",
+            "X-Sassafrasvane-Server-Load": "1,0,2",
+        }
+        body = b"".join(self.records) if self.records else b"reply to " + request.body
+        whole = response(500 if self.mode == "error" else 200, headers, body)
+        if self.mode == "truncated":
+            writer.write(whole[:-1])
+            return False
+        writer.write(whole)
+        if self.mode == "doubled":
+            writer.write(whole)
+        return True
+
+
+def record(number):
+    """A record of 16 bytes that sorts by number."""
+    return struct.pack(">QQ", number, 0)
