The way to the caller from its connection's round trip; larger VMs are named first

Change: one round trip on kept connections, two on new ones, and 5 ms for queues; the share of a core travels in the member record.

--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -33,6 +33,8 @@
     Address callers;
     std::string failureDomain;
     std::string region;
+    /// Processor share of the VM in hundredths of a core.
+    std::uint16_t capacity = 0;
     /// Proves membership among daemons.
     std::string key;
 };
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -191,6 +191,7 @@
     identity.callers = settings_.listeners.callers;
     identity.failureDomain = settings_.failureDomain;
     identity.region = settings_.region;
+    identity.capacity = static_cast<std::uint16_t>(std::min(settings_.processorShare * 100, 10'000.0));
     identity.key = peerKey;
     Result<std::unique_ptr<PeerTask>> peers = PeerTask::create(context_, identity, log_);
     if (peers.has_error()) {
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -31,6 +31,7 @@
     record.callers = identity.callers;
     record.failureDomain = identity.failureDomain;
     record.region = identity.region;
+    record.capacity = identity.capacity;
     return record;
 }
 
@@ -242,11 +243,11 @@
 {
     std::vector<SubsetCandidate> candidates;
     if (!isLeaving_) {
-        candidates.push_back({membership_.self().daemon, membership_.self().failureDomain});
+        candidates.push_back({membership_.self().daemon, membership_.self().failureDomain, membership_.self().capacity});
     }
     for (const Member &member : members_) {
         if (member.takesWork() && member.record.callers != Address{}) {
-            candidates.push_back({member.record.daemon, member.record.failureDomain});
+            candidates.push_back({member.record.daemon, member.record.failureDomain, member.record.capacity});
         }
     }
     return candidates;
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -14,9 +14,13 @@
 namespace
 {
 
-/// Part of the latency target that the way to the caller and back takes.
-constexpr double wayShare = 0.08;
-constexpr Duration shortestWay = std::chrono::milliseconds(10);
+/// Time that a request and its answer spend in queues of this VM and of the caller's.
+constexpr Duration queueTime = std::chrono::milliseconds(5);
+/// Round trips before the request of a new connection has arrived and its answer is back, and those of a kept one.
+constexpr int newConnectionTrips = 2;
+constexpr int keptConnectionTrips = 1;
+/// The way takes at most this part of the latency target.
+constexpr double mostWayShare = 0.4;
 /// A request of which nothing could be sent in this share of its latency target is refused.
 constexpr double refuseShare = 0.2;
 /// Time before the caller's deadline at which the answer goes out.
@@ -80,8 +84,9 @@
     terms.maxAttempts = route_.maxAttempts;
     terms.isIdempotent = route_.isIdempotent;
     terms.hedgeDelay = times_.hedgeDelay();
-    terms.targetAt =
-        receivedAt + route_.latencyTarget - std::max(shortestWay, shareOf(route_.latencyTarget, wayShare));
+    const int trips = exchange_->isFirstOfConnection() ? newConnectionTrips : keptConnectionTrips;
+    const Duration way = exchange_->roundTrip() * trips + queueTime;
+    terms.targetAt = receivedAt + route_.latencyTarget - std::min(way, shareOf(route_.latencyTarget, mostWayShare));
     terms.refuseAt = receivedAt + shareOf(route_.latencyTarget, refuseShare);
     terms.deadline = deadline_;
     return terms;
--- a/libs/fleet/include/fleet/messages.h
+++ b/libs/fleet/include/fleet/messages.h
@@ -58,6 +58,8 @@
     Address callers;
     std::string failureDomain;
     std::string region;
+    /// Processor share of its VM in hundredths of a core; 0 if it does not say.
+    std::uint16_t capacity = 0;
     /// Who raised the suspicion; 0 if the state is Alive or Left.
     DaemonId accuser;
 
--- a/libs/fleet/include/fleet/subset.h
+++ b/libs/fleet/include/fleet/subset.h
@@ -18,11 +18,13 @@
 struct SubsetCandidate {
     DaemonId daemon;
     std::string failureDomain;
+    /// Daemons with a higher rank are chosen before the others of their failure domain.
+    std::uint16_t rank = 0;
 };
 
 /// Chooses \p count of \p candidates, spread evenly over the failure domains.
 ///
-/// Domains and the daemons of each are ordered by rendezvous hashing, so a daemon that comes or goes changes the choice
+/// Domains, and the daemons of one rank in each, are ordered by rendezvous hashing, so a daemon that comes or goes changes the choice
 /// by one, and daemons that know the same members choose alike.
 /// \param salt tells one purpose from another. \return all candidates if there are no more than \p count.
 std::vector<DaemonId> spreadSubset(std::span<const SubsetCandidate> candidates, std::uint64_t salt, std::size_t count);
--- a/libs/fleet/src/messageformat.cpp
+++ b/libs/fleet/src/messageformat.cpp
@@ -36,6 +36,7 @@
     writeAddress(writer, record.callers);
     writer.bytes(record.failureDomain);
     writer.bytes(record.region);
+    writer.number(record.capacity);
     writer.number(record.accuser.value);
 }
 
@@ -47,6 +48,7 @@
     record.callers = readAddress(reader);
     record.failureDomain = reader.bytes(maxRecordNameBytes);
     record.region = reader.bytes(maxRecordNameBytes);
+    record.capacity = static_cast<std::uint16_t>(reader.number(UINT16_MAX));
     record.accuser = DaemonId{reader.number()};
 }
 
--- a/libs/fleet/src/subset.cpp
+++ b/libs/fleet/src/subset.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace sassafrasvane
 {
@@ -11,10 +12,11 @@
 std::vector<DaemonId> spreadSubset(std::span<const SubsetCandidate> candidates, std::uint64_t salt, std::size_t count)
 {
     // By hash, so that the order is the same everywhere.
-    std::map<std::uint64_t, std::map<std::uint64_t, DaemonId>> domains;
+    using Order = std::pair<int, std::uint64_t>;
+    std::map<std::uint64_t, std::map<Order, DaemonId>> domains;
     for (const SubsetCandidate &candidate : candidates) {
         const std::uint64_t domain = mix(salt, hashBytes(candidate.failureDomain));
-        domains[domain].emplace(mix(salt, candidate.daemon.value), candidate.daemon);
+        domains[domain].emplace(Order{-candidate.rank, mix(salt, candidate.daemon.value)}, candidate.daemon);
     }
     std::vector<DaemonId> chosen;
     const std::size_t wanted = std::min(count, candidates.size());
--- a/libs/fleet/tests/subset_test.cpp
+++ b/libs/fleet/tests/subset_test.cpp
@@ -58,6 +58,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(higherRanksComeFirst)
+{
+    std::vector<SubsetCandidate> candidates = fleet(40);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        candidates[i].rank = i < 8 ? 50 : 12;
+    }
+    for (const DaemonId daemon : spreadSubset(candidates, 1, 8)) {
+        BOOST_TEST(daemon.value < 1'008U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(smallFleetIsChosenWhole)
 {
     BOOST_TEST(spreadSubset(fleet(3), 1, 8).size() == 3U);
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -59,6 +59,12 @@
     /// Address of the client.
     const Address &client() const noexcept;
 
+    /// Time from a packet to the client to its acknowledgement, as the operating system measured it; 0 if unknown.
+    Duration roundTrip() const noexcept;
+
+    /// True if this is the first request of its connection, so that the client has waited for its opening as well.
+    bool isFirstOfConnection() const noexcept;
+
     /// Sends \p response; the first call counts.
     void respond(Response response);
 
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -34,6 +34,16 @@
     return connection_->client();
 }
 
+Duration Exchange::roundTrip() const noexcept
+{
+    return connection_->roundTrip();
+}
+
+bool Exchange::isFirstOfConnection() const noexcept
+{
+    return connection_->requests() == 1;
+}
+
 void Exchange::respond(Response response)
 {
     if (isAnswered_ || isAbandoned_) {
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -36,6 +36,7 @@
         client_ = Address{remote.address().to_v4().to_uint(), remote.port()};
     }
     setOptions(socket_);
+    roundTrip_ = roundTripOf(socket_);
 }
 
 void ServerConnection::start()
@@ -129,6 +130,7 @@
 {
     phase_ = Phase::Working;
     isKeptAlive_ = parser_->keep_alive();
+    ++requests_;
     const std::shared_ptr<Exchange> exchange =
         std::make_shared<Exchange>(shared_from_this(), parser_->release(), BootClock::now());
     exchange_ = exchange;
--- a/libs/http/src/serverconnection.h
+++ b/libs/http/src/serverconnection.h
@@ -57,6 +57,8 @@
     bool isExpired(TimePoint now) const noexcept;
 
     const Address &client() const noexcept { return client_; }
+    Duration roundTrip() const noexcept { return roundTrip_; }
+    std::uint64_t requests() const noexcept { return requests_; }
 
 private:
     enum class Phase {
@@ -88,6 +90,9 @@
     Phase phase_ = Phase::Reading;
     /// When the current phase of reading began.
     TimePoint since_;
+    Duration roundTrip_;
+    /// Requests that were handed over.
+    std::uint64_t requests_ = 0;
     bool isRequestBegun_ = false;
     bool isReadPending_ = false;
     bool isKeptAlive_ = true;
--- a/libs/http/src/socketoptions.cpp
+++ b/libs/http/src/socketoptions.cpp
@@ -38,4 +38,14 @@
     set(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
 }
 
+Duration roundTripOf(boost::asio::ip::tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return Duration{0};
+    }
+    return Duration(info.tcpi_rtt);
+}
+
 } // namespace sassafrasvane::http::detail
--- a/libs/settings/include/settings/entrysettings.h
+++ b/libs/settings/include/settings/entrysettings.h
@@ -60,6 +60,8 @@
     Address store;
     /// True if the whole system starts for the first time, so that no callers wait yet.
     bool isFirstStart = false;
+    /// Cores that the process may use; a part of one on most VMs.
+    double processorShare = 1;
     std::uint64_t memoryMb = 0;
     std::uint64_t fileDescriptors = 0;
     EntryBounds bounds;
--- a/libs/settings/src/entrysettings.cpp
+++ b/libs/settings/src/entrysettings.cpp
@@ -16,7 +16,7 @@
 using Names = std::string_view[];
 
 constexpr Names knownMembers{"vm",           "failureDomain", "region",       "listeners", "peerPort", "metricsPort",
-                             "seeds",        "store", "firstStart",        "memoryMb",     "fileDescriptors", "bounds"};
+                             "seeds",        "store", "firstStart", "processorShare",        "memoryMb",     "fileDescriptors", "bounds"};
 constexpr Names knownListeners{"callers", "readiness", "directory", "control"};
 constexpr Names knownBounds{"stopGraceS", "retryRatio", "retryWindowS",       "retrySlack",
                             "coldFactor", "coldSlack",  "directoryLifetimeS"};
@@ -90,6 +90,7 @@
     readSeeds(reader, settings.seeds);
     settings.store = reader.address("store");
     settings.isFirstStart = reader.flagOr("firstStart", false);
+    settings.processorShare = reader.numberOr("processorShare", {0.001, 1'000}, 1);
     settings.memoryMb = reader.whole("memoryMb", counts);
     settings.fileDescriptors = reader.whole("fileDescriptors", counts);
     reader.object("bounds", [&settings](JsonReader &part) { settings.bounds = readBounds(part); });
