At most a quarter of a searcher's connections' number of entry VMs is named, at least 12

Cause: with 35 named processes of 80 each sees a searcher about once a second, so it learns of slow ones late and opens connections again. The sites of 8 and 9 VMs name all as before.

--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -38,8 +38,8 @@
 /// Time before the end of the grace period by which everything is closed.
 constexpr Duration stopMargin = std::chrono::milliseconds(400);
 /// Connections to a searcher that each entry VM needs which is named to callers, and VMs that are named at least.
-constexpr std::uint32_t connectionsPerNamed = 2;
-constexpr std::size_t leastNamed = 4;
+constexpr std::uint32_t connectionsPerNamed = 4;
+constexpr std::size_t leastNamed = 12;
 /// A tick that is later than this means that the process stood still.
 constexpr Duration pauseBound = std::chrono::milliseconds(1'500);
 /// Proves membership among the entry processes of one private network.
