--- a/libs/entry/include/entry/feedtask.h
+++ b/libs/entry/include/entry/feedtask.h
@@ -46,7 +46,7 @@
     FeedTask(const FeedTask &) = delete;
     FeedTask &operator=(const FeedTask &) = delete;
 
-    /// Sets whom to follow: the control addresses of the readers but this process.
+    /// Sets whom to follow: the control addresses of the readers but this process. The first is followed for its changes.
     /// \param isReader true if this process is one of the readers.
     void setReaders(std::span<const Address> others, bool isReader);
 
@@ -67,8 +67,6 @@
     StoreTask &store_;
     EventLog &log_;
     Random random_;
-    /// Which of the readers is followed for its changes.
-    std::uint64_t mainIndex_;
     std::vector<Address> others_;
     bool isReader_ = false;
     using ClientMap = std::map<Address, std::shared_ptr<FeedClient>>;
--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -84,7 +84,7 @@
     std::set<std::string> fleet(TimePoint now);
 
     /// The members that should follow the store, this process included.
-    std::vector<DaemonId> readers(std::size_t count) const;
+    std::vector<SubsetCandidate> readers(std::size_t count) const;
 
     DaemonId self() const noexcept { return membership_.self().daemon; }
 
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -38,7 +38,7 @@
 /// Time before the end of the grace period by which everything is closed.
 constexpr Duration stopMargin = std::chrono::milliseconds(400);
 /// Connections to a searcher that each entry VM needs which is named to callers, and VMs that are named at least.
-constexpr std::uint32_t connectionsPerNamed = 4;
+constexpr std::uint32_t connectionsPerNamed = 5;
 constexpr std::size_t leastNamed = 12;
 /// A tick that is later than this means that the process stood still.
 constexpr Duration pauseBound = std::chrono::milliseconds(1'500);
@@ -269,11 +269,14 @@
     if (isAlone) {
         others = settings_.seeds;
     } else {
-        for (const DaemonId reader : peers_->readers(FeedTask::readers())) {
-            if (reader == peers_->self()) {
+        for (const SubsetCandidate &reader : peers_->readers(FeedTask::readers())) {
+            const Address control{peerAddress(reader.daemon).ip, settings_.listeners.control.port};
+            if (reader.daemon == peers_->self()) {
                 isReader = true;
             } else {
-                others.push_back({peerAddress(reader).ip, settings_.listeners.control.port});
+                // The first one is followed for its changes: a near one, as bytes between failure domains cost.
+                const bool isNear = reader.failureDomain == settings_.failureDomain;
+                others.insert(isNear ? others.begin() : others.end(), control);
             }
         }
     }
--- a/libs/entry/src/feedtask.cpp
+++ b/libs/entry/src/feedtask.cpp
@@ -16,7 +16,6 @@
     , store_(store)
     , log_(log)
     , random_(seed)
-    , mainIndex_(random_.next())
     , heardAt_(BootClock::now())
     , storeFrom_(heardAt_ + startPatience)
 {
@@ -63,7 +62,7 @@
 {
     // A reader that has lost the store follows the other readers meanwhile.
     const bool wantsPeers = !isReader_ || !store_.isConnected();
-    const Address *const main = others_.empty() ? nullptr : &others_[mainIndex_ % others_.size()];
+    const Address *const main = others_.empty() ? nullptr : &others_.front();
     for (ClientMap::iterator client = clients_.begin(); client != clients_.end();) {
         const bool isWanted = wantsPeers && std::find(others_.begin(), others_.end(), client->first) != others_.end()
             && client->second->wantsItems() == (client->first == *main);
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -290,9 +290,15 @@
     return fleet;
 }
 
-std::vector<DaemonId> PeerTask::readers(std::size_t count) const
+std::vector<SubsetCandidate> PeerTask::readers(std::size_t count) const
 {
-    return spreadSubset(candidates(), readerSalt, count);
+    const std::vector<SubsetCandidate> all = candidates();
+    const std::vector<DaemonId> chosen = spreadSubset(all, readerSalt, count);
+    std::vector<SubsetCandidate> readers;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(readers), [&chosen](const SubsetCandidate &candidate) {
+        return std::find(chosen.begin(), chosen.end(), candidate.daemon) != chosen.end();
+    });
+    return readers;
 }
 
 } // namespace sassafrasvane
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -25,7 +25,7 @@
 /// Range of the random factor that keeps entry VMs from choosing alike.
 constexpr double spread = 0.3;
 /// Cost factor of a searcher in another failure domain.
-constexpr double remoteFactor = 1.05;
+constexpr double remoteFactor = 1.2;
 
 double retryBurst(const PoolBounds &bounds, std::size_t fleet)
 {
