--- a/libs/catalog/tests/storefollower_test.cpp
+++ b/libs/catalog/tests/storefollower_test.cpp
@@ -24,7 +24,7 @@
             follower.onTimer(now, actions);
         }
         BOOST_REQUIRE(actions.call.has_value());
-        const StoreCall made = *actions.call;
+        StoreCall made = *actions.call;
         actions = {};
         return made;
     }
--- a/libs/entry/include/entry/feedclient.h
+++ b/libs/entry/include/entry/feedclient.h
@@ -39,7 +39,7 @@
         /// The revision up to which all items are in force here.
         std::function<std::uint64_t()> revision;
         /// Takes changes.
-        std::function<void(FeedAnswer answer)> onAnswer;
+        std::function<void(const FeedAnswer &answer)> onAnswer;
     };
 
     /// \param wantsItems true if the other process is followed for its changes.
--- a/libs/entry/include/entry/feedtask.h
+++ b/libs/entry/include/entry/feedtask.h
@@ -5,7 +5,6 @@
 #include "entry/publishedstate.h"
 #include "entry/storetask.h"
 
-
 #include <map>
 #include <memory>
 #include <span>
@@ -46,8 +45,8 @@
     FeedTask(const FeedTask &) = delete;
     FeedTask &operator=(const FeedTask &) = delete;
 
-    /// Sets whom to follow: the control addresses of the readers but this process. The first is followed for its changes.
-    /// \param isReader true if this process is one of the readers.
+    /// Sets whom to follow: the control addresses of the readers but this process. The first is followed for its
+    /// changes. \param isReader true if this process is one of the readers.
     void setReaders(std::span<const Address> others, bool isReader);
 
     /// Changes the source if it is due. To be called several times a second.
@@ -57,7 +56,7 @@
 
 private:
     void updateClients();
-    void take(FeedAnswer answer);
+    void take(const FeedAnswer &answer);
     std::uint64_t completeRevision() const;
     bool isAnyHealthy(TimePoint now) const;
     void follow(bool store, const char *reason);
--- a/libs/entry/include/entry/protocol.h
+++ b/libs/entry/include/entry/protocol.h
@@ -76,12 +76,8 @@
 };
 
 /// What an item of the store says.
-using PublishedItem = std::variant<IgnoredItem,
-                                   RoutingConfiguration,
-                                   SearcherEntry,
-                                   DomainOut,
-                                   UnreadableSearcher,
-                                   UnreadableConfiguration>;
+using PublishedItem = std::
+    variant<IgnoredItem, RoutingConfiguration, SearcherEntry, DomainOut, UnreadableSearcher, UnreadableConfiguration>;
 
 /// The translations that an adapter supplies.
 struct EntryProtocol {
--- a/libs/entry/include/entry/publishedstate.h
+++ b/libs/entry/include/entry/publishedstate.h
@@ -43,10 +43,7 @@
     void setOnConfiguration(std::function<void(const RouteTable &routes)> hook) { onConfiguration_ = std::move(hook); }
 
     /// Sets what is called when a searcher is registered no more.
-    void setOnSearcherGone(std::function<void(const std::string &instance)> hook)
-    {
-        onSearcherGone_ = std::move(hook);
-    }
+    void setOnSearcherGone(std::function<void(const std::string &instance)> hook) { onSearcherGone_ = std::move(hook); }
 
     /// Takes items in the order in which they were read.
     void apply(TimePoint now, const std::vector<StoreItem> &items);
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -61,8 +61,8 @@
 {
     const TimePoint now = BootClock::now();
     const std::size_t limit = pool_.connectionLimit(*order.searcher);
-    const SearcherLinks::Lease lease =
-        links_.acquire(now, *order.searcher, limit, order.isIdempotent ? anyIdleTime : freshTime);
+    const SearcherLinks::Lease lease
+        = links_.acquire(now, *order.searcher, limit, order.isIdempotent ? anyIdleTime : freshTime);
     if (!lease.connection) {
         return std::nullopt;
     }
@@ -142,8 +142,8 @@
         return outcome;
     }
     const bool isSuccess = status >= firstSuccess && status < firstRedirect;
-    const bool isWhole = !outcome.reply.proof.empty() && !outcome.reply.isEncoded
-        && outcome.reply.requestId == call.order.requestId;
+    const bool isWhole
+        = !outcome.reply.proof.empty() && !outcome.reply.isEncoded && outcome.reply.requestId == call.order.requestId;
     const bool isFinal = isSuccess || (!call.order.isPart && status < firstServerError && !mayBeRepeated(status));
     const bool isAnswer = isWhole && isFinal;
     outcome.end = isAnswer ? CallEnd::Answered : CallEnd::ServerError;
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -173,8 +173,12 @@
     const Address metrics{settings_.listeners.control.ip, settings_.metricsPort};
     std::vector<Listener> listeners{
         {settings_.listeners.callers, &callers_, [this](const ExchangePtr &exchange) { entry_.handle(exchange); }},
-        {settings_.listeners.readiness, &readiness_, [this](const ExchangePtr &exchange) { answerReadiness(exchange); }},
-        {settings_.listeners.directory, &directory_, [this](const ExchangePtr &exchange) { answerDirectory(exchange); }},
+        {settings_.listeners.readiness,
+         &readiness_,
+         [this](const ExchangePtr &exchange) { answerReadiness(exchange); }},
+        {settings_.listeners.directory,
+         &directory_,
+         [this](const ExchangePtr &exchange) { answerDirectory(exchange); }},
         {settings_.listeners.control, &control_, [this](const ExchangePtr &exchange) { answerControl(exchange); }}};
     if (settings_.metricsPort != 0) {
         listeners.push_back({metrics, &metrics_, [this](const ExchangePtr &exchange) { answerMetrics(exchange); }});
@@ -241,7 +245,8 @@
         return;
     }
     const std::vector<Address> addresses = peers_->callerAddresses(BootClock::now());
-    exchange->respond(protocol_.writeDirectoryAnswer(addresses, std::min(directoryLifetime, settings_.bounds.directoryLifetime)));
+    exchange->respond(
+        protocol_.writeDirectoryAnswer(addresses, std::min(directoryLifetime, settings_.bounds.directoryLifetime)));
 }
 
 void EntryProcess::Implementation::answerMetrics(const ExchangePtr &exchange)
@@ -416,8 +421,8 @@
                                                            std::string settingsPath,
                                                            EntryProtocol protocol)
 {
-    std::unique_ptr<Implementation> implementation =
-        std::make_unique<Implementation>(settings, std::move(settingsPath), std::move(protocol));
+    std::unique_ptr<Implementation> implementation
+        = std::make_unique<Implementation>(settings, std::move(settingsPath), std::move(protocol));
     const Result<void> opened = implementation->open();
     if (opened.has_error()) {
         return opened.error();
--- a/libs/entry/src/feedclient.cpp
+++ b/libs/entry/src/feedclient.cpp
@@ -88,7 +88,7 @@
         askAgain(retryPause());
         return;
     }
-    Result<FeedAnswer> answer = decodeFeedAnswer(result.response->body());
+    const Result<FeedAnswer> answer = decodeFeedAnswer(result.response->body());
     if (answer.has_error()) {
         fail();
         return;
@@ -97,7 +97,7 @@
     answeredAt_ = BootClock::now();
     toldRevision_ = answer.value().asOf;
     if (hadItems) {
-        hooks_.onAnswer(std::move(answer.value()));
+        hooks_.onAnswer(answer.value());
     }
     isCatchingUp_ = !wantsItems_ && toldRevision_ > hooks_.revision();
     askAgain(isCatchingUp_ ? catchUpPause() : Duration{0});
--- a/libs/entry/src/feedserver.cpp
+++ b/libs/entry/src/feedserver.cpp
@@ -12,7 +12,9 @@
 
 } // namespace
 
-FeedServer::FeedServer(const PublishedState &state, const StoreTask &store) : state_(state), store_(store) {}
+FeedServer::FeedServer(const PublishedState &state, const StoreTask &store) : state_(state), store_(store)
+{
+}
 
 bool FeedServer::handle(const std::shared_ptr<http::Exchange> &exchange)
 {
--- a/libs/entry/src/feedtask.cpp
+++ b/libs/entry/src/feedtask.cpp
@@ -78,9 +78,8 @@
             continue;
         }
         const FeedClient::Hooks hooks{[this] { return completeRevision(); },
-                                      [this](FeedAnswer answer) { take(std::move(answer)); }};
-        const std::shared_ptr<FeedClient> client =
-            std::make_shared<FeedClient>(context_, peer, peer == *main, hooks);
+                                      [this](const FeedAnswer &answer) { take(answer); }};
+        const std::shared_ptr<FeedClient> client = std::make_shared<FeedClient>(context_, peer, peer == *main, hooks);
         clients_.emplace(peer, client);
         client->start();
     }
@@ -114,7 +113,7 @@
     }
 }
 
-void FeedTask::take(FeedAnswer answer)
+void FeedTask::take(const FeedAnswer &answer)
 {
     const TimePoint now = BootClock::now();
     if (now - heardAt_ >= outageTime()) {
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -69,8 +69,8 @@
 {
     const Incarnation incarnation{wallClockMicros()};
     const std::array<std::string, 1> keys{identity.key};
-    Result<GossipCodec> codec =
-        GossipCodec::Builder().self(daemonId(identity.peer)).incarnation(incarnation).keys(keys).build();
+    Result<GossipCodec> codec
+        = GossipCodec::Builder().self(daemonId(identity.peer)).incarnation(incarnation).keys(keys).build();
     if (codec.has_error()) {
         return codec.error();
     }
@@ -243,7 +243,8 @@
 {
     std::vector<SubsetCandidate> candidates;
     if (!isLeaving_) {
-        candidates.push_back({membership_.self().daemon, membership_.self().failureDomain, membership_.self().capacity});
+        candidates.push_back(
+            {membership_.self().daemon, membership_.self().failureDomain, membership_.self().capacity});
     }
     for (const Member &member : members_) {
         if (member.takesWork() && member.record.callers != Address{}) {
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -326,8 +326,8 @@
             proofs.push_back(parts_[part].proof);
         }
     }
-    http::Response response =
-        http::textResponse(200, "application/octet-stream", mergeRecords(bodies, route_.topRecords));
+    http::Response response
+        = http::textResponse(200, "application/octet-stream", mergeRecords(bodies, route_.topRecords));
     shared_.protocol.writeCoverage(response, proofs, parts_.size() - proofs.size());
     return response;
 }
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "entry/dispatcher.h"
 #include "entry/counters.h"
+#include "entry/dispatcher.h"
 #include "entry/waitinglist.h"
 #include "gather/gather.h"
 #include "http/server.h"
--- a/libs/entry/src/searcherlinks.cpp
+++ b/libs/entry/src/searcherlinks.cpp
@@ -21,7 +21,9 @@
 
 } // namespace
 
-SearcherLinks::SearcherLinks(boost::asio::io_context &context) : context_(context) {}
+SearcherLinks::SearcherLinks(boost::asio::io_context &context) : context_(context)
+{
+}
 
 SearcherLinks::Lease SearcherLinks::acquire(TimePoint now,
                                             const TrackedSearcher &searcher,
@@ -71,10 +73,10 @@
 void SearcherLinks::drop(const std::string &instance, const http::ClientConnection *connection)
 {
     Links &links = links_[instance];
-    const std::vector<Idle>::iterator found =
-        std::find_if(links.idle.begin(), links.idle.end(), [connection](const Idle &idle) {
-            return idle.connection.get() == connection;
-        });
+    const std::vector<Idle>::iterator found
+        = std::find_if(links.idle.begin(), links.idle.end(), [connection](const Idle &idle) {
+              return idle.connection.get() == connection;
+          });
     if (found == links.idle.end()) {
         return;
     }
@@ -87,10 +89,8 @@
 {
     for (std::unordered_map<std::string, Links>::iterator entry = links_.begin(); entry != links_.end();) {
         Links &links = entry->second;
-        const std::vector<Idle>::iterator stale =
-            std::partition(links.idle.begin(), links.idle.end(), [now](const Idle &idle) {
-                return now < idle.expiresAt;
-            });
+        const std::vector<Idle>::iterator stale = std::partition(
+            links.idle.begin(), links.idle.end(), [now](const Idle &idle) { return now < idle.expiresAt; });
         for (std::vector<Idle>::iterator idle = stale; idle != links.idle.end(); ++idle) {
             idle->connection->close();
             --links.open;
--- a/libs/entry/src/storetask.cpp
+++ b/libs/entry/src/storetask.cpp
@@ -97,8 +97,8 @@
 void StoreTask::makeCall(const StoreCall &call)
 {
     ++calls_;
-    const bool isListBegin =
-        call.kind == StoreCall::Kind::List && call.prefix == protocol_.storePrefixes.front() && call.afterKey.empty();
+    const bool isListBegin
+        = call.kind == StoreCall::Kind::List && call.prefix == protocol_.storePrefixes.front() && call.afterKey.empty();
     if (isListBegin) {
         state_.beginList();
     }
@@ -181,7 +181,9 @@
     }
     if (isLost_) {
         isLost_ = false;
-        log_.line(EventRank::Important, "store_regained").text("peer", store_.toString()).flag("outage", actions.hasReturned);
+        log_.line(EventRank::Important, "store_regained")
+            .text("peer", store_.toString())
+            .flag("outage", actions.hasReturned);
     }
     act(std::move(actions));
 }
--- a/libs/entry/tests/feedcodec_test.cpp
+++ b/libs/entry/tests/feedcodec_test.cpp
@@ -41,7 +41,8 @@
         BOOST_TEST((read->wait == question.wait));
         BOOST_TEST(read->wantsItems == wantsItems);
     }
-    for (const char *target : {"/", "/v1/published", "/v1/published?after=x&waitMs=1", "/v1/published?after=1&waitMs="}) {
+    for (const char *target :
+         {"/", "/v1/published", "/v1/published?after=x&waitMs=1", "/v1/published?after=1&waitMs="}) {
         BOOST_TEST(!readFeedTarget(target).has_value(), target);
     }
 }
--- a/libs/fleet/include/fleet/subset.h
+++ b/libs/fleet/include/fleet/subset.h
@@ -24,9 +24,9 @@
 
 /// Chooses \p count of \p candidates, spread evenly over the failure domains.
 ///
-/// Domains, and the daemons of one rank in each, are ordered by rendezvous hashing, so a daemon that comes or goes changes the choice
-/// by one, and daemons that know the same members choose alike.
-/// \param salt tells one purpose from another. \return all candidates if there are no more than \p count.
+/// Domains, and the daemons of one rank in each, are ordered by rendezvous hashing, so a daemon that comes or goes
+/// changes the choice by one, and daemons that know the same members choose alike. \param salt tells one purpose from
+/// another. \return all candidates if there are no more than \p count.
 std::vector<DaemonId> spreadSubset(std::span<const SubsetCandidate> candidates, std::uint64_t salt, std::size_t count);
 
 } // namespace sassafrasvane
--- a/libs/gather/include/gather/gather.h
+++ b/libs/gather/include/gather/gather.h
@@ -34,10 +34,10 @@
 
 /// How a request ends.
 enum class GatherEnd {
-    Answered,     ///< All parts, or enough of them, are there.
-    Unserved,     ///< Nothing was run, and nothing will be.
-    Failed,       ///< Too many parts failed, and some call may have run.
-    TimedOut,     ///< The deadline has passed, and some call may have run.
+    Answered, ///< All parts, or enough of them, are there.
+    Unserved, ///< Nothing was run, and nothing will be.
+    Failed,   ///< Too many parts failed, and some call may have run.
+    TimedOut, ///< The deadline has passed, and some call may have run.
 };
 
 /// Stable lower-case name of \p end, for log lines.
--- a/libs/gather/src/gather.cpp
+++ b/libs/gather/src/gather.cpp
@@ -129,8 +129,8 @@
     }
     const std::size_t possible = parts_.size() - lost_;
     if (possible < terms_.leastParts) {
-        const bool isRunning = std::any_of(
-            parts_.begin(), parts_.end(), [](const Part &part) { return part.openCalls > 0; });
+        const bool isRunning
+            = std::any_of(parts_.begin(), parts_.end(), [](const Part &part) { return part.openCalls > 0; });
         finish(mayHaveRun_ || isRunning ? GatherEnd::Failed : GatherEnd::Unserved);
         return;
     }
--- a/libs/http/include/http/clientconnection.h
+++ b/libs/http/include/http/clientconnection.h
@@ -51,7 +51,7 @@
     using ResponseFilter = std::function<bool(const Response &response)>;
 
     /// Largest response that is taken, in bytes of body.
-    static constexpr std::uint64_t maxResponseBytes = 8 * 1024 * 1024;
+    static constexpr std::uint64_t maxResponseBytes = 8'388'608;
 
     static std::shared_ptr<ClientConnection> create(boost::asio::io_context &context, const Address &server);
 
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -29,8 +29,8 @@
 
 /// What a client may send, and how long it may take.
 struct ServerLimits {
-    std::uint32_t headerBytes = 16 * 1024;
-    std::uint64_t bodyBytes = 256 * 1024;
+    std::uint32_t headerBytes = 16'384;
+    std::uint64_t bodyBytes = 262'144;
     /// Longest time from the first byte of a request to the last of its headers, and again to the last of its body.
     Duration headerTimeout = std::chrono::seconds(3);
     /// Time after which a connection without a request is closed.
--- a/libs/http/src/clientconnection.cpp
+++ b/libs/http/src/clientconnection.cpp
@@ -17,8 +17,8 @@
 
 using boost::asio::ip::tcp;
 
-constexpr std::size_t readBytes = 16 * 1024;
-constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
+constexpr std::size_t readBytes = 16'384;
+constexpr std::uint32_t maxHeaderBytes = 32'768;
 
 /// The connection on a TCP socket.
 class TcpClientConnection final : public ClientConnection
@@ -123,10 +123,9 @@
         return;
     }
     isReadPending_ = true;
-    socket_.async_read_some(buffer_.prepare(readBytes),
-                            [self = self()](const boost::system::error_code &error, std::size_t size) {
-                                self->onRead(error, size);
-                            });
+    socket_.async_read_some(
+        buffer_.prepare(readBytes),
+        [self = self()](const boost::system::error_code &error, std::size_t size) { self->onRead(error, size); });
 }
 
 void TcpClientConnection::onRead(const boost::system::error_code &error, std::size_t size)
@@ -151,8 +150,8 @@
 
 void TcpClientConnection::onReadError(const boost::system::error_code &error)
 {
-    const bool isUnframedEnd =
-        error == boost::asio::error::eof && handler_ && parser_->is_header_done() && parser_->need_eof();
+    const bool isUnframedEnd
+        = error == boost::asio::error::eof && handler_ && parser_->is_header_done() && parser_->need_eof();
     if (isUnframedEnd) {
         boost::system::error_code ended;
         parser_->put_eof(ended);
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -111,16 +111,16 @@
 
 void ServerState::accept()
 {
-    acceptor.async_accept([self = shared_from_this()](const boost::system::error_code &error,
-                                                      boost::asio::ip::tcp::socket socket) {
-        if (!self->acceptor.is_open() || error == boost::asio::error::operation_aborted) {
-            return;
-        }
-        if (!error) {
-            self->take(std::move(socket));
-        }
-        self->accept();
-    });
+    acceptor.async_accept(
+        [self = shared_from_this()](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
+            if (!self->acceptor.is_open() || error == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (!error) {
+                self->take(std::move(socket));
+            }
+            self->accept();
+        });
 }
 
 void ServerState::take(boost::asio::ip::tcp::socket socket)
@@ -130,8 +130,8 @@
         return;
     }
     ++counters.accepted;
-    const std::shared_ptr<ServerConnection> connection =
-        std::make_shared<ServerConnection>(std::move(socket), shared_from_this());
+    const std::shared_ptr<ServerConnection> connection
+        = std::make_shared<ServerConnection>(std::move(socket), shared_from_this());
     add(connection);
     connection->start();
 }
@@ -150,7 +150,9 @@
 
 } // namespace detail
 
-Server::Server(std::shared_ptr<detail::ServerState> state) : state_(std::move(state)) {}
+Server::Server(std::shared_ptr<detail::ServerState> state) : state_(std::move(state))
+{
+}
 
 Server::~Server()
 {
@@ -207,7 +209,9 @@
     return state_->counters;
 }
 
-Server::Builder::Builder(boost::asio::io_context &context) : context_(context) {}
+Server::Builder::Builder(boost::asio::io_context &context) : context_(context)
+{
+}
 
 Server::Builder &Server::Builder::address(const Address &address) noexcept
 {
@@ -229,8 +233,8 @@
 
 Result<std::unique_ptr<Server>> Server::Builder::build() const
 {
-    const std::shared_ptr<detail::ServerState> state =
-        std::make_shared<detail::ServerState>(context_, limits_, handler_);
+    const std::shared_ptr<detail::ServerState> state
+        = std::make_shared<detail::ServerState>(context_, limits_, handler_);
     if (const boost::system::error_code error = state->listen(address_)) {
         return Error{Errc::Unavailable, Step::Accept, address_.toString(), error.message()};
     }
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Bytes of following requests that are read while one is worked on.
-constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+constexpr std::size_t maxPipelinedBytes = 65'536;
 
 unsigned statusOf(const boost::system::error_code &error)
 {
@@ -62,11 +62,10 @@
         return;
     }
     isReadPending_ = true;
-    socket_.async_read_some(
-        boost::asio::buffer(input_),
-        [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
-            self->onRead(error, size);
-        });
+    socket_.async_read_some(boost::asio::buffer(input_),
+                            [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+                                self->onRead(error, size);
+                            });
 }
 
 void ServerConnection::onRead(const boost::system::error_code &error, std::size_t size)
@@ -131,8 +130,8 @@
     phase_ = Phase::Working;
     isKeptAlive_ = parser_->keep_alive();
     ++requests_;
-    const std::shared_ptr<Exchange> exchange =
-        std::make_shared<Exchange>(shared_from_this(), parser_->release(), BootClock::now());
+    const std::shared_ptr<Exchange> exchange
+        = std::make_shared<Exchange>(shared_from_this(), parser_->release(), BootClock::now());
     exchange_ = exchange;
     ++state_->counters.openExchanges;
     state_->handler(exchange);
--- a/libs/http/src/serverconnection.h
+++ b/libs/http/src/serverconnection.h
@@ -82,7 +82,7 @@
     std::shared_ptr<ServerState> state_;
     Address client_;
     /// Where a read puts its bytes. The buffer may be consumed while a read is open, so it cannot be read into.
-    std::array<char, 4 * 1024> input_;
+    std::array<char, 4'096> input_;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     std::optional<Response> response_;
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -32,12 +32,13 @@
         tcp::acceptor probe(context, {boost::asio::ip::address_v4::loopback(), 0});
         address = {boost::asio::ip::address_v4::loopback().to_uint(), probe.local_endpoint().port()};
         probe.close();
-        server = http::Server::Builder(context)
-                     .address(address)
-                     .limits(limits)
-                     .handler([this](const std::shared_ptr<http::Exchange> &exchange) { exchanges.push_back(exchange); })
-                     .build()
-                     .value();
+        server
+            = http::Server::Builder(context)
+                  .address(address)
+                  .limits(limits)
+                  .handler([this](const std::shared_ptr<http::Exchange> &exchange) { exchanges.push_back(exchange); })
+                  .build()
+                  .value();
     }
 
     /// Runs the loop until \p isDone.
@@ -97,7 +98,8 @@
     BOOST_REQUIRE(world.runUntil([&] { return world.exchanges.size() == 2; }));
     BOOST_TEST(world.exchanges[1]->request().body() == "abc");
     world.exchanges[1]->respond(http::textResponse(200, "text/plain", "second"));
-    const std::string text = world.receive(socket, [](const std::string &received) { return endsWith(received, "second"); });
+    const std::string text
+        = world.receive(socket, [](const std::string &received) { return endsWith(received, "second"); });
     BOOST_TEST(text.find("first") != std::string::npos);
     BOOST_TEST(endsWith(text, "second"));
 }
@@ -109,8 +111,8 @@
     tcp::socket socket = world.connect();
     for (int round = 0; round < 50; ++round) {
         const std::string body(200 + static_cast<std::size_t>(round) * 37, static_cast<char>('a' + round % 26));
-        const std::string request = "POST /" + std::to_string(round) + " HTTP/1.1\r\nHost: x\r\nContent-Length: "
-            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const std::string request = "POST /" + std::to_string(round)
+            + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         const std::size_t half = request.size() / 2;
         world.send(socket, request.substr(0, half));
         world.context.poll();
@@ -160,7 +162,8 @@
 {
     World world;
     tcp::socket socket = world.connect();
-    world.send(socket, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    world.send(socket,
+               "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     BOOST_REQUIRE(world.runUntil([&] { return world.exchanges.size() == 1; }));
     BOOST_TEST(world.exchanges[0]->request().body() == "abcde");
 }
@@ -242,7 +245,7 @@
         request.method(boost::beast::http::verb::get);
         request.target("/x");
         request.set(boost::beast::http::field::host, "x");
-        connection->call(request, filter, [this](http::CallResult result) { results.push_back(std::move(result)); });
+        connection->call(request, std::move(filter), [this](http::CallResult result) { results.push_back(std::move(result)); });
         // The request has arrived before it is answered.
         std::string received;
         peer.non_blocking(true);
--- a/libs/observe/include/observe/eventlog.h
+++ b/libs/observe/include/observe/eventlog.h
@@ -62,7 +62,7 @@
 {
 public:
     /// Most bytes that wait.
-    static constexpr std::size_t bufferBytes() noexcept { return 256 * 1024; }
+    static constexpr std::size_t bufferBytes() noexcept { return 262'144; }
     /// Routine lines a second in the long run, and at once.
     static constexpr double routinePerSecond() noexcept { return 200; }
     static constexpr double routineBurst() noexcept { return 400; }
--- a/libs/observe/src/eventlog.cpp
+++ b/libs/observe/src/eventlog.cpp
@@ -20,7 +20,7 @@
 /// Decimal places of numbers.
 constexpr int decimalPlaces = 3;
 /// Bytes that are written without waiting for flush().
-constexpr std::size_t eagerBytes = 16 * 1024;
+constexpr std::size_t eagerBytes = 16'384;
 
 // RapidJSON refuses text that is not UTF-8; such bytes are shown as question marks.
 std::string printable(std::string_view text)
@@ -45,7 +45,9 @@
     }
 };
 
-EventLine::EventLine(EventLog *log, EventRank rank) : log_(log), rank_(rank) {}
+EventLine::EventLine(EventLog *log, EventRank rank) : log_(log), rank_(rank)
+{
+}
 
 EventLine::EventLine(EventLine &&other) noexcept : log_(other.log_), rank_(other.rank_)
 {
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -32,7 +32,8 @@
     return bounds.retrySlack * slackShare / static_cast<double>(std::max(fleet, leastFleet));
 }
 
-bool contains(std::span<const std::shared_ptr<TrackedSearcher>> searchers, const std::shared_ptr<TrackedSearcher> &searcher)
+bool contains(std::span<const std::shared_ptr<TrackedSearcher>> searchers,
+              const std::shared_ptr<TrackedSearcher> &searcher)
 {
     return std::find(searchers.begin(), searchers.end(), searcher) != searchers.end();
 }
@@ -45,7 +46,9 @@
     return names.at(static_cast<std::size_t>(reason));
 }
 
-BackendPool::BackendPool(std::string name, const RetryBudget &budget) : name_(std::move(name)), budget_(budget) {}
+BackendPool::BackendPool(std::string name, const RetryBudget &budget) : name_(std::move(name)), budget_(budget)
+{
+}
 
 SearcherPool::SearcherPool(std::string self, std::string failureDomain, const PoolBounds &bounds, std::uint64_t seed)
     : self_(std::move(self)), failureDomain_(std::move(failureDomain)), bounds_(bounds), random_(seed), fleet_{self_}
@@ -115,7 +118,9 @@
     return *backends_.emplace(std::string(name), std::move(pool)).first->second;
 }
 
-Choice SearcherPool::choose(TimePoint now, BackendPool &backend, std::span<const std::shared_ptr<TrackedSearcher>> tried)
+Choice SearcherPool::choose(TimePoint now,
+                            BackendPool &backend,
+                            std::span<const std::shared_ptr<TrackedSearcher>> tried)
 {
     std::shared_ptr<TrackedSearcher> best;
     double bestCost = 0;
@@ -154,10 +159,11 @@
 
 bool SearcherPool::isServing(TimePoint now, const BackendPool &backend) const
 {
-    return std::any_of(
-        backend.searchers_.begin(), backend.searchers_.end(), [this, now](const std::shared_ptr<TrackedSearcher> &searcher) {
-            return isUsable(*searcher) && !searcher->isBlocked(now);
-        });
+    return std::any_of(backend.searchers_.begin(),
+                       backend.searchers_.end(),
+                       [this, now](const std::shared_ptr<TrackedSearcher> &searcher) {
+                           return isUsable(*searcher) && !searcher->isBlocked(now);
+                       });
 }
 
 bool SearcherPool::isUsable(const TrackedSearcher &searcher) const
@@ -171,10 +177,10 @@
         return true;
     }
     const std::uint64_t key = hashBytes(searcher.entry().instance);
-    const std::set<std::string>::const_iterator holder =
-        std::max_element(fleet_.begin(), fleet_.end(), [key](const std::string &left, const std::string &right) {
-            return mix(key, hashBytes(left)) < mix(key, hashBytes(right));
-        });
+    const std::set<std::string>::const_iterator holder
+        = std::max_element(fleet_.begin(), fleet_.end(), [key](const std::string &left, const std::string &right) {
+              return mix(key, hashBytes(left)) < mix(key, hashBytes(right));
+          });
     return *holder == self_ && now >= coldPaces_[searcher.entry().instance].nextAt;
 }
 
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -95,8 +95,8 @@
 
 void TrackedSearcher::end(TimePoint now, std::uint64_t number, CallEnd end, std::optional<LoadReport> load)
 {
-    const std::vector<OpenCall>::iterator found = std::find_if(
-        calls_.begin(), calls_.end(), [number](const OpenCall &call) { return call.number == number; });
+    const std::vector<OpenCall>::iterator found
+        = std::find_if(calls_.begin(), calls_.end(), [number](const OpenCall &call) { return call.number == number; });
     if (found == calls_.end()) {
         return;
     }
@@ -179,8 +179,7 @@
 
 bool TrackedSearcher::isOverdue(TimePoint now) const noexcept
 {
-    return std::any_of(
-        calls_.begin(), calls_.end(), [now](const OpenCall &call) { return now >= call.overdueAt; });
+    return std::any_of(calls_.begin(), calls_.end(), [now](const OpenCall &call) { return now >= call.overdueAt; });
 }
 
 double TrackedSearcher::expectedQueue(TimePoint now) const noexcept
--- a/libs/routing/include/routing/configuration.h
+++ b/libs/routing/include/routing/configuration.h
@@ -59,8 +59,8 @@
 
 /// What callers may send, and how long they may take.
 struct CallerLimits {
-    std::uint32_t headerBytes = 16 * 1024;
-    std::uint64_t bodyBytes = 256 * 1024;
+    std::uint32_t headerBytes = 16'384;
+    std::uint64_t bodyBytes = 262'144;
     Duration headerTimeout = std::chrono::seconds(3);
     Duration idleTimeout = std::chrono::seconds(15);
 };
--- a/libs/settings/src/entrysettings.cpp
+++ b/libs/settings/src/entrysettings.cpp
@@ -15,11 +15,27 @@
 using detail::JsonReader;
 using Names = std::string_view[];
 
-constexpr Names knownMembers{"vm",           "failureDomain", "region",       "listeners", "peerPort", "metricsPort",
-                             "seeds",        "store", "firstStart", "processorShare",        "memoryMb",     "fileDescriptors", "bounds"};
+constexpr Names knownMembers{"vm",
+                             "failureDomain",
+                             "region",
+                             "listeners",
+                             "peerPort",
+                             "metricsPort",
+                             "seeds",
+                             "store",
+                             "firstStart",
+                             "processorShare",
+                             "memoryMb",
+                             "fileDescriptors",
+                             "bounds"};
 constexpr Names knownListeners{"callers", "readiness", "directory", "control"};
-constexpr Names knownBounds{"stopGraceS", "retryRatio", "retryWindowS",       "retrySlack",
-                            "coldFactor", "coldSlack",  "directoryLifetimeS"};
+constexpr Names knownBounds{"stopGraceS",
+                            "retryRatio",
+                            "retryWindowS",
+                            "retrySlack",
+                            "coldFactor",
+                            "coldSlack",
+                            "directoryLifetimeS"};
 
 constexpr detail::NumberRange ports{0, 65'535};
 constexpr detail::NumberRange seconds{0.1, 3'600};
--- a/libs/settings/tests/entrysettings_test.cpp
+++ b/libs/settings/tests/entrysettings_test.cpp
@@ -46,9 +46,11 @@
 {
     BOOST_TEST(faultOf(replaced("\"10.0.0.1:2\"", "\"nowhere\"")).find("/listeners/readiness") != std::string::npos);
     BOOST_TEST(faultOf(replaced("10.0.0.1:2", "10.0.0.1:3")).find("same address") != std::string::npos);
-    BOOST_TEST(faultOf(replaced("\"retryRatio\": 0.2", "\"retryRatio\": 2")).find("/bounds/retryRatio") != std::string::npos);
+    BOOST_TEST(faultOf(replaced("\"retryRatio\": 0.2", "\"retryRatio\": 2")).find("/bounds/retryRatio")
+               != std::string::npos);
     BOOST_TEST(faultOf(replaced("\"vm\"", "\"wm\"")).find("/wm") != std::string::npos);
-    BOOST_TEST(faultOf(replaced("\"seeds\": [\"10.0.0.1:4\"", "\"seeds\": [\"x\"")).find("/seeds") != std::string::npos);
+    BOOST_TEST(faultOf(replaced("\"seeds\": [\"10.0.0.1:4\"", "\"seeds\": [\"x\"")).find("/seeds")
+               != std::string::npos);
     BOOST_TEST(faultOf("not json") != "none");
     BOOST_TEST(faultOf("{}").find("/store") != std::string::npos);
 }
--- a/programs/sassafrasvaned/main.cpp
+++ b/programs/sassafrasvaned/main.cpp
@@ -24,8 +24,8 @@
 const char *const usage = R"(Usage: sassafrasvaned [--entry] [--settings FILE] [--check-settings]
 
   -e, --entry           serve from searchers that the platform's store publishes
-  -s, --settings FILE   JSON settings of this process; with --entry, the file that
-                        SASSAFRASVANE_SETTINGS names by default
+  -s, --settings FILE   JSON settings of this process; with --entry, the file that the
+                        platform names by default
   -c, --check-settings  check FILE, print its faults and exit
   -h, --help            print this help
   -V, --version         print the version
@@ -70,7 +70,7 @@
             std::exit(exitUsage);
         }
     }
-    const char *const fromEnvironment = std::getenv("SASSAFRASVANE_SETTINGS");
+    const char *const fromEnvironment = std::getenv(platform::settingsVariable);
     if (options.isEntry && options.settingsPath.empty() && fromEnvironment != nullptr) {
         options.settingsPath = fromEnvironment;
     }
@@ -93,8 +93,8 @@
         return EXIT_SUCCESS;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    const Result<std::unique_ptr<EntryProcess>> process =
-        EntryProcess::create(settings.value(), options.settingsPath, platform::protocol());
+    const Result<std::unique_ptr<EntryProcess>> process
+        = EntryProcess::create(settings.value(), options.settingsPath, platform::protocol());
     if (process.has_error()) {
         std::cerr << process.error().message() << '\n';
         return exitFailure;
