--- a/libs/catalog/include/catalog/storefollower.h
+++ b/libs/catalog/include/catalog/storefollower.h
@@ -100,7 +100,7 @@
     /// Time beyond the wait after which a watch is given up.
     static constexpr Duration watchSlack() noexcept { return std::chrono::milliseconds(500); }
     /// Time after which a list call is given up.
-    static constexpr Duration listTimeout() noexcept { return std::chrono::milliseconds(1'500); }
+    static constexpr Duration listTimeout() noexcept { return std::chrono::milliseconds(700); }
     /// Pause between two watches, so that changes in quick succession share a call.
     static constexpr Duration watchPause() noexcept { return std::chrono::milliseconds(150); }
     /// First and longest pause after failures.
