Refusals built in one place; unused accessors removed; HEAD; sanitizers build the HTTP library

GCC's maybe-uninitialized is no error in sanitizer builds only: it reports Boost's optional, which is not read there.

--- a/cmake/Sassafrasvane.cmake
+++ b/cmake/Sassafrasvane.cmake
@@ -22,6 +22,8 @@
 target_compile_options(sassafrasvane_options INTERFACE -Wall -Wextra -Wpedantic -Werror -Wno-error=deprecated-declarations)
 if(SASSAFRASVANE_SANITIZE)
     target_compile_options(sassafrasvane_options INTERFACE -fsanitize=${SASSAFRASVANE_SANITIZE} -fno-omit-frame-pointer)
+    # With sanitizers, GCC reports members of Boost's optional as uninitialized that are not read.
+    target_compile_options(sassafrasvane_options INTERFACE -Wno-error=maybe-uninitialized)
     target_link_options(sassafrasvane_options INTERFACE -fsanitize=${SASSAFRASVANE_SANITIZE})
 endif()
 
--- a/libs/catalog/include/catalog/storefollower.h
+++ b/libs/catalog/include/catalog/storefollower.h
@@ -146,9 +146,6 @@
     /// True if the last call was answered.
     bool isConnected() const noexcept { return isConnected_; }
 
-    /// When the store last answered; nothing if it never did.
-    std::optional<TimePoint> answeredAt() const noexcept { return answeredAt_; }
-
 private:
     void onAnswered(TimePoint now, StoreActions &actions);
     void startList();
@@ -169,7 +166,6 @@
     std::optional<TimePoint> dueAt_;
     Duration retryPause_ = firstRetryPause();
     bool isConnected_ = false;
-    std::optional<TimePoint> answeredAt_;
     std::optional<TimePoint> failedSince_;
     bool hasOutage_ = true;
 };
--- a/libs/catalog/src/storefollower.cpp
+++ b/libs/catalog/src/storefollower.cpp
@@ -56,7 +56,6 @@
     hasOutage_ = false;
     failedSince_.reset();
     isConnected_ = true;
-    answeredAt_ = now;
     retryPause_ = firstRetryPause();
 }
 
--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -56,7 +56,7 @@
     void onConfiguration(const RouteTable &routes);
 
     /// Tries waiting calls again. To be called several times a second.
-    void onTick(TimePoint now);
+    void onTick();
 
     const EntryCounters &counters() const noexcept { return counters_; }
     std::size_t openRequests() const noexcept { return requests_.size(); }
--- a/libs/entry/include/entry/feedtask.h
+++ b/libs/entry/include/entry/feedtask.h
@@ -52,8 +52,6 @@
     /// Changes the source if it is due. To be called several times a second.
     void onTick(TimePoint now);
 
-    bool isFollowingStore() const noexcept { return isFollowingStore_; }
-
 private:
     void updateClients();
     void take(const FeedAnswer &answer);
--- a/libs/entry/include/entry/searcherlinks.h
+++ b/libs/entry/include/entry/searcherlinks.h
@@ -50,8 +50,7 @@
     /// Notes that a connection has been closed.
     void discard(const TrackedSearcher &searcher);
 
-    /// Closes connections that have been idle for too long, and those of searchers that are no longer used.
-    /// \param isUsed whether the searcher at an address is still registered.
+    /// Closes connections that have been idle for too long.
     void closeStale(TimePoint now);
 
     /// Closes all idle connections to \p instance.
--- a/libs/entry/include/entry/storetask.h
+++ b/libs/entry/include/entry/storetask.h
@@ -57,9 +57,6 @@
 
     bool isConnected() const noexcept { return follower_.isConnected(); }
 
-    /// When the store last answered; nothing if it never did.
-    std::optional<TimePoint> answeredAt() const noexcept { return follower_.answeredAt(); }
-
     std::uint64_t calls() const noexcept { return calls_; }
 
 private:
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -394,7 +394,7 @@
     }
     lastTick_ = now;
     dispatcher_.onTick(now);
-    entry_.onTick(now);
+    entry_.onTick();
     state_.onTick(now);
     feed_.onTick(now);
     feedServer_.onTick(now);
--- a/libs/entry/src/entryserver.cpp
+++ b/libs/entry/src/entryserver.cpp
@@ -1,5 +1,6 @@
 #include "entry/entryserver.h"
 
+#include "refusal.h"
 #include "requesttask.h"
 
 #include <algorithm>
@@ -13,8 +14,6 @@
 constexpr unsigned badRequest = 400;
 constexpr unsigned notFound = 404;
 constexpr unsigned unavailable = 503;
-/// Time after which a refused caller may come back, as the header gives it.
-constexpr const char *retryAfter = "0.20";
 
 } // namespace
 
@@ -74,11 +73,7 @@
                          unsigned status,
                          const char *reason)
 {
-    http::Response response = http::emptyResponse(status);
-    if (status == unavailable) {
-        response.set(boost::beast::http::field::retry_after, retryAfter);
-    }
-    exchange->respond(std::move(response));
+    exchange->respond(status == unavailable ? detail::notRunResponse() : http::emptyResponse(status));
     log_.line(EventRank::Important, "request_refused")
         .text("request", terms.requestId)
         .text("host", http::headerOf(exchange->request(), "Host"))
@@ -112,7 +107,7 @@
     splits_.keepOnly(routes.configuration());
 }
 
-void EntryServer::onTick(TimePoint)
+void EntryServer::onTick()
 {
     waiting_.onTick();
 }
--- /dev/null
+++ b/libs/entry/src/refusal.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "http/message.h"
+
+/// \file
+/// The answer to a request that was not run.
+
+namespace sassafrasvane::detail
+{
+
+/// 503 with the time after which the caller may come back. Only for a request that has not run and never will.
+http::Response notRunResponse();
+
+} // namespace sassafrasvane::detail
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -2,11 +2,11 @@
 
 #include "gather/recordmerge.h"
 #include "headers.h"
+#include "refusal.h"
 
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <cstdio>
 
 namespace sassafrasvane::detail
 {
@@ -27,8 +27,6 @@
 constexpr Duration deadlineMargin = std::chrono::milliseconds(5);
 /// Searchers that free themselves within this time are waited for.
 constexpr Duration shortBlock = std::chrono::milliseconds(25);
-/// Time after which a refused caller may come back.
-constexpr double retryAfterSeconds = 0.2;
 
 // Statuses by which a caller knows that its request was not run.
 bool promisesNotRun(unsigned status)
@@ -290,7 +288,6 @@
 
 http::Response RequestTask::answer(GatherEnd end)
 {
-    constexpr unsigned unavailable = 503;
     constexpr unsigned badGateway = 502;
     constexpr unsigned gatewayTimeout = 504;
     switch (end) {
@@ -302,7 +299,7 @@
         parts_.front().response->prepare_payload();
         return std::move(*parts_.front().response);
     case GatherEnd::Unserved:
-        return refusal(unavailable);
+        return notRunResponse();
     case GatherEnd::Failed:
         if (failure_ && !route_.isGathered() && !promisesNotRun(failure_->result_int())) {
             removeConnectionHeaders(*failure_);
@@ -332,15 +329,6 @@
     return response;
 }
 
-http::Response RequestTask::refusal(unsigned status) const
-{
-    http::Response response = http::emptyResponse(status);
-    std::array<char, 16> text{};
-    std::snprintf(text.data(), text.size(), "%.2f", retryAfterSeconds);
-    response.set(boost::beast::http::field::retry_after, text.data());
-    return response;
-}
-
 void RequestTask::logEnd(GatherEnd end, unsigned status) const
 {
     const Duration elapsed = BootClock::now() - exchange_->receivedAt();
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -78,7 +78,6 @@
     void endCalls(bool isAbandoned);
     http::Response answer(GatherEnd end);
     http::Response mergedAnswer();
-    http::Response refusal(unsigned status) const;
     void logEnd(GatherEnd end, unsigned status) const;
 
     RequestContext &shared_;
--- a/libs/http/src/clientconnection.cpp
+++ b/libs/http/src/clientconnection.cpp
@@ -105,6 +105,8 @@
     parser_->eager(true);
     parser_->header_limit(maxHeaderBytes);
     parser_->body_limit(maxResponseBytes);
+    // The answer to HEAD names the length of a body that it does not have.
+    parser_->skip(request_->method() == beast_http::verb::head);
 }
 
 void TcpClientConnection::onWritten(const boost::system::error_code &error, std::size_t size)
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -119,7 +119,7 @@
 
     bool isUsable(const TrackedSearcher &searcher) const;
     bool mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms);
-    std::size_t callLimit(const TrackedSearcher &searcher, const BackendTerms &terms) const;
+    std::size_t callLimit(const TrackedSearcher &searcher) const;
 
     std::string self_;
     std::string failureDomain_;
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -133,8 +133,7 @@
             reason = std::max(reason, Unplaced::Blocked);
             continue;
         }
-        if (searcher->openCalls() >= callLimit(*searcher, backend.terms_)
-            || !mayCallCold(now, *searcher, backend.terms_)) {
+        if (searcher->openCalls() >= callLimit(*searcher) || !mayCallCold(now, *searcher, backend.terms_)) {
             reason = Unplaced::Saturated;
             continue;
         }
@@ -192,7 +191,7 @@
     return std::max<std::size_t>(1, shared / std::max(fleet_.size(), leastFleet));
 }
 
-std::size_t SearcherPool::callLimit(const TrackedSearcher &searcher, const BackendTerms &) const
+std::size_t SearcherPool::callLimit(const TrackedSearcher &searcher) const
 {
     const std::size_t fleet = std::max(fleet_.size(), leastFleet);
     const std::size_t shared = (searcher.entry().slots * callsPerSlot + fleet - 1) / fleet;
