--- a/cmake/Sassafrasvane.cmake
+++ b/cmake/Sassafrasvane.cmake
@@ -23,7 +23,7 @@
 if(SASSAFRASVANE_SANITIZE)
     target_compile_options(sassafrasvane_options INTERFACE -fsanitize=${SASSAFRASVANE_SANITIZE} -fno-omit-frame-pointer)
     # With sanitizers, GCC reports members of Boost's optional as uninitialized that are not read.
-    target_compile_options(sassafrasvane_options INTERFACE -Wno-error=maybe-uninitialized)
+    target_compile_options(sassafrasvane_options INTERFACE $<$<CXX_COMPILER_ID:GNU>:-Wno-error=maybe-uninitialized>)
     target_link_options(sassafrasvane_options INTERFACE -fsanitize=${SASSAFRASVANE_SANITIZE})
 endif()
 
