Terms of a request are worked out once; expiry of a server connection said in one step

Cause: RequestTask worked out its terms, with a quantile of the histogram, once for the gather, once before its start and again for the log, which then showed the hedge delay of the moment of the answer instead of the one that decided. Behaviour is otherwise the same.

--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -58,7 +58,8 @@
     , parts_(backends.size())
     , deadline_(exchange_->receivedAt() + std::min(terms_.patience.value_or(route.timeLimit), route.timeLimit)
                 - deadlineMargin)
-    , gather_(gatherTerms(), gatherHooks())
+    , gatherTerms_(makeGatherTerms())
+    , gather_(gatherTerms_, gatherHooks())
     , timer_(shared.context)
 {
     for (std::size_t part = 0; part < backends.size(); ++part) {
@@ -70,7 +71,7 @@
     request_ = std::make_shared<const http::Request>(std::move(request));
 }
 
-GatherTerms RequestTask::gatherTerms() const
+GatherTerms RequestTask::makeGatherTerms() const
 {
     const TimePoint receivedAt = exchange_->receivedAt();
     GatherTerms terms;
@@ -123,7 +124,7 @@
     const std::ptrdiff_t serving = std::count_if(parts_.begin(), parts_.end(), [this, now](const Part &part) {
         return shared_.pool.isServing(now, *part.backend);
     });
-    return static_cast<std::size_t>(serving) >= gatherTerms().leastParts;
+    return static_cast<std::size_t>(serving) >= gatherTerms_.leastParts;
 }
 
 Placement RequestTask::place(std::size_t part, CallPurpose purpose)
@@ -344,7 +345,7 @@
         .count("answered", gather_.answeredParts())
         .count("extra_calls", extraCalls_)
         .milliseconds("typical_call_ms", times_.typical())
-        .milliseconds("hedge_after_ms", times_.hedgeDelay())
+        .milliseconds("hedge_after_ms", gatherTerms_.hedgeDelay)
         .count("configuration", table_->version());
     if (gather_.answeredParts() < parts_.size()) {
         std::string missing;
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -63,7 +63,7 @@
         bool isNextFree = false;
     };
 
-    GatherTerms gatherTerms() const;
+    GatherTerms makeGatherTerms() const;
     GatherHooks gatherHooks();
     bool canBeServed(TimePoint now) const;
     Placement place(std::size_t part, CallPurpose purpose);
@@ -89,6 +89,7 @@
     std::shared_ptr<const http::Request> request_;
     std::vector<Part> parts_;
     TimePoint deadline_;
+    GatherTerms gatherTerms_;
     Gather gather_;
     boost::asio::steady_timer timer_;
     std::optional<TimePoint> timerAt_;
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -180,12 +180,10 @@
 
 bool ServerConnection::isExpired(TimePoint now) const noexcept
 {
-    if (phase_ == Phase::Working) {
+    if (phase_ != Phase::Reading) {
         return false;
     }
-    const bool isWaiting = phase_ == Phase::Reading && !isRequestBegun_;
-    return now - since_ > (isWaiting ? state_->limits.idleTimeout : state_->limits.headerTimeout)
-        && phase_ == Phase::Reading;
+    return now - since_ > (isRequestBegun_ ? state_->limits.headerTimeout : state_->limits.idleTimeout);
 }
 
 void ServerConnection::close()
