--- a/bench/decisions/tiercalls.cpp
+++ b/bench/decisions/tiercalls.cpp
@@ -183,14 +183,10 @@
         }
     }
     const Running &asker = queries_.at(call.query);
+    // The baseline has no gates.
+    const DaemonId holder = setup_.isBaseline ? DaemonId{} : gates_[call.gate].holder;
     loop_.after(call.hop,
-                [this,
-                 query = call.query,
-                 at = asker.entry,
-                 cls = asker.cls,
-                 sentAt = call.sentAt,
-                 holder = gates_[call.gate].holder,
-                 reply] {
+                [this, query = call.query, at = asker.entry, cls = asker.cls, sentAt = call.sentAt, holder, reply] {
                     if (!setup_.isBaseline) {
                         learn(entries_[at], cls, reply, loop_.now() - sentAt, holder);
                     }
