Ready only when all searchers are known; latency histograms; settings that change without a signal; why from logs

Cause of the first: a process said that it was ready as soon as a configuration was in force, while the list of searchers was still being read; requests in that time were refused. Seen once in tests/entry beside a build (the first request of test_second_answer_never_reaches_another_request got 503); ruled out: stale connections, the stand-in. Test: test_process_is_ready_only_when_it_knows_all_searchers (slow pages of the store), failed first. Metrics: histograms of requests by route and end and of calls by back end and end (Boost.Histogram), bounded series. PlannedStop holds the order of a planned stop (was in entryprocess.cpp); shareOf() stands once; a searcher's reply is read once.

--- a/libs/base/include/base/time.h
+++ b/libs/base/include/base/time.h
@@ -43,4 +43,10 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
 }
 
+/// \return \p share of \p duration.
+constexpr Duration shareOf(Duration duration, double share) noexcept
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * share));
+}
+
 } // namespace sassafrasvane
--- a/libs/entry/include/entry/counters.h
+++ b/libs/entry/include/entry/counters.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "entry/latencymetric.h"
 #include "gather/gather.h"
 
 #include <array>
 #include <cstdint>
+#include <string_view>
 
 /// \file
 /// Counts of an entry process since its start.
@@ -11,9 +13,11 @@
 namespace sassafrasvane
 {
 
-/// Counts of requests by how they ended.
+/// Counts and latencies of requests by how they ended.
 struct EntryCounters {
     std::array<std::uint64_t, 4> ends{};
+    /// From the last byte of the request to the answer.
+    LatencyMetric latencies{"request_seconds", "route"};
     /// Answered without all parts.
     std::uint64_t partial = 0;
     std::uint64_t abandoned = 0;
@@ -23,7 +27,11 @@
     std::uint64_t overloaded = 0;
 
     /// Notes that a request ended.
-    void record(GatherEnd end) noexcept { ++ends[static_cast<std::size_t>(end)]; }
+    void record(std::string_view route, GatherEnd end, Duration elapsed)
+    {
+        ++ends[static_cast<std::size_t>(end)];
+        latencies.add(route, name(end), elapsed);
+    }
 };
 
 } // namespace sassafrasvane
--- a/libs/entry/include/entry/dispatcher.h
+++ b/libs/entry/include/entry/dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "entry/latencymetric.h"
 #include "entry/protocol.h"
 #include "entry/searcherlinks.h"
 #include "observe/eventlog.h"
@@ -83,6 +84,9 @@
     std::size_t openCalls() const noexcept { return calls_.size(); }
     const SearcherLinks &links() const noexcept { return links_; }
 
+    /// Times of the calls, by how they ended.
+    const LatencyMetric &latencies() const noexcept { return latencies_; }
+
 private:
     struct Call;
     using CallPtr = std::shared_ptr<Call>;
@@ -90,7 +94,7 @@
     void onOpened(const CallPtr &call, const std::error_code &error);
     void transmit(const CallPtr &call);
     void onResult(const CallPtr &call, http::CallResult result);
-    CallVerdict judge(const Call &call, http::CallResult result) const;
+    static CallVerdict judge(Call &call, http::CallResult result);
     void end(const CallPtr &call, CallVerdict outcome);
     void breakOff(const CallPtr &call, CallEnd end);
 
@@ -99,6 +103,7 @@
     EventLog &log_;
     SearcherLinks links_;
     std::list<CallPtr> calls_;
+    LatencyMetric latencies_{"call_seconds", "backend"};
     std::function<void(const std::string &backend)> onFree_;
 };
 
--- a/libs/entry/include/entry/publishedstate.h
+++ b/libs/entry/include/entry/publishedstate.h
@@ -63,6 +63,9 @@
     /// The routes in force; null if no configuration was read yet.
     const std::shared_ptr<const RouteTable> &routes() const noexcept { return routes_; }
 
+    /// True once all items were listed, so that routes and searchers are known.
+    bool isComplete() const noexcept { return isComplete_; }
+
     /// The items in force.
     std::vector<StoreItem> items() const;
 
@@ -104,6 +107,7 @@
     std::unordered_map<std::string, Removal> removals_;
     std::uint64_t historyBegin_ = 1;
     std::set<std::string> listed_;
+    bool isComplete_ = false;
     std::uint64_t revision_ = 0;
     std::function<void(const RouteTable &routes)> onConfiguration_;
     std::function<void(const std::string &instance)> onSearcherGone_;
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -37,6 +37,8 @@
     TimePoint startedAt;
     /// When the call is given up.
     TimePoint expiresAt;
+    /// What the last response says that was read.
+    SearcherReply reply;
     bool isSent = false;
     bool isEnded = false;
     std::list<CallPtr>::iterator place;
@@ -99,12 +101,11 @@
     http::Request request = *call->order.request;
     const Duration timeLeft = std::max(Duration{0}, call->order.deadline - now);
     protocol_.addressCall(request, timeLeft, call->order.searcher->entry().instance);
-    const std::string &requestId = call->order.requestId;
     call->connection->call(
         std::move(request),
-        [this, requestId](const http::Response &response) {
-            const std::string answered = protocol_.readSearcherReply(response).requestId;
-            return answered.empty() || answered == requestId;
+        [this, call](const http::Response &response) {
+            call->reply = protocol_.readSearcherReply(response);
+            return call->reply.requestId.empty() || call->reply.requestId == call->order.requestId;
         },
         [this, call](http::CallResult result) { onResult(call, std::move(result)); });
 }
@@ -125,7 +126,7 @@
     end(call, std::move(outcome));
 }
 
-CallVerdict Dispatcher::judge(const Call &call, http::CallResult result) const
+CallVerdict Dispatcher::judge(Call &call, http::CallResult result)
 {
     CallVerdict outcome;
     if (!result.response) {
@@ -134,7 +135,7 @@
         return outcome;
     }
     outcome.response = std::move(result.response);
-    outcome.reply = protocol_.readSearcherReply(*outcome.response);
+    outcome.reply = std::move(call.reply);
     const unsigned status = outcome.response->result_int();
     if (outcome.reply.isWrongSearcher || outcome.reply.isNotRun) {
         outcome.end = outcome.reply.isWrongSearcher ? CallEnd::WrongSearcher : CallEnd::Rejected;
@@ -159,6 +160,7 @@
     outcome.elapsed = now - call->startedAt;
     TrackedSearcher &searcher = *call->order.searcher;
     searcher.end(now, call->number, outcome.end, outcome.reply.load);
+    latencies_.add(searcher.entry().backend, name(outcome.end), outcome.elapsed);
     const bool isFailure = outcome.end != CallEnd::Answered && outcome.end != CallEnd::Cancelled;
     if (isFailure) {
         log_.line(EventRank::Important, "call_failed")
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -5,12 +5,14 @@
 #include "entry/feedserver.h"
 #include "entry/feedtask.h"
 #include "entry/peertask.h"
+#include "entry/plannedstop.h"
 #include "entry/publishedstate.h"
 #include "entry/storetask.h"
 #include "http/server.h"
 #include "metricstext.h"
 #include "observe/eventlog.h"
 #include "placement/searcherpool.h"
+#include "settings/settingsfile.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -35,8 +37,6 @@
 constexpr unsigned slowTicks = 10;
 /// How long callers keep a list of entry VMs.
 constexpr Duration directoryLifetime = std::chrono::seconds(5);
-/// Time before the end of the grace period by which everything is closed.
-constexpr Duration stopMargin = std::chrono::milliseconds(400);
 /// Connections to a searcher that each entry VM needs which is named to callers, and VMs that are named at least.
 constexpr std::uint32_t connectionsPerNamed = 5;
 constexpr std::size_t leastNamed = 12;
@@ -80,7 +80,7 @@
 public:
     Implementation(const EntrySettings &settings, std::string settingsPath, EntryProtocol protocol)
         : settings_(settings)
-        , settingsPath_(std::move(settingsPath))
+        , settingsFile_(std::move(settingsPath))
         , protocol_(std::move(protocol))
         , log_(STDOUT_FILENO, settings.vm)
         , seed_(mix(daemonId(peerAddressOf(settings)).value, wallClockMicros()))
@@ -113,20 +113,20 @@
         return settings_.isFirstStart ? FeedTask::firstStartPatience() : FeedTask::startPatience();
     }
     void updateNamed(const RouteTable &routes);
-    bool isReady() const noexcept { return !stopBegunAt_ && state_.routes() != nullptr; }
+    bool isReady() const noexcept { return !stop_.hasBegun() && state_.routes() != nullptr && state_.isComplete(); }
     void waitForSignal();
     void onSignal(int signal);
     void beginStop();
     void continueStop(TimePoint now);
     void endStop();
-    void reload();
+    void reload(const char *trigger);
     void setSeeds();
     void tick();
     void onTick();
     void onSlowTick(TimePoint now);
 
     EntrySettings settings_;
-    std::string settingsPath_;
+    SettingsFile settingsFile_;
     EntryProtocol protocol_;
     boost::asio::io_context context_{1};
     EventLog log_;
@@ -149,8 +149,7 @@
     TimePoint startedAt_ = BootClock::now();
     TimePoint lastTick_ = BootClock::now();
     unsigned ticks_ = 0;
-    std::optional<TimePoint> stopBegunAt_;
-    bool isAccepting_ = true;
+    PlannedStop stop_;
 };
 
 Result<std::unique_ptr<http::Server>> EntryProcess::Implementation::listen(const Address &address,
@@ -210,7 +209,7 @@
     log_.line(EventRank::Important, "process_started")
         .text("callers", settings_.listeners.callers.toString())
         .text("failure_domain", settings_.failureDomain)
-        .text("settings", settingsPath_);
+        .text("settings", settingsFile_.path());
     state_.setOnConfiguration([this](const RouteTable &routes) {
         callers_->setLimits(serverLimits(routes.configuration().callerLimits, settings_.fileDescriptors));
         entry_.onConfiguration(routes);
@@ -311,22 +310,26 @@
 void EntryProcess::Implementation::onSignal(int signal)
 {
     if (signal == SIGHUP) {
-        reload();
-    } else if (!stopBegunAt_) {
+        settingsFile_.hasChanged();
+        reload("signal");
+    } else if (!stop_.hasBegun()) {
         beginStop();
     }
 }
 
-void EntryProcess::Implementation::reload()
+void EntryProcess::Implementation::reload(const char *trigger)
 {
-    const Result<EntrySettings> settings = readEntrySettingsFile(settingsPath_);
+    const Result<EntrySettings> settings = readEntrySettingsFile(settingsFile_.path());
     if (settings.has_error()) {
-        log_.line(EventRank::Important, "settings_refused").error(settings.error());
+        log_.line(EventRank::Important, "settings_refused").text("trigger", trigger).error(settings.error());
         return;
     }
     settings_.seeds = settings.value().seeds;
     settings_.bounds = settings.value().bounds;
-    log_.line(EventRank::Important, "settings_reloaded").count("seeds", settings_.seeds.size());
+    pool_.setBounds(poolBounds(settings_.bounds));
+    log_.line(EventRank::Important, "settings_reloaded")
+        .text("trigger", trigger)
+        .count("seeds", settings_.seeds.size());
     setSeeds();
 }
 
@@ -341,27 +344,27 @@
 
 void EntryProcess::Implementation::beginStop()
 {
-    stopBegunAt_ = BootClock::now();
+    stop_.begin(BootClock::now(), settings_.bounds.stopGrace);
     log_.line(EventRank::Important, "stop_begun").count("open_requests", entry_.openRequests());
     peers_->leave();
     callers_->closeAfterResponses();
 }
 
-// Callers keep connecting until their list of entry VMs has expired, so the listener stays open for that long.
 void EntryProcess::Implementation::continueStop(TimePoint now)
 {
-    const Duration elapsed = now - *stopBegunAt_;
-    const Duration acceptTime = settings_.bounds.stopGrace / 2;
-    if (isAccepting_ && elapsed >= acceptTime) {
-        isAccepting_ = false;
+    switch (stop_.next(now, callers_->counters().openConnections)) {
+    case StopStep::Serve:
+        break;
+    case StopStep::StopAccepting:
         callers_->stopAccepting();
         callers_->closeIdle();
-    }
-    const bool isDone = !isAccepting_ && callers_->counters().openConnections == 0;
-    if (isDone || elapsed >= settings_.bounds.stopGrace - stopMargin) {
-        endStop();
-    } else if (!isAccepting_) {
+        break;
+    case StopStep::CloseIdle:
         callers_->closeIdle();
+        break;
+    case StopStep::End:
+        endStop();
+        break;
     }
 }
 
@@ -401,7 +404,7 @@
     if (++ticks_ % slowTicks == 0) {
         onSlowTick(now);
     }
-    if (stopBegunAt_) {
+    if (stop_.hasBegun()) {
         continueStop(now);
     }
     log_.flush();
@@ -415,6 +418,9 @@
         }
     }
     onMembers();
+    if (settingsFile_.hasChanged()) {
+        reload("file");
+    }
 }
 
 Result<std::unique_ptr<EntryProcess>> EntryProcess::create(const EntrySettings &settings,
--- /dev/null
+++ b/libs/entry/src/latencymetric.cpp
@@ -0,0 +1,111 @@
+#include "entry/latencymetric.h"
+
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/storage_adaptor.hpp>
+
+#include <array>
+#include <cstdint>
+#include <cstdio>
+#include <tuple>
+#include <vector>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+constexpr const char *otherNames = "other";
+
+/// Upper bounds of the buckets, in seconds; a last bucket has no bound.
+constexpr std::array<double, 13> bounds{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4};
+
+std::string escaped(std::string_view value)
+{
+    std::string text;
+    for (const char character : value) {
+        if (character == '\n') {
+            text += "\\n";
+            continue;
+        }
+        if (character == '"' || character == '\\') {
+            text += '\\';
+        }
+        text += character;
+    }
+    return text;
+}
+
+std::string shown(double value)
+{
+    std::array<char, 32> digits{};
+    const int size = std::snprintf(digits.data(), digits.size(), "%.6g", value);
+    return {digits.data(), static_cast<std::size_t>(size)};
+}
+
+} // namespace
+
+struct LatencyMetric::Series {
+    using Axis = boost::histogram::axis::variable<double>;
+
+    // The first edge is the least latency.
+    static Axis axis()
+    {
+        std::vector<double> edges{0};
+        edges.insert(edges.end(), bounds.begin(), bounds.end());
+        return Axis(edges);
+    }
+
+    boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<std::uint64_t>> buckets{axis()};
+    double sumSeconds = 0;
+};
+
+LatencyMetric::LatencyMetric(std::string metric, std::string label)
+    : metric_("sassafrasvane_" + std::move(metric)), label_(std::move(label))
+{
+}
+
+LatencyMetric::~LatencyMetric() = default;
+
+void LatencyMetric::add(std::string_view name, std::string_view end, Duration latency)
+{
+    auto known = series_.find(name);
+    if (known == series_.end()) {
+        const std::string_view kept = series_.size() < mostNames() ? name : otherNames;
+        known = series_.try_emplace(std::string(kept)).first;
+    }
+    auto series = known->second.find(end);
+    if (series == known->second.end()) {
+        series = known->second.emplace(std::string(end), std::make_unique<Series>()).first;
+    }
+    const double seconds = toMilliseconds(latency) / 1'000;
+    series->second->buckets(seconds);
+    series->second->sumSeconds += seconds;
+}
+
+void LatencyMetric::appendText(std::string &text) const
+{
+    text += "# TYPE " + metric_ + " histogram\n";
+    for (const auto &[name, ends] : series_) {
+        for (const auto &[end, series] : ends) {
+            appendSeries(text, label_ + "=\"" + escaped(name) + "\",end=\"" + end + "\"", *series);
+        }
+    }
+}
+
+void LatencyMetric::appendSeries(std::string &text, const std::string &labels, const Series &series) const
+{
+    std::uint64_t count = 0;
+    for (std::size_t bucket = 0; bucket < bounds.size(); ++bucket) {
+        count += series.buckets.at(static_cast<int>(bucket));
+        text += metric_ + "_bucket{" + labels + ",le=\"" + shown(bounds.at(bucket)) + "\"} " + std::to_string(count);
+        text += '\n';
+    }
+    count += series.buckets.at(static_cast<int>(bounds.size()));
+    text += metric_ + "_bucket{" + labels + ",le=\"+Inf\"} " + std::to_string(count) + '\n';
+    text += metric_ + "_sum{" + labels + "} " + shown(series.sumSeconds) + '\n';
+    text += metric_ + "_count{" + labels + "} " + std::to_string(count) + '\n';
+}
+
+} // namespace sassafrasvane
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -34,6 +34,8 @@
     const http::ServerCounters server = sources.callers.counters();
     std::string text;
     addEnds(text, counters);
+    counters.latencies.appendText(text);
+    sources.dispatcher.latencies().appendText(text);
     add(text, "requests_abandoned_total", "counter", counters.abandoned);
     add(text, "requests_unrouted_total", "counter", counters.unrouted);
     add(text, "requests_unconfigured_total", "counter", counters.unconfigured);
--- a/libs/entry/src/publishedstate.cpp
+++ b/libs/entry/src/publishedstate.cpp
@@ -153,6 +153,7 @@
 
 void PublishedState::onListComplete(TimePoint now, std::uint64_t revision)
 {
+    isComplete_ = true;
     std::vector<StoreItem> missing;
     for (const auto &[key, item] : items_) {
         if (!listed_.contains(key)) {
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -35,11 +35,6 @@
     return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
 }
 
-Duration shareOf(Duration duration, double share)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * share));
-}
-
 } // namespace
 
 RequestTask::RequestTask(RequestContext &shared,
@@ -333,7 +328,7 @@
 void RequestTask::logEnd(GatherEnd end, unsigned status) const
 {
     const Duration elapsed = BootClock::now() - exchange_->receivedAt();
-    shared_.counters.record(end);
+    shared_.counters.record(route_.name, end, elapsed);
     const EventRank rank = end == GatherEnd::Answered ? EventRank::Routine : EventRank::Important;
     EventLine line = shared_.log.line(rank, "request_ended");
     line.text("request", terms_.requestId)
--- a/libs/operators/include/operators/ctl.h
+++ b/libs/operators/include/operators/ctl.h
@@ -36,6 +36,8 @@
     std::vector<Address> daemons;
     /// Process settings that name a daemon and the operators' key.
     std::string settingsPath;
+    /// Logs of entry processes, which "why" reads in place of asking daemons.
+    std::vector<std::string> logPaths;
     std::optional<DocumentKind> kind;
     /// For connecting to a daemon, and again for its reply.
     Duration timeout = std::chrono::seconds(2);
--- a/libs/operators/src/ctl.cpp
+++ b/libs/operators/src/ctl.cpp
@@ -3,6 +3,7 @@
 #include "control/controlclient.h"
 #include "control/json.h"
 #include "operators/documents.h"
+#include "operators/requeststory.h"
 #include "settings/processsettings.h"
 #include "settings/textfile.h"
 #include "views.h"
@@ -11,6 +12,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <fstream>
+#include <iterator>
 #include <ostream>
 #include <thread>
 
@@ -43,6 +46,9 @@
         if (options_.command == "diff") {
             return diff();
         }
+        if (options_.command == "why" && !options_.logPaths.empty()) {
+            return whyFromLogs();
+        }
         return addSettings() ? ask() : CtlExit::Failed;
     }
 
@@ -100,6 +106,29 @@
         return CtlExit::Ok;
     }
 
+    CtlExit whyFromLogs()
+    {
+        std::vector<LogText> logs;
+        for (const std::string &path : options_.logPaths) {
+            std::ifstream file(path, std::ios::binary);
+            if (!file) {
+                err_ << path << ": cannot be read\n";
+                return CtlExit::Failed;
+            }
+            logs.push_back({path, std::string(std::istreambuf_iterator<char>(file), {})});
+        }
+        const std::string &request = options_.arguments[0];
+        const RequestStory story = requestStory(request, logs);
+        if (options_.isJson) {
+            for (const LogLine &line : story.lines) {
+                out_ << line.json << '\n';
+            }
+        } else {
+            out_ << requestStoryText(request, story);
+        }
+        return story.lines.empty() ? CtlExit::Failed : CtlExit::Ok;
+    }
+
     /// Takes the daemon and the key from the settings file, if one is given.
     bool addSettings()
     {
--- a/libs/operators/src/ctloptions.cpp
+++ b/libs/operators/src/ctloptions.cpp
@@ -25,6 +25,7 @@
 
 const option longOptions[] = {{"daemon", required_argument, nullptr, 'd'},
                               {"settings", required_argument, nullptr, 's'},
+                              {"log", required_argument, nullptr, 'l'},
                               {"kind", required_argument, nullptr, 'k'},
                               {"timeout", required_argument, nullptr, 't'},
                               {"interval", required_argument, nullptr, 'i'},
@@ -104,6 +105,9 @@
     case 's':
         options.settingsPath = optarg;
         break;
+    case 'l':
+        options.logPaths.emplace_back(optarg);
+        break;
     case 'k':
         return readKind(options, optarg);
     case 't':
@@ -139,7 +143,8 @@
     if (options.arguments.size() != command->arguments) {
         return wrongUsage(options.command + " takes " + std::to_string(command->arguments) + " arguments");
     }
-    if (command->needsDaemons && options.daemons.empty() && options.settingsPath.empty()) {
+    const bool readsLogs = options.command == "why" && !options.logPaths.empty();
+    if (command->needsDaemons && !readsLogs && options.daemons.empty() && options.settingsPath.empty()) {
         return wrongUsage(options.command + " needs --daemon or --settings");
     }
     return boost::outcome_v2::success();
@@ -155,7 +160,8 @@
   check FILE         check a file before it is published or used
   diff OLD NEW       what would change from OLD to NEW, in words
   status             daemons, searchers and classes against their targets
-  why SUBJECT        decisions that concern a trace id, a server's ip:port or a class
+  why SUBJECT        decisions that concern a trace id, a server's ip:port or a class;
+                     with --log, what logs of entry processes say of a request id
   entries            the addresses that callers are advised to use
   drain              begin the planned stop of the daemons
   watch              status again and again
@@ -163,6 +169,7 @@
 Options:
   -d, --daemon IP:PORT   a daemon's address for operators; may be repeated
   -s, --settings FILE    take a daemon's address and the operators' key from its process settings
+  -l, --log FILE         a log of an entry process; may be repeated
   -k, --kind KIND        kind of the documents: process, configuration, shardmap or vms
   -t, --timeout MS       longest time to connect, and again to wait for the reply (2000)
   -i, --interval MS      pause between two rounds of watch (2000)
@@ -183,7 +190,7 @@
     optind = 0; // Makes getopt_long begin anew.
     opterr = 0;
     int choice = 0;
-    while ((choice = getopt_long(argc, argv, "d:s:k:t:i:n:jhV", longOptions, nullptr)) != -1) {
+    while ((choice = getopt_long(argc, argv, "d:s:l:k:t:i:n:jhV", longOptions, nullptr)) != -1) {
         const Result<void> read = readOption(options, choice);
         if (read.has_error()) {
             return read.error();
--- a/libs/placement/include/placement/retrybudget.h
+++ b/libs/placement/include/placement/retrybudget.h
@@ -23,8 +23,8 @@
     /// \param ratio extra calls that a request earns. \param burst most extra calls that are saved up.
     RetryBudget(double ratio, double burst) noexcept;
 
-    /// Sets the most that is saved up.
-    void setBurst(double burst) noexcept;
+    /// Replaces both terms. What is saved up beyond \p burst is lost.
+    void setTerms(double ratio, double burst) noexcept;
 
     /// Notes a request for the back end.
     void onRequest() noexcept;
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -87,6 +87,9 @@
     /// Forgets \p instance. Its open calls go on.
     void remove(std::string_view instance);
 
+    /// Replaces the bounds.
+    void setBounds(const PoolBounds &bounds);
+
     /// Takes the terms of all back ends.
     void setTerms(const std::vector<BackendTerms> &terms);
 
@@ -120,6 +123,7 @@
     bool isUsable(const TrackedSearcher &searcher) const;
     bool mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms);
     std::size_t callLimit(const TrackedSearcher &searcher) const;
+    void updateBudgets();
 
     std::string self_;
     std::string failureDomain_;
--- a/libs/placement/src/calltimes.cpp
+++ b/libs/placement/src/calltimes.cpp
@@ -22,11 +22,6 @@
 /// A call counts as at most this many usual ones, so that a few stragglers do not shift the usual time.
 constexpr int stragglerBound = 4;
 
-Duration shareOf(Duration duration, double share)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * share));
-}
-
 } // namespace
 
 CallTimes::CallTimes(Duration latencyTarget) noexcept
--- a/libs/placement/src/retrybudget.cpp
+++ b/libs/placement/src/retrybudget.cpp
@@ -18,8 +18,9 @@
 {
 }
 
-void RetryBudget::setBurst(double burst) noexcept
+void RetryBudget::setTerms(double ratio, double burst) noexcept
 {
+    ratio_ = ratio;
     burst_ = burst;
     tokens_ = std::min(tokens_, burst_);
 }
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -102,8 +102,19 @@
 {
     fleet_ = vms;
     fleet_.insert(self_);
+    updateBudgets();
+}
+
+void SearcherPool::setBounds(const PoolBounds &bounds)
+{
+    bounds_ = bounds;
+    updateBudgets();
+}
+
+void SearcherPool::updateBudgets()
+{
     for (const auto &[name, pool] : backends_) {
-        pool->budget_.setBurst(retryBurst(bounds_, fleet_.size()));
+        pool->budget_.setTerms(bounds_.retryRatio * ratioShare, retryBurst(bounds_, fleet_.size()));
     }
 }
 
--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -6,9 +6,11 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 import struct
 import threading
+import time
 from urllib.parse import parse_qs, unquote, urlsplit
 
 RECORD_BYTES = 16
@@ -51,19 +53,42 @@
         self.body = body
 
 
+@dataclasses.dataclass
+class Run:
+    """A request that a searcher has begun to run."""
+
+    request_id: str
+    method: str
+    target: str
+    body: bytes
+    # What the request says of the time left, in milliseconds; None if it says nothing.
+    time_left_ms: int | None
+    at: float
+    ended_at: float | None = None
+
+    def what(self):
+        return self.request_id, self.method, self.target, self.body
+
+
+async def read_head(reader):
+    """Reads the first line and the headers of a message."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines:
+        if line:
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+    return first, headers
+
+
 async def read_request(reader):
     """Reads one request; None at the end of the connection."""
     try:
-        head = await reader.readuntil(b"\r\n\r\n")
+        first, headers = await read_head(reader)
     except (asyncio.IncompleteReadError, ConnectionError):
         return None
-    lines = head.decode("latin-1").split("\r\n")
-    method, target, _ = lines[0].split(" ", 2)
-    headers = {}
-    for line in lines[1:]:
-        if line:
-            name, value = line.split(":", 1)
-            headers[name.lower()] = value.strip()
+    method, target, _ = first.split(" ", 2)
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     return Request(method, target, headers, body)
 
@@ -83,6 +108,7 @@
         self.port = port
         self.server = None
         self.writers = set()
+        self.most_connections = 0
 
     @property
     def address(self):
@@ -103,6 +129,7 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
+        self.most_connections = max(self.most_connections, len(self.writers))
         try:
             while True:
                 request = await read_request(reader)
@@ -111,7 +138,7 @@
                 if not await self.handle(request, reader, writer):
                     break
                 await writer.drain()
-        except (ConnectionError, asyncio.CancelledError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -128,6 +155,8 @@
         self.revision = 10
         self.calls = 0
         self.refusing = False
+        # Time that each page of a range takes, in seconds.
+        self.page_delay = 0.0
         self.changed = asyncio.Event()
 
     def put(self, key, value):
@@ -162,6 +191,7 @@
         query = {name: unquote(values[0]) for name, values in parse_qs(parts.query, keep_blank_values=True).items()}
         status, body = 404, {}
         if parts.path == "/-/kv-range":
+            await asyncio.sleep(self.page_delay)
             status, body = 200, self.range(query.get("prefix", ""), query.get("after", ""))
         elif parts.path == "/-/kv-watch":
             status, body = await self.watch(int(query["after"]), int(query["waitMs"]) / 1000)
@@ -204,14 +234,19 @@
         self.ran = []
         self.sequence = 0
         self.born = 1_700_000_000_000
+        # The address that the store names, if it is another one.
+        self.published = None
+        self.is_registered = False
 
     def register(self, state="ready"):
         self.sequence += 1
-        entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 2}
+        self.is_registered = True
+        entry = {"service": self.service, "address": self.published or self.address, "zone": self.zone, "version": "v1", "slots": 2}
         entry |= {"state": state, "coldRemainingMs": 0, "sequence": self.sequence, "born": self.born}
         self.store.put("servers/" + self.instance, entry)
 
     def unregister(self):
+        self.is_registered = False
         self.store.delete("servers/" + self.instance)
 
     async def handle(self, request, reader, writer):
@@ -222,13 +257,26 @@
         if self.mode == "shed":
             writer.write(response(503, {"X-Sassafrasvane-Not-Executed": "1"}, b""))
             return True
-        self.ran.append((request_id, request.method, request.target, request.body))
-        end = self.loop.loop.time() + self.delay
-        while self.loop.loop.time() < end:
-            # The work ends with its connection.
+        left = request.headers.get("x-sassafrasvane-deadline-ms")
+        run = Run(request_id, request.method, request.target, request.body, int(left) if left else None, time.monotonic())
+        self.ran.append(run)
+        try:
+            if not await self.work(run, reader):
+                return False
+        finally:
+            run.ended_at = time.monotonic()
+        return self.answer(request_id, request.body, writer)
+
+    async def work(self, run, reader):
+        """Returns false if the connection ends first, and the work with it."""
+        while time.monotonic() < run.at + self.delay or self.mode == "hang":
             if reader.at_eof():
                 return False
             await asyncio.sleep(0.02)
+        return True
+
+    def answer(self, request_id, request_body, writer):
+        """Returns false if the connection ends with the answer."""
         if self.mode == "lost":
             return False
         headers = {
@@ -236,7 +284,7 @@
             "X-Sassafrasvane-Server-Stamp": f"stamp.{self.instance}.{request_id}",
             "X-Sassafrasvane-Server-Load": "1,0,2",
         }
-        body = b"".join(self.records) if self.records else b"reply to " + request.body
+        body = b"".join(self.records) if self.records else b"reply to " + request_body
         whole = response(500 if self.mode == "error" else 200, headers, body)
         if self.mode == "truncated":
             writer.write(whole[:-1])
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -3,170 +3,24 @@
 Usage: entry_test.py BUILD_DIRECTORY [-k NAME]
 """
 
-import http.client
 import json
 import os
 import pathlib
 import signal
-import socket
-import subprocess
 import sys
-import tempfile
 import time
 import unittest
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
-sys.path.insert(0, str(ROOT / "standins" / "platform"))
-
-import standin  # noqa: E402
+from entryworld import GRACE, World, standin
 
 BUILD = None
 # Longest time that a change may take to be in force, in seconds; the promise is 3.
 IN_FORCE = 3.0
-GRACE = 6
-
-
-def free_port(host):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
-
-
-class Entry:
-    """One entry process on an address of its own."""
-
-    def __init__(self, world, index):
-        self.host = f"127.0.0.{10 + index}"
-        self.name = f"vm-{index}"
-        self.world = world
-        self.log = open(world.directory / f"{self.name}.log", "ab")
-        self.process = None
-
-    def settings(self):
-        ports = self.world.ports
-        return {
-            "vm": self.name,
-            "failureDomain": "abcd"[int(self.name[3:]) % 4],
-            "region": "r",
-            "listeners": {name: f"{self.host}:{ports[name]}" for name in ("callers", "readiness", "directory", "control")},
-            "peerPort": ports["peers"],
-            "metricsPort": ports["metrics"],
-            "seeds": [f"127.0.0.10:{ports['control']}"],
-            "store": self.world.store.address,
-            "memoryMb": 260,
-            "fileDescriptors": 4100,
-            "bounds": {"stopGraceS": GRACE, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 56, "coldFactor": 1.5}
-            | {"coldSlack": 5, "directoryLifetimeS": 5},
-        }
-
-    def start(self):
-        path = self.world.directory / f"{self.name}.json"
-        path.write_text(json.dumps(self.settings()))
-        program = BUILD / "programs" / "sassafrasvaned" / "sassafrasvaned"
-        self.process = subprocess.Popen([program, "--entry", "--settings", path], stdout=self.log, stderr=self.log)
-
-    def stop(self):
-        if self.process and self.process.poll() is None:
-            self.process.kill()
-            self.process.wait(10)
-
-    def connect(self, listener="callers", timeout=10):
-        return http.client.HTTPConnection(self.host, self.world.ports[listener], timeout=timeout)
-
-    def ask(self, target, method="GET", body=None, request_id="r", deadline=2000, listener="callers"):
-        """Sends one request. Returns status, headers and body."""
-        connection = self.connect(listener)
-        headers = {"Host": "search.example", "X-Sassafrasvane-Request-Id": request_id}
-        headers["X-Sassafrasvane-Deadline-Ms"] = str(deadline)
-        try:
-            connection.request(method, target, body=body, headers=headers)
-            answer = connection.getresponse()
-            return answer.status, answer.headers, answer.read()
-        finally:
-            connection.close()
-
-    def is_ready(self):
-        try:
-            return self.ask("/-/ready", listener="readiness")[0] == 200
-        except OSError:
-            return False
-
-    def lines(self, event):
-        self.log.flush()
-        text = (self.world.directory / f"{self.name}.log").read_text()
-        return [line for line in map(json.loads, text.splitlines()) if line["event"] == event]
-
-
-class World:
-    """A store, searchers and entry processes."""
-
-    def __init__(self, entries=1, shards=4, replicas=2):
-        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="sassafrasvane-entry-"))
-        self.loop = standin.Loop()
-        names = ("callers", "readiness", "directory", "control", "peers", "metrics")
-        self.ports = {name: free_port("127.0.0.10") for name in names}
-        self.store = standin.Store(self.loop, "127.0.0.1", free_port("127.0.0.1"))
-        self.store.start()
-        self.searchers = {}
-        for shard in range(shards):
-            records = [standin.record(100 * shard + number) for number in range(5)]
-            for replica in range(replicas):
-                self.add_searcher(f"i-{shard}-{replica}", f"shard-{shard}", records)
-        self.add_searcher("i-desk-0", "desk")
-        self.add_searcher("i-desk-1", "desk")
-        self.configure(1, shards)
-        self.entries = [Entry(self, index) for index in range(entries)]
-        for entry in self.entries:
-            entry.start()
-        for entry in self.entries:
-            self.wait(entry.is_ready, 10, f"{entry.name} is not ready")
-
-    def add_searcher(self, instance, service, records=()):
-        host = "127.0.0.1"
-        searcher = standin.Searcher(self.loop, self.store, instance, service, host, free_port(host), records=records)
-        searcher.start()
-        searcher.register()
-        self.searchers[instance] = searcher
-
-    def configure(self, version, shards, desk="desk", extra=()):
-        def route(name, prefix, **more):
-            common = {"name": name, "host": "search.example", "prefix": prefix, "timeoutMs": 2000}
-            return common | {"targetLatencyMs": 400, "priority": 1, "maxAttempts": 2} | more
-
-        names = [f"shard-{shard}" for shard in range(shards)]
-        routes = [
-            route("board", "/board/", routeType="idempotent", fanout=names, topK=7, minShardRatio=0.75),
-            route("fetch", "/fetch/", routeType="idempotent", service=desk),
-            route("book", "/book/", routeType="non_idempotent", service=desk),
-        ]
-        services = [
-            {"name": name, "healthPath": "/h", "maxConnections": 26, "coldStartS": 3.0, "coldPerS": 0.0}
-            for name in [*names, "desk"]
-        ]
-        limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
-        configuration = {"version": version, "routes": [*routes, *extra], "services": services, "limits": limits}
-        self.store.put("op/config", configuration)
-
-    def wait(self, is_done, seconds, what):
-        end = time.monotonic() + seconds
-        while not is_done():
-            if time.monotonic() > end:
-                raise AssertionError(what)
-            time.sleep(0.02)
-
-    def ran(self, request_id):
-        return [name for name, searcher in self.searchers.items() for run in searcher.ran if run[0] == request_id]
-
-    def close(self):
-        for entry in self.entries:
-            entry.stop()
-            entry.log.close()
-        self.loop.stop()
 
 
 class EntryTest(unittest.TestCase):
     def world(self, **options):
-        world = World(**options)
+        world = World(BUILD, **options)
         self.addCleanup(world.close)
         return world
 
@@ -200,7 +54,7 @@
         status, headers, body = world.entries[0].ask("/fetch/x?y=1", "POST", b"payload", "f1")
         self.assertEqual((status, body), (200, b"reply to payload"))
         self.assertTrue(headers["X-Sassafrasvane-Server-Stamp"].startswith("stamp.i-desk-"))
-        runs = [run for searcher in world.searchers.values() for run in searcher.ran]
+        runs = [run.what() for searcher in world.searchers.values() for run in searcher.ran]
         self.assertEqual(runs, [("f1", "POST", "/fetch/x?y=1", b"payload")])
 
     def test_request_without_route_is_not_found(self):
@@ -252,7 +106,7 @@
         connection.request("GET", "/fetch/x", headers=headers)
         world.wait(lambda: world.ran("gone"), 2, "the request did not arrive")
         connection.close()
-        busy = [searcher for searcher in world.searchers.values() if any(run[0] == "gone" for run in searcher.ran)]
+        busy = [searcher for searcher in world.searchers.values() if any(run.request_id == "gone" for run in searcher.ran)]
         world.wait(lambda: not any(searcher.writers for searcher in busy), 1, "a searcher still works")
 
     def test_changes_are_in_force_within_their_time(self):
@@ -287,6 +141,16 @@
         current = lambda: all(entry.lines("configuration_in_force")[-1]["version"] == 9 for entry in alive)
         world.wait(current, IN_FORCE, "a change is not in force after the loss of processes")
 
+    def test_process_is_ready_only_when_it_knows_all_searchers(self):
+        world = self.world()
+        entry = world.entries[0]
+        entry.stop()
+        world.store.page_delay = 0.15
+        entry.start()
+        world.wait(entry.is_ready, 5, "the process is not ready")
+        self.assertEqual(entry.ask("/fetch/x")[0], 200)
+        self.assertEqual(entry.ask("/board/x")[1]["X-Sassafrasvane-Missing-Parts"], "0")
+
     def test_store_that_is_away_stops_nothing_and_newcomers_learn_from_others(self):
         world = self.world(entries=4)
         world.store.refusing = True
