Connections, not requests, find out whether a lost searcher is back

Change: a searcher that could not be connected to, or that gave no sign of life during a call that timed out, is unreachable until a connection opens (LinkChecks, at most every 500 ms a searcher); not having been reached is no longer counted as a failed call. Tests: test_requests_do_not_find_out_whether_a_lost_searcher_is_back (real processes); searcherpool_test.

--- a/libs/entry/include/entry/dispatcher.h
+++ b/libs/entry/include/entry/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "entry/latencymetric.h"
+#include "entry/linkchecks.h"
 #include "entry/protocol.h"
 #include "entry/searcherlinks.h"
 #include "observe/eventlog.h"
@@ -63,7 +64,7 @@
     Dispatcher &operator=(const Dispatcher &) = delete;
 
     /// Sets what is called when a searcher of a back end may have become free.
-    void setOnFree(std::function<void(const std::string &backend)> hook) { onFree_ = std::move(hook); }
+    void setOnFree(std::function<void(const std::string &backend)> hook);
 
     /// Makes a call; \p done is called once unless the call is cancelled or detached first.
     /// \return nothing if no connection may be used; the call was not made then.
@@ -102,6 +103,7 @@
     SearcherPool &pool_;
     EventLog &log_;
     SearcherLinks links_;
+    LinkChecks checks_;
     std::list<CallPtr> calls_;
     LatencyMetric latencies_{"call_seconds", "backend"};
     std::function<void(const std::string &backend)> onFree_;
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -48,7 +48,7 @@
                        const EntryProtocol &protocol,
                        SearcherPool &pool,
                        EventLog &log)
-    : protocol_(protocol), pool_(pool), log_(log), links_(context)
+    : protocol_(protocol), pool_(pool), log_(log), links_(context), checks_(pool, links_, log)
 {
 }
 
@@ -59,6 +59,12 @@
     }
 }
 
+void Dispatcher::setOnFree(std::function<void(const std::string &backend)> hook)
+{
+    onFree_ = hook;
+    checks_.setOnReachable(std::move(hook));
+}
+
 std::optional<CallHandle> Dispatcher::send(const CallOrder &order, Done done)
 {
     const TimePoint now = BootClock::now();
@@ -232,6 +238,7 @@
         breakOff(call, call->isSent ? CallEnd::TimedOut : CallEnd::NotConnected);
     }
     links_.closeStale(now);
+    checks_.onTick(now);
 }
 
 } // namespace sassafrasvane
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -109,6 +109,9 @@
     /// True if some searcher of \p backend may be tried now or soon.
     bool isServing(TimePoint now, const BackendPool &backend) const;
 
+    /// The unreachable searchers that are due for another attempt to reach them.
+    std::vector<std::shared_ptr<TrackedSearcher>> unreachable(TimePoint now) const;
+
     /// Connections that this process may have to \p searcher.
     std::size_t connectionLimit(const TrackedSearcher &searcher) const;
 
@@ -121,6 +124,7 @@
     };
 
     bool isUsable(const TrackedSearcher &searcher) const;
+    static bool isAvailable(TimePoint now, const TrackedSearcher &searcher);
     bool mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms);
     std::size_t callLimit(const TrackedSearcher &searcher) const;
     void updateBudgets();
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -54,6 +54,15 @@
     /// True if the searcher is left alone after failures.
     bool isBlocked(TimePoint now) const noexcept { return now < blockedUntil_; }
 
+    /// True if the searcher could not be reached. No call is sent until a connection to it has opened.
+    bool isUnreachable() const noexcept { return isUnreachable_; }
+
+    /// Notes that a connection to an unreachable searcher has opened.
+    void onReachable(TimePoint now);
+
+    /// Notes that a connection to an unreachable searcher could not be opened.
+    void onUnreachable(TimePoint now);
+
     /// When the searcher may be tried again.
     TimePoint blockedUntil() const noexcept { return blockedUntil_; }
 
@@ -87,11 +96,12 @@
     };
 
     void onGood(TimePoint now, Duration elapsed, Duration typical);
-    void onBad(TimePoint now, CallEnd end);
+    void onBad(TimePoint now, const OpenCall &call, CallEnd end);
     void addSlowness(TimePoint now, double sample);
     void addFailure(TimePoint now, double sample);
     double failureShare(TimePoint now) const noexcept;
     double expectedQueue(TimePoint now) const noexcept;
+    double waitingRounds(TimePoint now) const noexcept;
 
     SearcherEntry entry_;
     std::vector<OpenCall> calls_;
@@ -102,6 +112,9 @@
     TimePoint failureAt_;
     std::uint32_t failuresInRow_ = 0;
     TimePoint blockedUntil_;
+    bool isUnreachable_ = false;
+    /// When the searcher last answered anything.
+    TimePoint heardAt_;
     TimePoint coldUntil_;
     /// Calls of other processes that the searcher had when it last told its load.
     double othersCalls_ = 0;
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -140,7 +140,7 @@
         if (!isUsable(*searcher) || contains(tried, searcher)) {
             continue;
         }
-        if (searcher->isBlocked(now)) {
+        if (!isAvailable(now, *searcher)) {
             reason = std::max(reason, Unplaced::Blocked);
             continue;
         }
@@ -172,7 +172,7 @@
     return std::any_of(backend.searchers_.begin(),
                        backend.searchers_.end(),
                        [this, now](const std::shared_ptr<TrackedSearcher> &searcher) {
-                           return isUsable(*searcher) && !searcher->isBlocked(now);
+                           return isUsable(*searcher) && isAvailable(now, *searcher);
                        });
 }
 
@@ -181,6 +181,22 @@
     return !searcher.entry().isLeaving && !domainsOut_.contains(searcher.entry().failureDomain);
 }
 
+bool SearcherPool::isAvailable(TimePoint now, const TrackedSearcher &searcher)
+{
+    return !searcher.isBlocked(now) && !searcher.isUnreachable();
+}
+
+std::vector<std::shared_ptr<TrackedSearcher>> SearcherPool::unreachable(TimePoint now) const
+{
+    std::vector<std::shared_ptr<TrackedSearcher>> due;
+    for (const auto &[instance, searcher] : searchers_) {
+        if (searcher->isUnreachable() && !searcher->isBlocked(now) && isUsable(*searcher)) {
+            due.push_back(searcher);
+        }
+    }
+    return due;
+}
+
 bool SearcherPool::mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms)
 {
     if (!searcher.isCold(now) || terms.coldCallsPerSecond <= 0) {
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -34,6 +34,8 @@
 /// First and longest time for which a searcher is left alone after failures in a row.
 constexpr Duration firstBlock = std::chrono::milliseconds(100);
 constexpr Duration longestBlock = std::chrono::milliseconds(2'000);
+/// Longest pause between two attempts to reach a searcher.
+constexpr Duration longestCheckPause = std::chrono::milliseconds(500);
 /// Failures in a row after which a searcher that answers is left alone.
 constexpr std::uint32_t errorsToBlock = 3;
 /// Time for which a searcher that is full is left alone.
@@ -70,6 +72,7 @@
     , slownessAt_(now)
     , failureAt_(now)
     , blockedUntil_(now)
+    , heardAt_(now)
     , coldUntil_(now + entry.coldLeft)
     , loadAt_(now)
 {
@@ -119,7 +122,7 @@
         }
         break;
     default:
-        onBad(now, end);
+        onBad(now, call, end);
         break;
     }
 }
@@ -128,29 +131,53 @@
 {
     failuresInRow_ = 0;
     blockedUntil_ = now;
+    isUnreachable_ = false;
+    heardAt_ = now;
     addFailure(now, 0);
     addSlowness(now, ratio(elapsed, typical));
 }
 
-void TrackedSearcher::onBad(TimePoint now, CallEnd end)
+void TrackedSearcher::onBad(TimePoint now, const OpenCall &call, CallEnd end)
 {
+    if (end == CallEnd::Rejected || end == CallEnd::ServerError) {
+        heardAt_ = now;
+    }
+    const bool isSilent = end == CallEnd::TimedOut && heardAt_ < call.startedAt;
+    isUnreachable_ = isUnreachable_ || end == CallEnd::NotConnected || isSilent;
     if (end == CallEnd::WrongSearcher) {
         blockedUntil_ = now + wrongSearcherBlock;
         return;
     }
-    addFailure(now, 1);
+    // Once a connection opens again, having been out of reach says nothing of how calls will end.
+    if (end != CallEnd::NotConnected) {
+        addFailure(now, 1);
+    }
     if (end == CallEnd::Rejected) {
         blockedUntil_ = std::max(blockedUntil_, now + rejectedBlock);
         return;
     }
     ++failuresInRow_;
-    const bool isReachable = end == CallEnd::ServerError || end == CallEnd::Broken;
-    const std::uint32_t free = isReachable ? errorsToBlock - 1 : 0;
+    const bool answers = end == CallEnd::ServerError || end == CallEnd::Broken;
+    const std::uint32_t free = answers ? errorsToBlock - 1 : 0;
     if (failuresInRow_ <= free) {
         return;
     }
     const std::uint32_t doublings = std::min<std::uint32_t>(failuresInRow_ - free - 1, 10);
-    blockedUntil_ = now + std::min(longestBlock, firstBlock * (1U << doublings));
+    const Duration longest = isUnreachable_ ? longestCheckPause : longestBlock;
+    blockedUntil_ = now + std::min(longest, firstBlock * (1U << doublings));
+}
+
+void TrackedSearcher::onReachable(TimePoint now)
+{
+    isUnreachable_ = false;
+    blockedUntil_ = now;
+}
+
+void TrackedSearcher::onUnreachable(TimePoint now)
+{
+    ++failuresInRow_;
+    const std::uint32_t doublings = std::min<std::uint32_t>(failuresInRow_, 10);
+    blockedUntil_ = now + std::min(longestCheckPause, firstBlock * (1U << doublings));
 }
 
 void TrackedSearcher::addSlowness(TimePoint now, double sample)
@@ -188,13 +215,17 @@
     return static_cast<double>(calls_.size()) + othersCalls_ * std::exp(-age / loadFadeMs);
 }
 
+double TrackedSearcher::waitingRounds(TimePoint now) const noexcept
+{
+    const double slots = std::max<double>(1, entry_.slots);
+    return std::max(0.0, expectedQueue(now) + 1 - slots) / slots;
+}
+
 double TrackedSearcher::cost(TimePoint now) const noexcept
 {
     const double slots = std::max<double>(1, entry_.slots);
-    const double queue = expectedQueue(now);
-    const double rounds = std::max(0.0, queue + 1 - slots) / slots;
-    const double running = std::min(queue, slots) / slots * busySlotCost;
-    double cost = slowness(now) * (1 + rounds + running) + failureShare(now) * failureCost;
+    const double running = std::min(expectedQueue(now), slots) / slots * busySlotCost;
+    double cost = slowness(now) * (1 + waitingRounds(now) + running) + failureShare(now) * failureCost;
     if (isCold(now)) {
         cost *= coldSlowness;
     }
--- a/libs/placement/tests/searcherpool_test.cpp
+++ b/libs/placement/tests/searcherpool_test.cpp
@@ -114,6 +114,39 @@
     BOOST_TEST(searcher->failuresInRow() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(unreachableSearcherGetsNoCallUntilAConnectionOpens)
+{
+    World world;
+    const std::shared_ptr<TrackedSearcher> searcher = world.pool.find("s1");
+    world.call("s1", 1ms, CallEnd::NotConnected);
+    BOOST_TEST(world.pool.unreachable(world.now).empty());
+    for (int attempt = 0; attempt < 10; ++attempt) {
+        world.now = searcher->blockedUntil();
+        BOOST_TEST(world.counts(100)["s1"] == 0);
+        BOOST_TEST(world.pool.unreachable(world.now).size() == 1U);
+        searcher->onUnreachable(world.now);
+        BOOST_TEST(world.pool.unreachable(world.now).empty());
+        BOOST_TEST((searcher->blockedUntil() - world.now <= Duration(500ms)));
+    }
+    searcher->onReachable(world.now);
+    BOOST_TEST(world.pool.unreachable(world.now).empty());
+    BOOST_TEST(world.counts(300)["s1"] > 0);
+}
+
+BOOST_AUTO_TEST_CASE(searcherIsUnreachableIfNothingWasHeardOfItDuringACall)
+{
+    World world;
+    const std::shared_ptr<TrackedSearcher> searcher = world.pool.find("s1");
+    const std::uint64_t first = searcher->begin(world.now, typical);
+    world.now += 10ms;
+    world.call("s1", 10ms, CallEnd::Answered);
+    searcher->end(world.now, first, CallEnd::TimedOut, std::nullopt);
+    BOOST_TEST(!searcher->isUnreachable());
+    world.now += 1s;
+    world.call("s1", 200ms, CallEnd::TimedOut);
+    BOOST_TEST(searcher->isUnreachable());
+}
+
 BOOST_AUTO_TEST_CASE(reasonSaysWhyNobodyIsChosen)
 {
     World world;
@@ -124,8 +157,10 @@
     BOOST_TEST((world.choose().reason == Unplaced::Blocked));
     BOOST_TEST(!world.pool.isServing(world.now, world.desk()));
     world.now += 200ms;
+    BOOST_TEST((world.choose().reason == Unplaced::Blocked));
     for (const char *instance : {"s1", "s2", "s3"}) {
         const std::shared_ptr<TrackedSearcher> searcher = world.pool.find(instance);
+        searcher->onReachable(world.now);
         while (searcher->openCalls() < world.pool.connectionLimit(*searcher)) {
             searcher->begin(world.now, typical);
         }
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -151,6 +151,24 @@
         self.assertEqual(entry.ask("/fetch/x")[0], 200)
         self.assertEqual(entry.ask("/board/x")[1]["X-Sassafrasvane-Missing-Parts"], "0")
 
+    def test_requests_do_not_find_out_whether_a_lost_searcher_is_back(self):
+        world = self.world()
+        entry = world.entries[0]
+        lost = world.searchers["i-desk-0"]
+        lost.stop()
+        end = time.monotonic() + 3
+        number = 0
+        while time.monotonic() < end:
+            number += 1
+            self.assertEqual(entry.ask("/fetch/x", request_id=f"lost{number}")[0], 200)
+        failed = [line for line in entry.lines("call_failed") if line["searcher"] == "i-desk-0"]
+        self.assertLessEqual(len(failed), 1)
+        lost.start()
+        world.wait(lambda: entry.lines("searcher_reachable"), 2, "the searcher is not noticed to be back")
+        for number in range(20):
+            entry.ask("/fetch/x", request_id=f"back{number}")
+        self.assertTrue(any(run.request_id.startswith("back") for run in lost.ran))
+
     def test_store_that_is_away_stops_nothing_and_newcomers_learn_from_others(self):
         world = self.world(entries=4)
         world.store.refusing = True
