Retry advice follows the length of an outage and the caller's time

Cause: refused callers were always told to come back after 0.2 s, also when no configuration or no searcher had been there for seconds, so that they were refused again; and all came back after the same time. Change: the advice is as long as the outage has lasted, from 0.2 s to 1 s, at most about a quarter of the caller's time (callers wait no longer than a third of it), spread over a quarter. Test: retryadvice_test plays callers who come back once while an outage lasts: at least 1.2 times as many are served by their second attempt as with 0.2 s, for outages from 0.5 to 4 s.

--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/random.h"
 #include "entry/counters.h"
 #include "entry/dispatcher.h"
 #include "entry/protocol.h"
@@ -39,12 +40,14 @@
     /// Requests that are worked on at the same time; further ones are refused.
     static constexpr std::size_t mostRequests() noexcept { return 500; }
 
+    /// \param seed of the random part of retry advice.
     EntryServer(boost::asio::io_context &context,
                 const EntryProtocol &protocol,
                 SearcherPool &pool,
                 Dispatcher &dispatcher,
                 PublishedState &state,
-                EventLog &log);
+                EventLog &log,
+                std::uint64_t seed);
     ~EntryServer();
     EntryServer(const EntryServer &) = delete;
     EntryServer &operator=(const EntryServer &) = delete;
@@ -67,6 +70,7 @@
                 const CallerTerms &terms,
                 unsigned status,
                 const char *reason);
+    Duration outage() const;
     std::vector<BackendPool *> backendsOf(const RequestRoute &route);
     CallTimes &timesOf(const RequestRoute &route);
 
@@ -77,6 +81,8 @@
     WaitingList waiting_;
     WeightedSplits splits_;
     EntryCounters counters_;
+    Random random_;
+    TimePoint startedAt_ = BootClock::now();
     std::unordered_map<std::string, CallTimes> times_;
     std::unordered_map<const detail::RequestTask *, std::shared_ptr<detail::RequestTask>> requests_;
     std::unique_ptr<detail::RequestContext> shared_;
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -87,7 +87,7 @@
         , pool_(peerAddressOf(settings).toString(), settings.failureDomain, poolBounds(settings.bounds), seed_)
         , dispatcher_(context_, protocol_, pool_, log_)
         , state_(protocol_, pool_, log_)
-        , entry_(context_, protocol_, pool_, dispatcher_, state_, log_)
+        , entry_(context_, protocol_, pool_, dispatcher_, state_, log_, mix(seed_, 2))
         , store_(context_, protocol_, settings.store, mix(seed_), state_, log_)
         , feedServer_(state_, store_)
         , feed_(context_, state_, store_, log_, mix(seed_, 1), startPatience())
--- a/libs/entry/src/entryserver.cpp
+++ b/libs/entry/src/entryserver.cpp
@@ -1,5 +1,6 @@
 #include "entry/entryserver.h"
 
+#include "entry/retryadvice.h"
 #include "refusal.h"
 #include "requesttask.h"
 
@@ -22,12 +23,14 @@
                          SearcherPool &pool,
                          Dispatcher &dispatcher,
                          PublishedState &state,
-                         EventLog &log)
+                         EventLog &log,
+                         std::uint64_t seed)
     : protocol_(protocol)
     , pool_(pool)
     , state_(state)
     , log_(log)
-    , shared_(new detail::RequestContext{context, protocol, pool, dispatcher, waiting_, log, counters_, {}})
+    , random_(seed)
+    , shared_(new detail::RequestContext{context, protocol, pool, dispatcher, waiting_, log, counters_, random_, {}})
 {
     shared_->release = [this](const detail::RequestTask *request) { requests_.erase(request); };
     dispatcher.setOnFree([this](const std::string &backend) { waiting_.onFree(backend); });
@@ -73,7 +76,11 @@
                          unsigned status,
                          const char *reason)
 {
-    exchange->respond(status == unavailable ? detail::notRunResponse() : http::emptyResponse(status));
+    if (status == unavailable) {
+        exchange->respond(detail::notRunResponse(retryAfter({outage(), terms.patience}, random_)));
+    } else {
+        exchange->respond(http::emptyResponse(status));
+    }
     log_.line(EventRank::Important, "request_refused")
         .text("request", terms.requestId)
         .text("host", http::headerOf(exchange->request(), "Host"))
@@ -84,6 +91,12 @@
         .count("configuration", state_.routes() ? state_.routes()->version() : 0);
 }
 
+// Without a configuration nothing was served since the start.
+Duration EntryServer::outage() const
+{
+    return state_.routes() ? Duration{0} : BootClock::now() - startedAt_;
+}
+
 std::vector<BackendPool *> EntryServer::backendsOf(const RequestRoute &route)
 {
     std::vector<BackendPool *> backends;
--- a/libs/entry/src/refusal.cpp
+++ b/libs/entry/src/refusal.cpp
@@ -2,6 +2,9 @@
 
 #include "http/server.h"
 
+#include <array>
+#include <cstdio>
+
 namespace sassafrasvane::detail
 {
 
@@ -9,15 +12,16 @@
 {
 
 constexpr unsigned unavailable = 503;
-/// In seconds: about the time in which a searcher that is left alone after failures is tried again.
-constexpr const char *retryAfter = "0.2";
 
 } // namespace
 
-http::Response notRunResponse()
+http::Response notRunResponse(Duration retryAfter)
 {
+    std::array<char, 32> seconds{};
+    const int size = std::snprintf(seconds.data(), seconds.size(), "%.2f", toMilliseconds(retryAfter) / 1'000);
     http::Response response = http::emptyResponse(unavailable);
-    response.set(boost::beast::http::field::retry_after, retryAfter);
+    response.set(boost::beast::http::field::retry_after,
+                 boost::beast::string_view(seconds.data(), static_cast<std::size_t>(size)));
     return response;
 }
 
--- a/libs/entry/src/refusal.h
+++ b/libs/entry/src/refusal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/time.h"
 #include "http/message.h"
 
 /// \file
@@ -9,6 +10,6 @@
 {
 
 /// 503 with the time after which the caller may come back. Only for a request that has not run and never will.
-http::Response notRunResponse();
+http::Response notRunResponse(Duration retryAfter);
 
 } // namespace sassafrasvane::detail
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -1,5 +1,6 @@
 #include "requesttask.h"
 
+#include "entry/retryadvice.h"
 #include "gather/recordmerge.h"
 #include "headers.h"
 #include "refusal.h"
@@ -295,7 +296,7 @@
         parts_.front().response->prepare_payload();
         return std::move(*parts_.front().response);
     case GatherEnd::Unserved:
-        return notRunResponse();
+        return notRunResponse(retryAfter({outage(BootClock::now()), terms_.patience}, shared_.random));
     case GatherEnd::Failed:
         if (failure_ && !route_.isGathered() && !promisesNotRun(failure_->result_int())) {
             removeConnectionHeaders(*failure_);
@@ -309,6 +310,19 @@
     return http::emptyResponse(gatewayTimeout);
 }
 
+// How long the back end that has been out of service for the longest time has been so.
+Duration RequestTask::outage(TimePoint now) const
+{
+    Duration longest{0};
+    for (const Part &part : parts_) {
+        const std::optional<TimePoint> lastChosenAt = part.backend->lastChosenAt();
+        if (lastChosenAt && !shared_.pool.isServing(now, *part.backend)) {
+            longest = std::max(longest, now - *lastChosenAt);
+        }
+    }
+    return longest;
+}
+
 http::Response RequestTask::mergedAnswer()
 {
     std::vector<std::string_view> bodies;
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -32,6 +32,7 @@
     WaitingList &waiting;
     EventLog &log;
     EntryCounters &counters;
+    Random &random;
     /// Ends the ownership of a request.
     std::function<void(const RequestTask *request)> release;
 };
@@ -77,6 +78,7 @@
     void finish(GatherEnd end);
     void endCalls(bool isAbandoned);
     http::Response answer(GatherEnd end);
+    Duration outage(TimePoint now) const;
     http::Response mergedAnswer();
     void logEnd(GatherEnd end, unsigned status) const;
 
--- /dev/null
+++ b/libs/entry/tests/retryadvice_test.cpp
@@ -0,0 +1,79 @@
+#include "entry/retryadvice.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace sassafrasvane
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr int samples = 1'000;
+
+/// The shortest and the longest advice in many.
+struct Range {
+    Duration least = 1h;
+    Duration most{0};
+};
+
+Range advice(const RefusalCause &cause)
+{
+    Random random(7);
+    Range range;
+    for (int sample = 0; sample < samples; ++sample) {
+        const Duration wait = retryAfter(cause, random);
+        range.least = std::min(range.least, wait);
+        range.most = std::max(range.most, wait);
+    }
+    return range;
+}
+
+/// Callers that come back once: the share that is served when an outage ends.
+double servedShare(Duration outageEnd, const std::function<Duration(Duration age)> &waitAt)
+{
+    constexpr Duration step = 5ms;
+    int served = 0;
+    int all = 0;
+    for (Duration age{0}; age < outageEnd; age += step) {
+        ++all;
+        served += age + waitAt(age) >= outageEnd ? 1 : 0;
+    }
+    return static_cast<double>(served) / all;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(callersComeBackSoonIfOnlyOneFoundNoRoom)
+{
+    const Range range = advice({});
+    BOOST_TEST((range.least >= shortestRetryAfter()));
+    BOOST_TEST((range.most <= 250ms));
+    BOOST_TEST((range.most - range.least >= 40ms));
+}
+
+BOOST_AUTO_TEST_CASE(callersWaitLongerTheLongerAnOutageLasts)
+{
+    BOOST_TEST((advice({500ms, std::nullopt}).least >= 500ms));
+    BOOST_TEST((advice({10s, std::nullopt}).least >= longestRetryAfter()));
+    BOOST_TEST((advice({10s, std::nullopt}).most <= longestRetryAfter() * 5 / 4));
+}
+
+BOOST_AUTO_TEST_CASE(callersComeBackWhileTheyHaveTimeForAnAnswer)
+{
+    BOOST_TEST((advice({10s, 1'500ms}).most <= 500ms));
+    BOOST_TEST((advice({10s, 100ms}).least >= shortestRetryAfter()));
+}
+
+BOOST_AUTO_TEST_CASE(moreCallersAreServedByTheirSecondAttemptAfterAnOutage)
+{
+    Random random(11);
+    const auto fixed = [](Duration) { return shortestRetryAfter(); };
+    const auto advised = [&random](Duration age) { return retryAfter({age, 2'500ms}, random); };
+    for (const Duration end : {500ms, 1'000ms, 2'000ms, 4'000ms}) {
+        BOOST_TEST(servedShare(end, advised) >= 1.2 * servedShare(end, fixed));
+    }
+}
+
+} // namespace sassafrasvane
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -57,6 +58,9 @@
     RetryBudget &budget() noexcept { return budget_; }
     const std::vector<std::shared_ptr<TrackedSearcher>> &searchers() const noexcept { return searchers_; }
 
+    /// When a searcher was last chosen for a call; nothing if none was yet.
+    std::optional<TimePoint> lastChosenAt() const noexcept { return lastChosenAt_; }
+
 private:
     friend class SearcherPool;
 
@@ -64,6 +68,7 @@
     RetryBudget budget_;
     std::vector<std::shared_ptr<TrackedSearcher>> searchers_;
     BackendTerms terms_;
+    std::optional<TimePoint> lastChosenAt_;
 };
 
 /// All searchers, by back end.
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -160,6 +160,7 @@
     if (!best) {
         return {nullptr, reason};
     }
+    backend.lastChosenAt_ = now;
     if (best->isCold(now) && backend.terms_.coldCallsPerSecond > 0) {
         const double rate = backend.terms_.coldCallsPerSecond * bounds_.coldFactor + bounds_.coldSlack;
         coldPaces_[best->entry().instance].nextAt = now + fromMilliseconds(1'000 / (rate * coldShare));
