--- a/libs/entry/include/entry/searcherlinks.h
+++ b/libs/entry/include/entry/searcherlinks.h
@@ -71,6 +71,7 @@
         std::size_t open = 0;
     };
 
+    static bool isStale(TimePoint now, const Links &links, const Idle &idle);
     void drop(const std::string &instance, const http::ClientConnection *connection);
 
     boost::asio::io_context &context_;
--- a/libs/entry/src/feedcodec.cpp
+++ b/libs/entry/src/feedcodec.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::string_view itemsPrefix = "/v1/published?after=";
 constexpr std::string_view revisionPrefix = "/v1/revision?after=";
+/// Longest wait that a question may ask for, in milliseconds.
+constexpr std::uint64_t longestWaitMs = 60'000;
 constexpr std::string_view waitParameter = "&waitMs=";
 
 std::optional<std::uint64_t> readWhole(std::string_view text)
@@ -81,7 +83,7 @@
     }
     const std::optional<std::uint64_t> after = readWhole(target.substr(prefix.size(), end - prefix.size()));
     const std::optional<std::uint64_t> wait = readWhole(target.substr(end + waitParameter.size()));
-    if (!after || !wait) {
+    if (!after || !wait || *wait > longestWaitMs) {
         return std::nullopt;
     }
     question.afterRevision = *after;
--- a/libs/entry/src/searcherlinks.cpp
+++ b/libs/entry/src/searcherlinks.cpp
@@ -12,6 +12,9 @@
 constexpr Duration defaultIdleTime = std::chrono::seconds(8);
 /// Time before the searcher's timeout at which a connection is no longer used.
 constexpr Duration idleMargin = std::chrono::milliseconds(700);
+/// Idle time after which a connection is closed if the searcher has others. If this VM loses power, the searcher counts
+/// its connections against its limit for some time, so that few of them may be left behind.
+constexpr Duration spareIdleTime = std::chrono::milliseconds(1'500);
 
 // A restarted searcher may keep its instance, so its start belongs to the key.
 std::string keyOf(const TrackedSearcher &searcher)
@@ -85,18 +88,27 @@
     --open_;
 }
 
+bool SearcherLinks::isStale(TimePoint now, const Links &links, const Idle &idle)
+{
+    const bool isSpare = links.open > 1 && now - idle.since >= spareIdleTime;
+    return now >= idle.expiresAt || isSpare;
+}
+
 void SearcherLinks::closeStale(TimePoint now)
 {
     for (std::unordered_map<std::string, Links>::iterator entry = links_.begin(); entry != links_.end();) {
         Links &links = entry->second;
-        const std::vector<Idle>::iterator stale = std::partition(
-            links.idle.begin(), links.idle.end(), [now](const Idle &idle) { return now < idle.expiresAt; });
-        for (std::vector<Idle>::iterator idle = stale; idle != links.idle.end(); ++idle) {
+        // The connection that was used last stands at the end.
+        for (std::vector<Idle>::iterator idle = links.idle.begin(); idle != links.idle.end();) {
+            if (!isStale(now, links, *idle)) {
+                ++idle;
+                continue;
+            }
             idle->connection->close();
             --links.open;
             --open_;
+            idle = links.idle.erase(idle);
         }
-        links.idle.erase(stale, links.idle.end());
         entry = links.open == 0 ? links_.erase(entry) : std::next(entry);
     }
 }
--- /dev/null
+++ b/libs/placement/tests/load_test.cpp
@@ -0,0 +1,217 @@
+#include "base/random.h"
+#include "placement/searcherpool.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+
+/// \file
+/// Plays load on several entry VMs and small searchers in virtual time, and checks what callers get. The baseline takes
+/// any searcher at random and never refuses.
+
+using namespace sassafrasvane;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Duration target = 80ms;
+constexpr Duration meanWork = 7'500us;
+constexpr std::size_t slots = 2;
+constexpr std::size_t searcherCount = 4;
+constexpr std::size_t vmCount = 4;
+/// Calls a second that all searchers together can run.
+constexpr double capacity = searcherCount * slots / 0.0075;
+
+/// Runs events in the order of their times.
+class VirtualTime
+{
+public:
+    TimePoint now() const { return now_; }
+    void at(TimePoint time, std::function<void()> action) { events_.emplace(time, std::move(action)); }
+    void runUntil(TimePoint end)
+    {
+        while (!events_.empty() && events_.begin()->first <= end) {
+            now_ = events_.begin()->first;
+            const std::function<void()> action = std::move(events_.begin()->second);
+            events_.erase(events_.begin());
+            action();
+        }
+        now_ = end;
+    }
+
+private:
+    TimePoint now_{1'000s};
+    std::multimap<TimePoint, std::function<void()>> events_;
+};
+
+/// A searcher with slots and a queue.
+class FakeSearcher
+{
+public:
+    FakeSearcher(VirtualTime &time, Random &random) : time_(time), random_(random) { }
+
+    void setSlowness(double slowness) { slowness_ = slowness; }
+    LoadReport load() const { return {running_, static_cast<std::uint32_t>(queue_.size()), slots}; }
+
+    void submit(std::function<void()> done)
+    {
+        queue_.push_back(std::move(done));
+        startNext();
+    }
+
+private:
+    void startNext()
+    {
+        if (queue_.empty() || running_ >= slots) {
+            return;
+        }
+        ++running_;
+        const std::function<void()> done = std::move(queue_.front());
+        queue_.pop_front();
+        const Duration work = shareOf(meanWork, -std::log(1 - random_.unit()) * slowness_);
+        time_.at(time_.now() + work, [this, done] {
+            --running_;
+            startNext();
+            done();
+        });
+    }
+
+    VirtualTime &time_;
+    Random &random_;
+    double slowness_ = 1;
+    std::uint32_t running_ = 0;
+    std::deque<std::function<void()>> queue_;
+};
+
+/// What callers got.
+struct Outcome {
+    int asked = 0;
+    int inTime = 0;
+    int late = 0;
+    int refused = 0;
+
+    double inTimeShare() const { return static_cast<double>(inTime) / asked; }
+    double inTimeOfTaken() const { return static_cast<double>(inTime) / (asked - refused); }
+};
+
+class World
+{
+public:
+    explicit World(bool isBaseline) : isBaseline_(isBaseline)
+    {
+        std::set<std::string> fleet;
+        for (std::size_t vm = 0; vm < vmCount; ++vm) {
+            fleet.insert("vm-" + std::to_string(vm));
+        }
+        for (const std::string &vm : fleet) {
+            pools_.push_back(std::make_unique<SearcherPool>(vm, "a", PoolBounds(), hashBytes(vm)));
+            pools_.back()->setTerms({terms()});
+            pools_.back()->setFleet(fleet);
+        }
+        for (std::size_t number = 0; number < searcherCount; ++number) {
+            searchers_.emplace_back(time, random_);
+            SearcherEntry entry;
+            entry.instance = std::to_string(number);
+            entry.backend = "desk";
+            entry.failureDomain = "a";
+            entry.slots = slots;
+            for (const std::unique_ptr<SearcherPool> &pool : pools_) {
+                pool->put(time.now(), entry);
+            }
+        }
+    }
+
+    /// Callers arrive at random with \p perSecond until \p length is over.
+    Outcome play(double perSecond, Duration length)
+    {
+        Outcome outcome;
+        const TimePoint end = time.now() + length;
+        TimePoint at = time.now();
+        while (at < end) {
+            time.at(at, [this, &outcome] { arrive(outcome); });
+            at += shareOf(1s, -std::log(1 - random_.unit()) / perSecond);
+        }
+        time.runUntil(end + 10s);
+        return outcome;
+    }
+
+    VirtualTime time;
+
+    FakeSearcher &searcher(std::size_t number) { return searchers_[number]; }
+
+private:
+    static BackendTerms terms()
+    {
+        BackendTerms terms;
+        terms.name = "desk";
+        terms.maxConnections = 26;
+        return terms;
+    }
+
+    void arrive(Outcome &outcome)
+    {
+        ++outcome.asked;
+        SearcherPool &pool = *pools_[random_.below(vmCount)];
+        const std::shared_ptr<TrackedSearcher> chosen = isBaseline_
+            ? pool.find(std::to_string(random_.below(searcherCount)))
+            : pool.choose(time.now(), pool.backend("desk"), {}).searcher;
+        if (!chosen) {
+            ++outcome.refused;
+            return;
+        }
+        const TimePoint sentAt = time.now();
+        const std::uint64_t number = chosen->begin(sentAt, meanWork);
+        FakeSearcher &searcher = searchers_[std::stoul(chosen->entry().instance)];
+        searcher.submit([this, chosen, number, sentAt, &searcher, &outcome] {
+            chosen->end(time.now(), number, CallEnd::Answered, searcher.load());
+            ++(time.now() - sentAt <= target ? outcome.inTime : outcome.late);
+        });
+    }
+
+    bool isBaseline_;
+    Random random_{7};
+    std::deque<FakeSearcher> searchers_;
+    std::vector<std::unique_ptr<SearcherPool>> pools_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(usualLoadIsServedInTime)
+{
+    World world(false);
+    const Outcome outcome = world.play(capacity * 0.5, 10s);
+    BOOST_TEST(outcome.inTimeShare() >= 0.99);
+}
+
+BOOST_AUTO_TEST_CASE(slowSearcherCostsFewCallersTheirTarget)
+{
+    const auto play = [](bool isBaseline) {
+        World world(isBaseline);
+        world.searcher(0).setSlowness(15);
+        return world.play(capacity * 0.5, 10s);
+    };
+    const Outcome outcome = play(false);
+    const Outcome baseline = play(true);
+    BOOST_TEST(outcome.inTimeShare() >= 0.95);
+    // A quarter of the baseline's callers meet the slow searcher.
+    BOOST_TEST(baseline.inTimeShare() <= 0.8);
+}
+
+BOOST_AUTO_TEST_CASE(overloadIsRefusedAndTheRestIsServedInTime)
+{
+    constexpr double overload = 1.5;
+    const auto play = [](bool isBaseline) {
+        World world(isBaseline);
+        return world.play(capacity * overload, 5s);
+    };
+    const Outcome outcome = play(false);
+    const Outcome baseline = play(true);
+    BOOST_TEST(outcome.inTimeOfTaken() >= 0.95);
+    BOOST_TEST(outcome.inTimeShare() >= 0.9 / overload);
+    // Without refusals the queues grow until nobody is served in time.
+    BOOST_TEST(baseline.inTimeShare() <= 0.3);
+}
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import signal
+import subprocess
 import sys
 import time
 import unittest
@@ -218,12 +219,70 @@
         world.wait(lambda: entry.lines("settings_refused"), 2, "the fault is not logged")
         self.assertEqual(entry.ask("/board/x")[0], 200)
 
+    def test_settings_that_change_without_a_signal_are_taken(self):
+        world = self.world()
+        entry = world.entries[0]
+        entry.seeds = [f"127.0.0.10:{world.ports['control']}", f"127.0.0.99:{world.ports['control']}"]
+        entry.write_settings()
+        world.wait(lambda: entry.lines("settings_reloaded"), 3, "the change is not noticed")
+        self.assertEqual(entry.lines("settings_reloaded")[0]["trigger"], "file")
+        self.assertEqual(entry.lines("settings_reloaded")[0]["seeds"], 2)
+
+    def why(self, world, request_id):
+        """What the command line says of a request from the logs of all processes."""
+        logs = [f"--log={world.directory}/{entry.name}.log" for entry in world.entries]
+        program = BUILD / "programs" / "sassafrasvanectl" / "sassafrasvanectl"
+        time.sleep(0.2)
+        return subprocess.run([program, "why", request_id, *logs], capture_output=True, text=True, check=False).stdout
+
+    def test_refused_request_is_explained_by_its_id(self):
+        world = self.world(entries=2)
+        for name in ("i-desk-0", "i-desk-1"):
+            world.searchers[name].stop()
+        entry = world.entries[1]
+        world.wait(lambda: entry.ask("/fetch/x", request_id="first")[0] == 503, 3, "requests are not refused")
+        self.assertEqual(entry.ask("/fetch/x", request_id="refused1")[0], 503)
+        story = self.why(world, "refused1")
+        self.assertIn('"end":"unserved"', story)
+        self.assertIn('"missing":"desk"', story)
+        # The cause: the back end's searchers could not be connected to.
+        self.assertIn('"end":"not_connected"', story.split("on these VMs")[1])
+
+    def test_missing_part_is_explained_by_its_id(self):
+        world = self.world(entries=2)
+        for name in ("i-2-0", "i-2-1"):
+            world.searchers[name].mode = "hang"
+        status, headers, _ = world.entries[0].ask("/board/x", request_id="partial1")
+        self.assertEqual((status, headers["X-Sassafrasvane-Missing-Parts"]), (200, "1"))
+        story = self.why(world, "partial1")
+        self.assertIn('"missing":"shard-2"', story)
+        self.assertIn('"purpose":"hedge","backend":"shard-2"', story)
+
+    def test_request_lost_with_its_vm_is_explained_by_the_other_logs(self):
+        world = self.world(entries=3)
+        for name in ("i-desk-0", "i-desk-1"):
+            world.searchers[name].delay = 5
+        lost = world.entries[2]
+        connection = lost.connect()
+        headers = {"Host": "search.example", "X-Sassafrasvane-Request-Id": "lost1"}
+        connection.request("GET", "/fetch/x", headers=headers)
+        world.wait(lambda: world.ran("lost1"), 2, "the request did not arrive")
+        lost.stop()
+        with self.assertRaises(OSError):
+            connection.getresponse()
+        connection.close()
+        dead = lambda: [line for line in world.entries[0].lines("member_changed") if line["state"] == "dead"]
+        world.wait(dead, 10, "the loss is not noticed")
+        story = self.why(world, "lost1")
+        self.assertIn("no line names request lost1", story)
+        self.assertIn(f'"peer":"{lost.host}:{world.ports["peers"]}","state":"dead"', story)
+
     def test_failed_request_is_explained_by_its_id(self):
         world = self.world()
         world.searchers["i-desk-0"].mode = world.searchers["i-desk-1"].mode = "lost"
         status = world.entries[0].ask("/book/x", "POST", b"b", "why1")[0]
         self.assertEqual(status, 502)
-        time.sleep(0.2)
+        self.assertIn('"end":"broken"', self.why(world, "why1"))
         calls = [line for line in world.entries[0].lines("call_failed") if line["request"] == "why1"]
         ends = [line for line in world.entries[0].lines("request_ended") if line["request"] == "why1"]
         self.assertEqual((calls[0]["end"], calls[0]["ran"]), ("broken", "unknown"))
@@ -234,6 +293,8 @@
         world.entries[0].ask("/board/x")
         text = world.entries[0].ask("/metrics", listener="metrics")[2].decode()
         self.assertIn('sassafrasvane_requests_total{end="answered"} 1', text)
+        self.assertIn('sassafrasvane_request_seconds_count{route="board",end="answered"} 1', text)
+        self.assertIn('sassafrasvane_call_seconds_count{backend="shard-1",end="answered"} 1', text)
         self.assertIn("sassafrasvane_configuration_version 1", text)
 
 
