--- a/libs/entry/tests/plannedstop_test.cpp
+++ b/libs/entry/tests/plannedstop_test.cpp
@@ -2,16 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <ostream>
-
 namespace sassafrasvane
 {
 
-std::ostream &boost_test_print_type(std::ostream &stream, StopStep step)
-{
-    return stream << static_cast<int>(step);
-}
-
 namespace
 {
 
@@ -25,12 +18,12 @@
 BOOST_AUTO_TEST_CASE(callersMayConnectWhileTheirListsHold)
 {
     PlannedStop stop;
-    BOOST_TEST(stop.next(start, 0) == StopStep::Serve);
+    BOOST_TEST((stop.next(start, 0) == StopStep::Serve));
     stop.begin(start, grace);
-    BOOST_TEST(stop.next(start + 2'900ms, 0) == StopStep::Serve);
-    BOOST_TEST(stop.next(start + 3s, 2) == StopStep::StopAccepting);
-    BOOST_TEST(stop.next(start + 3'050ms, 2) == StopStep::CloseIdle);
-    BOOST_TEST(stop.next(start + 3'100ms, 0) == StopStep::End);
+    BOOST_TEST((stop.next(start + 2'900ms, 0) == StopStep::Serve));
+    BOOST_TEST((stop.next(start + 3s, 2) == StopStep::StopAccepting));
+    BOOST_TEST((stop.next(start + 3'050ms, 2) == StopStep::CloseIdle));
+    BOOST_TEST((stop.next(start + 3'100ms, 0) == StopStep::End));
 }
 
 BOOST_AUTO_TEST_CASE(stopEndsWithinItsGracePeriod)
@@ -38,9 +31,9 @@
     PlannedStop stop;
     stop.begin(start, grace);
     stop.begin(start + 5s, grace);
-    BOOST_TEST(stop.next(start + 4s, 5) == StopStep::StopAccepting);
-    BOOST_TEST(stop.next(start + 5'500ms, 5) == StopStep::CloseIdle);
-    BOOST_TEST(stop.next(start + grace - PlannedStop::margin(), 5) == StopStep::End);
+    BOOST_TEST((stop.next(start + 4s, 5) == StopStep::StopAccepting));
+    BOOST_TEST((stop.next(start + 5'500ms, 5) == StopStep::CloseIdle));
+    BOOST_TEST((stop.next(start + grace - PlannedStop::margin(), 5) == StopStep::End));
 }
 
 } // namespace sassafrasvane
