--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -8,7 +8,7 @@
 #include "entry/plannedstop.h"
 #include "entry/publishedstate.h"
 #include "entry/storetask.h"
-#include "http/server.h"
+#include "entryservers.h"
 #include "metricstext.h"
 #include "observe/eventlog.h"
 #include "placement/searcherpool.h"
@@ -60,19 +60,6 @@
     return {settings.listeners.control.ip, settings.peerPort};
 }
 
-http::ServerLimits serverLimits(const CallerLimits &limits, std::uint64_t fileDescriptors)
-{
-    /// Descriptors kept for searchers, peers and files.
-    constexpr std::uint64_t reservedDescriptors = 1'000;
-    http::ServerLimits server;
-    server.headerBytes = limits.headerBytes;
-    server.bodyBytes = limits.bodyBytes;
-    server.headerTimeout = limits.headerTimeout;
-    server.idleTimeout = limits.idleTimeout;
-    server.connections = std::max<std::uint64_t>(200, fileDescriptors - std::min(fileDescriptors, reservedDescriptors));
-    return server;
-}
-
 } // namespace
 
 class EntryProcess::Implementation
@@ -102,7 +89,6 @@
 private:
     using ExchangePtr = std::shared_ptr<http::Exchange>;
 
-    Result<std::unique_ptr<http::Server>> listen(const Address &address, http::RequestHandler handler);
     void answerReadiness(const ExchangePtr &exchange) const;
     void answerDirectory(const ExchangePtr &exchange) const;
     void answerControl(const ExchangePtr &exchange);
@@ -139,11 +125,7 @@
     FeedServer feedServer_;
     FeedTask feed_;
     std::unique_ptr<PeerTask> peers_;
-    std::unique_ptr<http::Server> callers_;
-    std::unique_ptr<http::Server> readiness_;
-    std::unique_ptr<http::Server> directory_;
-    std::unique_ptr<http::Server> control_;
-    std::unique_ptr<http::Server> metrics_;
+    detail::EntryServers servers_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer ticker_;
     TimePoint startedAt_ = BootClock::now();
@@ -152,42 +134,17 @@
     PlannedStop stop_;
 };
 
-Result<std::unique_ptr<http::Server>> EntryProcess::Implementation::listen(const Address &address,
-                                                                           http::RequestHandler handler)
-{
-    return http::Server::Builder(context_)
-        .address(address)
-        .limits(serverLimits(CallerLimits(), settings_.fileDescriptors))
-        .handler(std::move(handler))
-        .build();
-}
-
 Result<void> EntryProcess::Implementation::open()
 {
-    struct Listener {
-        Address address;
-        std::unique_ptr<http::Server> *server;
-        http::RequestHandler handler;
-    };
-    const Address metrics{settings_.listeners.control.ip, settings_.metricsPort};
-    std::vector<Listener> listeners{
-        {settings_.listeners.callers, &callers_, [this](const ExchangePtr &exchange) { entry_.handle(exchange); }},
-        {settings_.listeners.readiness,
-         &readiness_,
-         [this](const ExchangePtr &exchange) { answerReadiness(exchange); }},
-        {settings_.listeners.directory,
-         &directory_,
-         [this](const ExchangePtr &exchange) { answerDirectory(exchange); }},
-        {settings_.listeners.control, &control_, [this](const ExchangePtr &exchange) { answerControl(exchange); }}};
-    if (settings_.metricsPort != 0) {
-        listeners.push_back({metrics, &metrics_, [this](const ExchangePtr &exchange) { answerMetrics(exchange); }});
-    }
-    for (Listener &listener : listeners) {
-        Result<std::unique_ptr<http::Server>> server = listen(listener.address, std::move(listener.handler));
-        if (server.has_error()) {
-            return server.error();
-        }
-        *listener.server = std::move(server.value());
+    detail::EntryHandlers handlers;
+    handlers.callers = [this](const ExchangePtr &exchange) { entry_.handle(exchange); };
+    handlers.readiness = [this](const ExchangePtr &exchange) { answerReadiness(exchange); };
+    handlers.directory = [this](const ExchangePtr &exchange) { answerDirectory(exchange); };
+    handlers.control = [this](const ExchangePtr &exchange) { answerControl(exchange); };
+    handlers.metrics = [this](const ExchangePtr &exchange) { answerMetrics(exchange); };
+    const Result<void> opened = servers_.open(context_, settings_, handlers);
+    if (opened.has_error()) {
+        return opened.error();
     }
     EntryIdentity identity;
     identity.peer = peerAddressOf(settings_);
@@ -211,7 +168,7 @@
         .text("failure_domain", settings_.failureDomain)
         .text("settings", settingsFile_.path());
     state_.setOnConfiguration([this](const RouteTable &routes) {
-        callers_->setLimits(serverLimits(routes.configuration().callerLimits, settings_.fileDescriptors));
+        servers_.setCallerLimits(routes.configuration().callerLimits);
         entry_.onConfiguration(routes);
         updateNamed(routes);
     });
@@ -250,7 +207,7 @@
 
 void EntryProcess::Implementation::answerMetrics(const ExchangePtr &exchange)
 {
-    detail::MetricsSources sources{entry_, dispatcher_, state_, store_, *peers_, *callers_, log_};
+    detail::MetricsSources sources{entry_, dispatcher_, state_, store_, *peers_, servers_.callers(), log_};
     exchange->respond(http::textResponse(200, "text/plain; version=0.0.4", detail::metricsText(sources)));
 }
 
@@ -347,20 +304,20 @@
     stop_.begin(BootClock::now(), settings_.bounds.stopGrace);
     log_.line(EventRank::Important, "stop_begun").count("open_requests", entry_.openRequests());
     peers_->leave();
-    callers_->closeAfterResponses();
+    servers_.callers().closeAfterResponses();
 }
 
 void EntryProcess::Implementation::continueStop(TimePoint now)
 {
-    switch (stop_.next(now, callers_->counters().openConnections)) {
+    switch (stop_.next(now, servers_.callers().counters().openConnections)) {
     case StopStep::Serve:
         break;
     case StopStep::StopAccepting:
-        callers_->stopAccepting();
-        callers_->closeIdle();
+        servers_.callers().stopAccepting();
+        servers_.callers().closeIdle();
         break;
     case StopStep::CloseIdle:
-        callers_->closeIdle();
+        servers_.callers().closeIdle();
         break;
     case StopStep::End:
         endStop();
@@ -412,11 +369,7 @@
 
 void EntryProcess::Implementation::onSlowTick(TimePoint now)
 {
-    for (const std::unique_ptr<http::Server> *server : {&callers_, &readiness_, &directory_, &control_, &metrics_}) {
-        if (*server) {
-            (*server)->closeExpired(now);
-        }
-    }
+    servers_.closeExpired(now);
     onMembers();
     if (settingsFile_.hasChanged()) {
         reload("file");
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,7 @@
 import json
 import pathlib
 import random
+import shutil
 import sys
 import time
 
@@ -93,8 +94,14 @@
     return line
 
 
-def keep_evidence(world_directory, line):
-    (pathlib.Path(world_directory) / "soak.json").write_text(json.dumps(line, indent=1))
+def keep_evidence(line):
+    """Keeps the logs of a run only if it broke a promise."""
+    directory = pathlib.Path(line["logs"])
+    if line["broken"]:
+        (directory / "soak.json").write_text(json.dumps(line, indent=1))
+    else:
+        shutil.rmtree(directory)
+        del line["logs"]
 
 
 def read_cases(path):
@@ -128,7 +135,7 @@
     failed = 0
     for seed, seconds, entries in runs(options):
         broken, line = soak(options.build, seed, seconds, entries, options.callers)
-        keep_evidence(line["logs"], line)
+        keep_evidence(line)
         print(json.dumps(line), flush=True)
         failed += bool(broken)
     return 1 if failed else 0
