Pieces that stood twice serve once; unread state removed

From a second reading of the whole change; behaviour stays but for two things named below. - MetricWriter and labelText() (libs/observe) write the metrics of both kinds of process; the entry process had its own escaping and number format.

--- a/libs/daemon/src/daemonoperators.cpp
+++ b/libs/daemon/src/daemonoperators.cpp
@@ -22,17 +22,8 @@
 
 const char *stateOf(const Member &member)
 {
-    switch (member.record.state) {
-    case MemberState::Alive:
-        return member.takesWork() ? "alive" : "leaving";
-    case MemberState::Suspect:
-        return "suspect";
-    case MemberState::Dead:
-        return "dead";
-    case MemberState::Left:
-        return "left";
-    }
-    return "dead";
+    const bool isLeaving = member.record.state == MemberState::Alive && !member.takesWork();
+    return isLeaving ? "leaving" : name(member.record.state);
 }
 
 double secondsSince(TimePoint time)
--- a/libs/entry/include/entry/counters.h
+++ b/libs/entry/include/entry/counters.h
@@ -18,8 +18,6 @@
     std::array<std::uint64_t, 4> ends{};
     /// From the last byte of the request to the answer.
     LatencyMetric latencies{"request_seconds", "route"};
-    /// Answered without all parts.
-    std::uint64_t partial = 0;
     std::uint64_t abandoned = 0;
     std::uint64_t unrouted = 0;
     std::uint64_t unconfigured = 0;
--- a/libs/entry/include/entry/latencymetric.h
+++ b/libs/entry/include/entry/latencymetric.h
@@ -42,8 +42,6 @@
 private:
     struct Series;
 
-    void appendSeries(std::string &text, const std::string &labels, const Series &series) const;
-
     std::string metric_;
     std::string label_;
     /// By name, then by end.
--- a/libs/entry/include/entry/linkchecks.h
+++ b/libs/entry/include/entry/linkchecks.h
@@ -22,9 +22,6 @@
 class LinkChecks
 {
 public:
-    /// Time in which a connection must open.
-    static constexpr Duration timeout() noexcept { return std::chrono::milliseconds(300); }
-
     LinkChecks(SearcherPool &pool, SearcherLinks &links, EventLog &log);
     ~LinkChecks();
     LinkChecks(const LinkChecks &) = delete;
--- a/libs/entry/include/entry/searcherlinks.h
+++ b/libs/entry/include/entry/searcherlinks.h
@@ -36,6 +36,9 @@
         bool isNew = false;
     };
 
+    /// Longest time in which a connection must open.
+    static constexpr Duration connectTimeout() noexcept { return std::chrono::milliseconds(300); }
+
     explicit SearcherLinks(boost::asio::io_context &context);
 
     /// Takes a connection. \param longestIdle an idle connection that is older is not used.
--- a/libs/entry/include/entry/storetask.h
+++ b/libs/entry/include/entry/storetask.h
@@ -66,6 +66,7 @@
     void send(const StoreCall &call);
     void onResult(const StoreCall &call, http::CallResult result);
     void onTimeout();
+    void refuse(const Error &error);
     void fail(StoreFailure failure);
     void take(const StoreCall &call, const http::Response &response);
     void schedule(TimePoint at);
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "entry/dispatcher.h"
 
+#include "refusal.h"
+
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
@@ -11,8 +13,6 @@
 namespace
 {
 
-/// Longest time in which a connection must open.
-constexpr Duration connectTimeout = std::chrono::milliseconds(300);
 /// Idle time after which a connection does not carry a call that must not be repeated.
 constexpr Duration freshTime = std::chrono::milliseconds(500);
 constexpr Duration anyIdleTime = std::chrono::hours(1);
@@ -21,12 +21,6 @@
 constexpr unsigned firstRedirect = 300;
 constexpr unsigned firstServerError = 500;
 
-// Statuses below 500 that ask for another attempt.
-bool mayBeRepeated(unsigned status)
-{
-    return status == 408 || status == 421 || status == 429;
-}
-
 } // namespace
 
 struct Dispatcher::Call {
@@ -79,7 +73,7 @@
     call->done = std::move(done);
     call->connection = lease.connection;
     call->startedAt = now;
-    call->expiresAt = lease.isNew ? std::min(order.deadline, now + connectTimeout) : order.deadline;
+    call->expiresAt = lease.isNew ? std::min(order.deadline, now + SearcherLinks::connectTimeout()) : order.deadline;
     call->number = order.searcher->begin(now, order.typical);
     call->place = calls_.insert(calls_.end(), call);
     if (lease.isNew) {
@@ -151,7 +145,8 @@
     const bool isSuccess = status >= firstSuccess && status < firstRedirect;
     const bool isWhole
         = !outcome.reply.proof.empty() && !outcome.reply.isEncoded && outcome.reply.requestId == call.order.requestId;
-    const bool isFinal = isSuccess || (!call.order.isPart && status < firstServerError && !mayBeRepeated(status));
+    const bool isFinal
+        = isSuccess || (!call.order.isPart && status < firstServerError && !detail::promisesNotRun(status));
     const bool isAnswer = isWhole && isFinal;
     outcome.end = isAnswer ? CallEnd::Answered : CallEnd::ServerError;
     outcome.ran = isWhole ? Ran::Yes : Ran::Unknown;
--- a/libs/entry/src/feedcodec.cpp
+++ b/libs/entry/src/feedcodec.cpp
@@ -1,8 +1,8 @@
 #include "entry/feedcodec.h"
 
-#include <nlohmann/json.hpp>
+#include "base/number.h"
 
-#include <charconv>
+#include <nlohmann/json.hpp>
 
 namespace sassafrasvane
 {
@@ -18,16 +18,6 @@
 constexpr std::uint64_t longestWaitMs = 60'000;
 constexpr std::string_view waitParameter = "&waitMs=";
 
-std::optional<std::uint64_t> readWhole(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const std::from_chars_result read = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (read.ec != std::errc() || read.ptr != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 } // namespace
 
 std::string encodeFeedAnswer(const FeedAnswer &answer)
@@ -81,8 +71,8 @@
     if (!target.starts_with(prefix) || end == std::string_view::npos) {
         return std::nullopt;
     }
-    const std::optional<std::uint64_t> after = readWhole(target.substr(prefix.size(), end - prefix.size()));
-    const std::optional<std::uint64_t> wait = readWhole(target.substr(end + waitParameter.size()));
+    const std::optional<std::uint64_t> after = wholeNumber(target.substr(prefix.size(), end - prefix.size()));
+    const std::optional<std::uint64_t> wait = wholeNumber(target.substr(end + waitParameter.size()));
     if (!after || !wait || *wait > longestWaitMs) {
         return std::nullopt;
     }
--- a/libs/entry/src/latencymetric.cpp
+++ b/libs/entry/src/latencymetric.cpp
@@ -1,12 +1,13 @@
 #include "entry/latencymetric.h"
 
+#include "observe/metricwriter.h"
+
 #include <boost/histogram/axis/variable.hpp>
 #include <boost/histogram/histogram.hpp>
 #include <boost/histogram/storage_adaptor.hpp>
 
 #include <array>
 #include <cstdint>
-#include <cstdio>
 #include <tuple>
 #include <vector>
 
@@ -21,29 +22,6 @@
 /// Upper bounds of the buckets, in seconds; a last bucket has no bound.
 constexpr std::array<double, 13> bounds{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4};
 
-std::string escaped(std::string_view value)
-{
-    std::string text;
-    for (const char character : value) {
-        if (character == '\n') {
-            text += "\\n";
-            continue;
-        }
-        if (character == '"' || character == '\\') {
-            text += '\\';
-        }
-        text += character;
-    }
-    return text;
-}
-
-std::string shown(double value)
-{
-    std::array<char, 32> digits{};
-    const int size = std::snprintf(digits.data(), digits.size(), "%.6g", value);
-    return {digits.data(), static_cast<std::size_t>(size)};
-}
-
 } // namespace
 
 struct LatencyMetric::Series {
@@ -57,6 +35,20 @@
         return Axis(edges);
     }
 
+    void append(MetricWriter &writer, std::vector<MetricLabel> labels) const
+    {
+        const std::string common = labelText(labels);
+        labels.push_back({"le", {}});
+        std::uint64_t count = 0;
+        for (std::size_t bucket = 0; bucket <= bounds.size(); ++bucket) {
+            count += buckets.at(static_cast<int>(bucket));
+            labels.back().value = bucket < bounds.size() ? numberText(bounds.at(bucket)) : "+Inf";
+            writer.line(labelText(labels), count, "_bucket");
+        }
+        writer.line(common, sumSeconds, "_sum");
+        writer.line(common, count, "_count");
+    }
+
     boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<std::uint64_t>> buckets{axis()};
     double sumSeconds = 0;
 };
@@ -86,26 +78,12 @@
 
 void LatencyMetric::appendText(std::string &text) const
 {
-    text += "# TYPE " + metric_ + " histogram\n";
+    MetricWriter writer(text, metric_, {}, "histogram");
     for (const auto &[name, ends] : series_) {
         for (const auto &[end, series] : ends) {
-            appendSeries(text, label_ + "=\"" + escaped(name) + "\",end=\"" + end + "\"", *series);
+            series->append(writer, {{label_, name}, {"end", end}});
         }
     }
 }
 
-void LatencyMetric::appendSeries(std::string &text, const std::string &labels, const Series &series) const
-{
-    std::uint64_t count = 0;
-    for (std::size_t bucket = 0; bucket < bounds.size(); ++bucket) {
-        count += series.buckets.at(static_cast<int>(bucket));
-        text += metric_ + "_bucket{" + labels + ",le=\"" + shown(bounds.at(bucket)) + "\"} " + std::to_string(count);
-        text += '\n';
-    }
-    count += series.buckets.at(static_cast<int>(bounds.size()));
-    text += metric_ + "_bucket{" + labels + ",le=\"+Inf\"} " + std::to_string(count) + '\n';
-    text += metric_ + "_sum{" + labels + "} " + shown(series.sumSeconds) + '\n';
-    text += metric_ + "_count{" + labels + "} " + std::to_string(count) + '\n';
-}
-
 } // namespace sassafrasvane
--- a/libs/entry/src/linkchecks.cpp
+++ b/libs/entry/src/linkchecks.cpp
@@ -53,7 +53,7 @@
     const CheckPtr check = std::make_shared<Check>();
     check->searcher = searcher;
     check->connection = lease.connection;
-    check->expiresAt = now + timeout();
+    check->expiresAt = now + SearcherLinks::connectTimeout();
     checks_.push_back(check);
     check->connection->open([this, check](const std::error_code &error) { end(check, !error); });
 }
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -1,5 +1,7 @@
 #include "metricstext.h"
 
+#include "observe/metricwriter.h"
+
 #include <string_view>
 
 namespace sassafrasvane::detail
@@ -8,21 +10,16 @@
 namespace
 {
 
-void add(std::string &text, std::string_view name, std::string_view type, std::uint64_t value)
+void add(std::string &text, const std::string &name, std::string_view type, std::uint64_t value)
 {
-    text.append("# TYPE sassafrasvane_").append(name).append(" ").append(type).append("\n");
-    text.append("sassafrasvane_").append(name).append(" ").append(std::to_string(value)).append("\n");
+    MetricWriter(text, "sassafrasvane_" + name, {}, type).line({}, value);
 }
 
 void addEnds(std::string &text, const EntryCounters &counters)
 {
-    text.append("# TYPE sassafrasvane_requests_total counter\n");
+    MetricWriter writer(text, "sassafrasvane_requests_total", {}, "counter");
     for (std::size_t end = 0; end < counters.ends.size(); ++end) {
-        text.append("sassafrasvane_requests_total{end=\"")
-            .append(name(static_cast<GatherEnd>(end)))
-            .append("\"} ")
-            .append(std::to_string(counters.ends.at(end)))
-            .append("\n");
+        writer.line(labelText({{"end", name(static_cast<GatherEnd>(end))}}), counters.ends.at(end));
     }
 }
 
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -48,17 +48,8 @@
 
 const char *stateName(const MemberChange &change)
 {
-    switch (change.state) {
-    case MemberState::Alive:
-        return change.phase == MemberPhase::Leaving ? "leaving" : "alive";
-    case MemberState::Suspect:
-        return "suspect";
-    case MemberState::Dead:
-        return "dead";
-    case MemberState::Left:
-        return "left";
-    }
-    return "unknown";
+    const bool isLeaving = change.state == MemberState::Alive && change.phase == MemberPhase::Leaving;
+    return isLeaving ? "leaving" : name(change.state);
 }
 
 } // namespace
--- a/libs/entry/src/refusal.cpp
+++ b/libs/entry/src/refusal.cpp
@@ -2,6 +2,7 @@
 
 #include "http/server.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -15,6 +16,12 @@
 
 } // namespace
 
+bool promisesNotRun(unsigned status) noexcept
+{
+    constexpr std::array<unsigned, 4> statuses{408, 421, 429, 503};
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
 http::Response notRunResponse(Duration retryAfter)
 {
     std::array<char, 32> seconds{};
--- a/libs/entry/src/refusal.h
+++ b/libs/entry/src/refusal.h
@@ -9,6 +9,9 @@
 namespace sassafrasvane::detail
 {
 
+/// True for the statuses by which a caller knows that its request was not run and may be sent again.
+bool promisesNotRun(unsigned status) noexcept;
+
 /// 503 with the time after which the caller may come back. Only for a request that has not run and never will.
 http::Response notRunResponse(Duration retryAfter);
 
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -29,13 +29,6 @@
 /// Searchers that free themselves within this time are waited for.
 constexpr Duration shortBlock = std::chrono::milliseconds(25);
 
-// Statuses by which a caller knows that its request was not run.
-bool promisesNotRun(unsigned status)
-{
-    constexpr std::array<unsigned, 4> statuses{408, 421, 429, 503};
-    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
-}
-
 } // namespace
 
 RequestTask::RequestTask(RequestContext &shared,
--- a/libs/entry/src/storetask.cpp
+++ b/libs/entry/src/storetask.cpp
@@ -165,16 +165,14 @@
     if (call.kind == StoreCall::Kind::List) {
         Result<StorePage> page = protocol_.readStorePage(response);
         if (page.has_error()) {
-            log_.line(EventRank::Important, "store_answer_unreadable").error(page.error());
-            fail(StoreFailure::BadAnswer);
+            refuse(page.error());
             return;
         }
         follower_.onPage(now, std::move(page.value()), actions);
     } else {
         Result<StoreChanges> changes = protocol_.readStoreChanges(response);
         if (changes.has_error()) {
-            log_.line(EventRank::Important, "store_answer_unreadable").error(changes.error());
-            fail(StoreFailure::BadAnswer);
+            refuse(changes.error());
             return;
         }
         follower_.onChanges(now, std::move(changes.value()), actions);
@@ -188,6 +186,12 @@
     act(std::move(actions));
 }
 
+void StoreTask::refuse(const Error &error)
+{
+    log_.line(EventRank::Important, "store_answer_unreadable").error(error);
+    fail(StoreFailure::BadAnswer);
+}
+
 void StoreTask::fail(StoreFailure failure)
 {
     isStarting_ = false;
--- a/libs/fleet/include/fleet/messages.h
+++ b/libs/fleet/include/fleet/messages.h
@@ -40,6 +40,9 @@
     Left, ///< Ended by a planned stop.
 };
 
+/// Stable lower-case name of \p state, for log lines and operators.
+const char *name(MemberState state) noexcept;
+
 /// What a member says of itself.
 enum class MemberPhase : std::uint8_t {
     Serving,
--- a/libs/fleet/src/membership.cpp
+++ b/libs/fleet/src/membership.cpp
@@ -15,6 +15,21 @@
         > std::tie(second.incarnation, second.sequence, second.state);
 }
 
+const char *name(MemberState state) noexcept
+{
+    switch (state) {
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Dead:
+        return "dead";
+    case MemberState::Left:
+        return "left";
+    }
+    return "dead";
+}
+
 const char *name(ConfigKey key) noexcept
 {
     switch (key) {
--- a/libs/http/include/http/clientconnection.h
+++ b/libs/http/include/http/clientconnection.h
@@ -71,9 +71,6 @@
 
     /// True while the connection is open.
     virtual bool isOpen() const noexcept = 0;
-
-    /// Calls that were answered on this connection.
-    virtual std::uint64_t answeredCalls() const noexcept = 0;
 };
 
 } // namespace sassafrasvane::http
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -56,9 +56,6 @@
     /// When the last byte of the request was read.
     TimePoint receivedAt() const noexcept { return receivedAt_; }
 
-    /// Address of the client.
-    const Address &client() const noexcept;
-
     /// Time from a packet to the client to its acknowledgement, as the operating system measured it; 0 if unknown.
     Duration roundTrip() const noexcept;
 
@@ -98,7 +95,6 @@
     std::uint64_t refusedConnections = 0;
     std::uint64_t malformedRequests = 0;
     std::size_t openConnections = 0;
-    std::size_t openExchanges = 0;
 };
 
 /// Listens on one address and hands each whole request to a handler, one at a time for each connection.
--- a/libs/http/src/clientconnection.cpp
+++ b/libs/http/src/clientconnection.cpp
@@ -34,7 +34,6 @@
     void setOnLost(std::function<void()> hook) override { onLost_ = std::move(hook); }
     void close() override;
     bool isOpen() const noexcept override { return socket_.is_open(); }
-    std::uint64_t answeredCalls() const noexcept override { return answeredCalls_; }
 
 private:
     using Parser = beast_http::response_parser<beast_http::string_body>;
@@ -61,7 +60,6 @@
     ResponseFilter filter_;
     CallHandler handler_;
     std::function<void()> onLost_;
-    std::uint64_t answeredCalls_ = 0;
     bool isReadPending_ = false;
     bool isWriting_ = false;
     bool hasWritten_ = false;
@@ -201,7 +199,6 @@
     CallResult result;
     result.isReusable = parser_->keep_alive() && !isWriting_ && buffer_.size() == 0;
     result.response.emplace(parser_->release());
-    ++answeredCalls_;
     finish(std::move(result));
 }
 
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -29,11 +29,6 @@
     }
 }
 
-const Address &Exchange::client() const noexcept
-{
-    return connection_->client();
-}
-
 Duration Exchange::roundTrip() const noexcept
 {
     return connection_->roundTrip();
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -30,11 +30,6 @@
 ServerConnection::ServerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<ServerState> state)
     : socket_(std::move(socket)), state_(std::move(state)), since_(BootClock::now())
 {
-    boost::system::error_code ignored;
-    const boost::asio::ip::tcp::endpoint remote = socket_.remote_endpoint(ignored);
-    if (remote.address().is_v4()) {
-        client_ = Address{remote.address().to_v4().to_uint(), remote.port()};
-    }
     setOptions(socket_);
     roundTrip_ = roundTripOf(socket_);
 }
@@ -133,14 +128,12 @@
     const std::shared_ptr<Exchange> exchange
         = std::make_shared<Exchange>(shared_from_this(), parser_->release(), BootClock::now());
     exchange_ = exchange;
-    ++state_->counters.openExchanges;
     state_->handler(exchange);
 }
 
 void ServerConnection::refuse(const boost::system::error_code &error)
 {
     ++state_->counters.malformedRequests;
-    ++state_->counters.openExchanges;
     isKeptAlive_ = false;
     phase_ = Phase::Working;
     respond(emptyResponse(statusOf(error)));
@@ -151,7 +144,6 @@
     if (isClosed_ || phase_ != Phase::Working) {
         return;
     }
-    --state_->counters.openExchanges;
     phase_ = Phase::Writing;
     isKeptAlive_ = isKeptAlive_ && !state_->isClosingAfterResponses;
     response.version(11);
@@ -192,7 +184,6 @@
         return;
     }
     if (phase_ == Phase::Working) {
-        --state_->counters.openExchanges;
     }
     isClosed_ = true;
     boost::system::error_code ignored;
--- a/libs/http/src/serverconnection.h
+++ b/libs/http/src/serverconnection.h
@@ -56,7 +56,6 @@
     /// True if a time limit has passed.
     bool isExpired(TimePoint now) const noexcept;
 
-    const Address &client() const noexcept { return client_; }
     Duration roundTrip() const noexcept { return roundTrip_; }
     std::uint64_t requests() const noexcept { return requests_; }
 
@@ -80,7 +79,6 @@
 
     boost::asio::ip::tcp::socket socket_;
     std::shared_ptr<ServerState> state_;
-    Address client_;
     /// Where a read puts its bytes. The buffer may be consumed while a read is open, so it cannot be read into.
     std::array<char, 4'096> input_;
     boost::beast::flat_buffer buffer_;
--- a/libs/observe/include/observe/metrics.h
+++ b/libs/observe/include/observe/metrics.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
+#include "observe/metricwriter.h"
 
 #include <array>
 #include <atomic>
@@ -120,12 +121,6 @@
     std::atomic<double> value_{0};
 };
 
-/// A label of a series.
-struct MetricLabel {
-    std::string name;
-    std::string value;
-};
-
 /// All metrics of a daemon.
 ///
 /// Classes, counters and gauges are made at their first use and live as long as the registry; keep the reference where
--- a/libs/observe/src/metrics.cpp
+++ b/libs/observe/src/metrics.cpp
@@ -1,7 +1,6 @@
 #include "observe/metrics.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace sassafrasvane
 {
@@ -11,60 +10,9 @@
 
 constexpr double millisecondsPerSecond = 1'000;
 
-std::string numberText(double number)
-{
-    char text[32];
-    const std::to_chars_result result = std::to_chars(std::begin(text), std::end(text), number);
-    return {text, result.ptr};
-}
-
-std::string escaped(std::string_view text, bool isLabel)
-{
-    std::string result;
-    for (const char c : text) {
-        if (c == '\n') {
-            result += "\\n";
-        } else if (c == '\\' || (isLabel && c == '"')) {
-            result += {'\\', c};
-        } else {
-            result += c;
-        }
-    }
-    return result;
-}
-
-std::string labelText(const std::vector<MetricLabel> &labels)
-{
-    std::string text;
-    for (const MetricLabel &label : labels) {
-        text += (text.empty() ? "{" : ",") + label.name + "=\"" + escaped(label.value, true) + '"';
-    }
-    return text.empty() ? text : text + '}';
-}
-
-/// Writes the lines of one metric.
-class FamilyWriter
-{
-public:
-    FamilyWriter(std::string &text, std::string_view name, std::string_view help, const char *type)
-        : text_(text), name_(name)
-    {
-        text_ += "# HELP " + name_ + ' ' + escaped(help, false) + "\n# TYPE " + name_ + ' ' + type + '\n';
-    }
-
-    void line(const std::string &labels, double value, const char *suffix = "")
-    {
-        text_ += name_ + suffix + labels + ' ' + numberText(value) + '\n';
-    }
-
-private:
-    std::string &text_;
-    std::string name_;
-};
-
 void writeLatency(std::string &text, const std::vector<ClassSummary> &classes)
 {
-    FamilyWriter writer(text, "sassafrasvane_answer_latency_seconds", "Time from request to answer", "summary");
+    MetricWriter writer(text, "sassafrasvane_answer_latency_seconds", "Time from request to answer", "summary");
     for (const ClassSummary &cls : classes) {
         writer.line(labelText({{"class", cls.name}, {"quantile", "0.5"}}), cls.p50Ms / millisecondsPerSecond);
         writer.line(labelText({{"class", cls.name}, {"quantile", "0.99"}}), cls.p99Ms / millisecondsPerSecond);
@@ -76,7 +24,7 @@
 
 void writeCoverage(std::string &text, const std::vector<ClassSummary> &classes)
 {
-    FamilyWriter writer(text, "sassafrasvane_answer_coverage", "Coverage of answers in the last window", "gauge");
+    MetricWriter writer(text, "sassafrasvane_answer_coverage", "Coverage of answers in the last window", "gauge");
     for (const ClassSummary &cls : classes) {
         writer.line(labelText({{"class", cls.name}, {"stat", "mean"}}), cls.coverageMean);
         writer.line(labelText({{"class", cls.name}, {"stat", "p1"}}), cls.coverageP1);
@@ -86,15 +34,15 @@
 
 void writeLoad(std::string &text, const std::vector<ClassSummary> &classes)
 {
-    FamilyWriter extra(text, "sassafrasvane_extra_load_ratio", "Additional backend requests per needed one", "gauge");
+    MetricWriter extra(text, "sassafrasvane_extra_load_ratio", "Additional backend requests per needed one", "gauge");
     for (const ClassSummary &cls : classes) {
         extra.line(labelText({{"class", cls.name}}), cls.extraLoad);
     }
-    FamilyWriter sent(text, "sassafrasvane_backend_requests_total", "Backend requests sent", "counter");
+    MetricWriter sent(text, "sassafrasvane_backend_requests_total", "Backend requests sent", "counter");
     for (const ClassSummary &cls : classes) {
         sent.line(labelText({{"class", cls.name}}), static_cast<double>(cls.sentCalls));
     }
-    FamilyWriter needed(text, "sassafrasvane_backend_requests_needed_total", "Backend requests needed", "counter");
+    MetricWriter needed(text, "sassafrasvane_backend_requests_needed_total", "Backend requests needed", "counter");
     for (const ClassSummary &cls : classes) {
         needed.line(labelText({{"class", cls.name}}), static_cast<double>(cls.neededCalls));
     }
@@ -102,7 +50,7 @@
 
 void writeRefusals(std::string &text, const std::vector<ClassSummary> &classes)
 {
-    FamilyWriter writer(text, "sassafrasvane_refusals_total", "Requests refused, by reason", "counter");
+    MetricWriter writer(text, "sassafrasvane_refusals_total", "Requests refused, by reason", "counter");
     for (const ClassSummary &cls : classes) {
         for (const RefusalCount &refusal : cls.refusals) {
             writer.line(labelText({{"class", cls.name}, {"reason", name(refusal.reason)}}),
@@ -115,7 +63,7 @@
 void writeFamilies(std::string &text, const FamilyMap &families, const char *type)
 {
     for (const auto &[familyName, family] : families) {
-        FamilyWriter writer(text, familyName, family.help, type);
+        MetricWriter writer(text, familyName, family.help, type);
         for (const auto &[labels, value] : family.series) {
             writer.line(labels, static_cast<double>(value->value()));
         }
@@ -203,7 +151,7 @@
     const std::lock_guard lock(mutex_);
     writeFamilies(text, counters_, "counter");
     writeFamilies(text, gauges_, "gauge");
-    FamilyWriter refused(text, "sassafrasvane_series_over_bound_total", "Uses of series over the bound", "counter");
+    MetricWriter refused(text, "sassafrasvane_series_over_bound_total", "Uses of series over the bound", "counter");
     refused.line({}, static_cast<double>(refusedSeries_.value()));
     return text;
 }
--- a/libs/operators/src/ctloptions.cpp
+++ b/libs/operators/src/ctloptions.cpp
@@ -1,3 +1,4 @@
+#include "base/number.h"
 #include "operators/ctl.h"
 #include "operators/documents.h"
 
@@ -5,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace sassafrasvane
 {
@@ -40,14 +40,6 @@
     return Error{Errc::InvalidRequest, Step::Accept, {}, std::move(what)};
 }
 
-std::optional<std::uint64_t> wholeNumber(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), number);
-    const bool isWhole = result.ec == std::errc{} && result.ptr == text.data() + text.size();
-    return isWhole ? std::optional(number) : std::nullopt;
-}
-
 Result<Duration> milliseconds(const char *text)
 {
     constexpr std::uint64_t most = 3'600'000;
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -131,7 +131,8 @@
     bool isUsable(const TrackedSearcher &searcher) const;
     static bool isAvailable(TimePoint now, const TrackedSearcher &searcher);
     bool mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms);
-    std::size_t callLimit(const TrackedSearcher &searcher) const;
+    std::size_t connectionLimit(const BackendTerms &terms) const;
+    std::size_t callLimit(const TrackedSearcher &searcher, std::size_t connections) const;
     void updateBudgets();
 
     std::string self_;
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -97,6 +97,7 @@
 
     void onGood(TimePoint now, Duration elapsed, Duration typical);
     void onBad(TimePoint now, const OpenCall &call, CallEnd end);
+    void leaveAlone(TimePoint now, std::uint32_t doublings, Duration longest);
     void addSlowness(TimePoint now, double sample);
     void addFailure(TimePoint now, double sample);
     double failureShare(TimePoint now) const noexcept;
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -136,6 +136,7 @@
     std::shared_ptr<TrackedSearcher> best;
     double bestCost = 0;
     Unplaced reason = Unplaced::Unknown;
+    const std::size_t connections = connectionLimit(backend.terms_);
     for (const std::shared_ptr<TrackedSearcher> &searcher : backend.searchers_) {
         if (!isUsable(*searcher) || contains(tried, searcher)) {
             continue;
@@ -144,7 +145,8 @@
             reason = std::max(reason, Unplaced::Blocked);
             continue;
         }
-        if (searcher->openCalls() >= callLimit(*searcher) || !mayCallCold(now, *searcher, backend.terms_)) {
+        if (searcher->openCalls() >= callLimit(*searcher, connections)
+            || !mayCallCold(now, *searcher, backend.terms_)) {
             reason = Unplaced::Saturated;
             continue;
         }
@@ -214,16 +216,21 @@
 std::size_t SearcherPool::connectionLimit(const TrackedSearcher &searcher) const
 {
     const auto pool = backends_.find(searcher.entry().backend);
-    const std::uint32_t connections = pool == backends_.end() ? 0 : pool->second->terms_.maxConnections;
+    return connectionLimit(pool == backends_.end() ? BackendTerms() : pool->second->terms_);
+}
+
+std::size_t SearcherPool::connectionLimit(const BackendTerms &terms) const
+{
+    const std::uint32_t connections = terms.maxConnections;
     const std::uint32_t shared = connections > spareConnections ? connections - spareConnections : 1;
     return std::max<std::size_t>(1, shared / std::max(fleet_.size(), leastFleet));
 }
 
-std::size_t SearcherPool::callLimit(const TrackedSearcher &searcher) const
+std::size_t SearcherPool::callLimit(const TrackedSearcher &searcher, std::size_t connections) const
 {
     const std::size_t fleet = std::max(fleet_.size(), leastFleet);
     const std::size_t shared = (searcher.entry().slots * callsPerSlot + fleet - 1) / fleet;
-    return std::min(connectionLimit(searcher), std::max(leastCalls, shared));
+    return std::min(connections, std::max(leastCalls, shared));
 }
 
 std::shared_ptr<TrackedSearcher> SearcherPool::find(std::string_view instance) const
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -162,9 +162,7 @@
     if (failuresInRow_ <= free) {
         return;
     }
-    const std::uint32_t doublings = std::min<std::uint32_t>(failuresInRow_ - free - 1, 10);
-    const Duration longest = isUnreachable_ ? longestCheckPause : longestBlock;
-    blockedUntil_ = now + std::min(longest, firstBlock * (1U << doublings));
+    leaveAlone(now, failuresInRow_ - free - 1, isUnreachable_ ? longestCheckPause : longestBlock);
 }
 
 void TrackedSearcher::onReachable(TimePoint now)
@@ -176,8 +174,13 @@
 void TrackedSearcher::onUnreachable(TimePoint now)
 {
     ++failuresInRow_;
-    const std::uint32_t doublings = std::min<std::uint32_t>(failuresInRow_, 10);
-    blockedUntil_ = now + std::min(longestCheckPause, firstBlock * (1U << doublings));
+    leaveAlone(now, failuresInRow_, longestCheckPause);
+}
+
+void TrackedSearcher::leaveAlone(TimePoint now, std::uint32_t doublings, Duration longest)
+{
+    constexpr std::uint32_t mostDoublings = 10;
+    blockedUntil_ = now + std::min(longest, firstBlock * (1U << std::min(doublings, mostDoublings)));
 }
 
 void TrackedSearcher::addSlowness(TimePoint now, double sample)
--- a/libs/settings/src/entrysettings.cpp
+++ b/libs/settings/src/entrysettings.cpp
@@ -119,11 +119,7 @@
 
 Result<EntrySettings> readEntrySettingsFile(const std::string &path)
 {
-    const Result<std::string> text = readTextFile(path);
-    if (text.has_error()) {
-        return text.error();
-    }
-    return readEntrySettings(text.value());
+    return readDocumentFile(path, readEntrySettings);
 }
 
 } // namespace sassafrasvane
--- a/libs/settings/src/processsettings.cpp
+++ b/libs/settings/src/processsettings.cpp
@@ -66,11 +66,7 @@
 
 Result<ProcessSettings> readProcessSettingsFile(const std::string &path)
 {
-    const Result<std::string> text = readTextFile(path);
-    if (text.has_error()) {
-        return text.error();
-    }
-    return readProcessSettings(text.value());
+    return readDocumentFile(path, readProcessSettings);
 }
 
 } // namespace sassafrasvane
--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -108,7 +108,6 @@
         self.port = port
         self.server = None
         self.writers = set()
-        self.most_connections = 0
 
     @property
     def address(self):
@@ -129,7 +128,6 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
-        self.most_connections = max(self.most_connections, len(self.writers))
         try:
             while True:
                 request = await read_request(reader)
--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -117,6 +117,14 @@
         self.add_searcher("i-desk-1", "desk")
         self.configure(1, shards)
         self.entries = [self.entry_type(self, index) for index in range(entries)]
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+
+    def start(self):
+        """Starts all processes and waits until they are ready."""
         for entry in self.entries:
             entry.start()
         for entry in self.entries:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import time
+from collections.abc import Callable
 
 from proxy import Harm
 from soakworld import GRACE, USUAL_DELAY_S, SoakWorld
@@ -36,7 +37,7 @@
     at = 1.0
     while at < seconds:
         kind = generator.choice(sorted(KINDS))
-        details = KINDS[kind][1]
+        details = KINDS[kind].details
         length = generator.choice([0.2, 0.6, 1.5, 3.0])
         steps.append(Step(at, kind, generator.random(), length, generator.choice(details)))
         at += generator.choice([0.0, 0.1, 0.2, 0.4, 1.0])
@@ -54,7 +55,11 @@
 
     def begin(self, step):
         self.begun += 1
-        undo = KINDS[step.kind][0](self, step)
+        kind = KINDS[step.kind]
+        target = kind.choose(self, step)
+        if target is None:
+            return
+        undo = kind.start(self, target, step)
         if undo is not None:
             self.undo.append((time.monotonic() + step.seconds, undo))
 
@@ -65,20 +70,32 @@
         for undo in due:
             undo()
 
-    def end_all(self):
-        for _, undo in self.undo:
-            undo()
-        self.undo = []
+    # Targets.
 
-    # Faults of entry processes.
-
-    def _entry(self, step):
+    def calm_entry(self, step):
         """An entry process that is not disturbed; None if too many are."""
         calm = [entry for entry in self.world.entries if not entry.disturbed.is_lasting()]
         if len(calm) <= len(self.world.entries) * (1 - MOST_DISTURBED):
             return None
         return calm[int(step.choice * len(calm))]
 
+    def calm_searcher(self, step):
+        """A searcher whose back end has another one that is not disturbed; None if there is none."""
+        present = {name: searcher for name, searcher in self.world.searchers.items() if searcher.is_registered}
+        disturbed = self.world.searcher_disturbed
+        calm = {name for name in present if not disturbed[name].is_lasting()}
+        fit = []
+        for name, searcher in present.items():
+            backend = {other for other, found in present.items() if found.service == searcher.service}
+            if len(backend) > 1 and backend <= calm:
+                fit.append(name)
+        return sorted(fit)[int(step.choice * len(fit))] if fit else None
+
+    def store(self, _step):
+        return self.world.store
+
+    # Faults of entry processes. Each returns what undoes it after the step's time, or nothing.
+
     def _kill(self, entry):
         """Kills a process. Returns the function that starts it again."""
         disturbed = entry.disturbed.begin()
@@ -94,19 +111,18 @@
 
         return restart
 
-    def kill_entry(self, step):
-        entry = self._entry(step)
-        if entry is None:
-            return None
+    def kill_entry(self, entry, step):
+        restart = self._kill(entry)
         if step.detail == "long":
-            self.undo.append((time.monotonic() + LONG_S, self._kill(entry)))
+            self.undo.append((time.monotonic() + LONG_S, restart))
             return None
-        return self._kill(entry)
+        return restart
 
-    def kill_most_entries(self, step):
+    def kill_most_entries(self, entry, step):
         restarts = []
-        while (entry := self._entry(step)) is not None:
+        while entry is not None:
             restarts.append(self._kill(entry))
+            entry = self.calm_entry(step)
 
         def restart_all():
             for restart in restarts:
@@ -114,24 +130,13 @@
 
         return restart_all
 
-    def pause_entry(self, step):
-        entry = self._entry(step)
-        if entry is None:
-            return None
-        span = entry.disturbed.begin()
+    def pause_entry(self, entry, _step):
+        undo = undoing(entry.disturbed, lambda: entry.signal(signal.SIGCONT))
         entry.signal(signal.SIGSTOP)
+        return undo
 
-        def resume():
-            entry.signal(signal.SIGCONT)
-            entry.disturbed.end(span)
-
-        return resume
-
-    def stop_entry(self, step):
+    def stop_entry(self, entry, _step):
         """A planned stop. The process has its whole grace period, whatever the step's length."""
-        entry = self._entry(step)
-        if entry is None:
-            return None
         disturbed = entry.disturbed.begin()
         stopping = entry.stopping.begin()
         entry.is_expected_to_run = False
@@ -150,120 +155,72 @@
 
         return restart
 
-    def reload_entry(self, step):
-        entry = self._entry(step)
-        if entry is None:
-            return None
-        span = entry.disturbed.begin()
+    def reload_entry(self, entry, step):
+        undo = undoing(entry.disturbed)
         port = self.world.ports["control"]
         entry.seeds = [f"{other.host}:{port}" for other in self.world.entries[:3]]
         path = entry.write_settings()
         if step.detail == "broken":
             path.write_text("{")
         entry.signal(signal.SIGHUP)
-        return lambda: entry.disturbed.end(span)
+        return undo
 
     # Faults of the store.
 
-    def harm_store_link(self, step):
-        entry = self._entry(step)
-        if entry is None:
-            return None
-        span = entry.disturbed.begin()
+    def harm_store_link(self, entry, step):
+        undo = undoing(entry.disturbed, lambda: entry.store_link.set_harm(Harm.NONE))
         entry.store_link.set_harm(step.detail, 0.3)
+        return undo
 
-        def heal():
-            entry.store_link.set_harm(Harm.NONE)
-            entry.disturbed.end(span)
+    def harm_store(self, store, step):
+        links = [entry.store_link for entry in self.world.entries] if isinstance(step.detail, Harm) else []
 
-        return heal
+        def heal():
+            store.refusing = False
+            for link in links:
+                link.set_harm(Harm.NONE)
 
-    def harm_store(self, step):
-        span = self.world.store_disturbed.begin()
-        links = [entry.store_link for entry in self.world.entries]
+        undo = undoing(self.world.store_disturbed, heal)
         if step.detail == "busy":
-            self.world.store.refusing = True
+            store.refusing = True
         elif step.detail == "forgets":
-            self.world.store.forget_history()
-        else:
-            for link in links:
-                link.set_harm(step.detail, 0.5)
-
-        def heal():
-            self.world.store.refusing = False
-            if isinstance(step.detail, Harm):
-                for link in links:
-                    link.set_harm(Harm.NONE)
-            self.world.store_disturbed.end(span)
+            store.forget_history()
+        for link in links:
+            link.set_harm(step.detail, 0.5)
+        return undo
 
-        return heal
-
-    def change_configuration(self, step):
+    def change_configuration(self, _store, step):
         desk = "desk2" if self.world.current.desk == "desk" else "desk"
         extra = tuple(f"extra{int(step.choice * 1000)}x{number}" for number in range(2))
         count = 4 if step.detail == "series" else 1
         for number in range(count):
             self.world.publish(desk, extra[: number % 3])
-        return None
 
     # Faults of searchers.
 
-    def _searcher(self, step):
-        """A searcher whose back end has another one that is not disturbed."""
-        present = {name: searcher for name, searcher in self.world.searchers.items() if searcher.is_registered}
-        disturbed = self.world.searcher_disturbed
-        calm = {name for name in present if not disturbed[name].is_lasting()}
-        fit = []
-        for name, searcher in present.items():
-            backend = {other for other, found in present.items() if found.service == searcher.service}
-            if len(backend) > 1 and backend <= calm:
-                fit.append(name)
-        return sorted(fit)[int(step.choice * len(fit))] if fit else None
-
-    def harm_searcher_link(self, step):
-        instance = self._searcher(step)
-        if instance is None:
-            return None
-        span = self.world.searcher_disturbed[instance].begin()
+    def harm_searcher_link(self, instance, step):
         link = self.world.links[instance]
+        undo = undoing(self.world.searcher_disturbed[instance], lambda: link.set_harm(Harm.NONE))
         link.set_harm(step.detail, 0.2)
+        return undo
 
-        def heal():
-            link.set_harm(Harm.NONE)
-            self.world.searcher_disturbed[instance].end(span)
-
-        return heal
-
-    def spoil_searcher(self, step):
-        instance = self._searcher(step)
-        if instance is None:
-            return None
-        span = self.world.searcher_disturbed[instance].begin()
+    def spoil_searcher(self, instance, step):
         searcher = self.world.searchers[instance]
-        if step.detail == "slow":
-            searcher.delay = 0.3
-        else:
-            searcher.mode = step.detail
 
         def heal():
             searcher.mode = "ok"
             searcher.delay = USUAL_DELAY_S
-            self.world.searcher_disturbed[instance].end(span)
 
-        return heal
+        undo = undoing(self.world.searcher_disturbed[instance], heal)
+        if step.detail == "slow":
+            searcher.delay = 0.3
+        else:
+            searcher.mode = step.detail
+        return undo
 
-    def replace_searcher(self, step):
+    def replace_searcher(self, instance, step):
         """A searcher leaves, with or without word, and another one comes. Its address may go to another back end."""
-        instance = self._searcher(step)
-        if instance is None:
-            return
-        span = self.world.searcher_disturbed[instance].begin()
         searcher = self.world.searchers[instance]
-        if step.detail == "drained":
-            searcher.register("draining")
-        else:
-            searcher.unregister()
-        self.world.history.left.append((instance, time.monotonic()))
 
         def replace():
             searcher.stop()
@@ -272,25 +229,50 @@
             if step.detail == "address_reused":
                 service = "desk" if searcher.service == "desk2" else "desk2"
                 self.world.add_searcher(self._successor(instance), service, link=self.world.links[instance])
-            self.world.searcher_disturbed[instance].end(span)
 
-        self.undo.append((time.monotonic() + step.seconds + DRAIN_S, replace))
+        undo = undoing(self.world.searcher_disturbed[instance], replace)
+        if step.detail == "drained":
+            searcher.register("draining")
+        else:
+            searcher.unregister()
+        self.world.history.left.append((instance, time.monotonic()))
+        self.undo.append((time.monotonic() + step.seconds + DRAIN_S, undo))
 
     def _successor(self, instance):
         self.replaced += 1
         return f"{instance.split('_')[0]}_{self.replaced}"
 
 
+def undoing(disturbances, heal=lambda: None):
+    """Begins a disturbance. Returns the function that heals it and notes its end."""
+    span = disturbances.begin()
+
+    def undo():
+        heal()
+        disturbances.end(span)
+
+    return undo
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of fault: whom it strikes, what it does, and the details from which a step has one."""
+
+    choose: Callable
+    start: Callable
+    details: list
+
+
 KINDS = {
-    "kill_entry": (Faults.kill_entry, ["short", "short", "long"]),
-    "kill_most_entries": (Faults.kill_most_entries, [""]),
-    "pause_entry": (Faults.pause_entry, [""]),
-    "stop_entry": (Faults.stop_entry, [""]),
-    "reload_entry": (Faults.reload_entry, ["good", "broken"]),
-    "harm_store_link": (Faults.harm_store_link, HARMS),
-    "harm_store": (Faults.harm_store, ["busy", "forgets", *HARMS]),
-    "change_configuration": (Faults.change_configuration, ["single", "series"]),
-    "harm_searcher_link": (Faults.harm_searcher_link, HARMS),
-    "spoil_searcher": (Faults.spoil_searcher, SEARCHER_MODES),
-    "replace_searcher": (Faults.replace_searcher, ["drained", "removed", "address_reused"]),
+    "kill_entry": Kind(Faults.calm_entry, Faults.kill_entry, ["short", "short", "long"]),
+    "kill_most_entries": Kind(Faults.calm_entry, Faults.kill_most_entries, [""]),
+    "pause_entry": Kind(Faults.calm_entry, Faults.pause_entry, [""]),
+    "stop_entry": Kind(Faults.calm_entry, Faults.stop_entry, [""]),
+    "reload_entry": Kind(Faults.calm_entry, Faults.reload_entry, ["good", "broken"]),
+    "harm_store_link": Kind(Faults.calm_entry, Faults.harm_store_link, HARMS),
+    "harm_store": Kind(Faults.store, Faults.harm_store, ["busy", "forgets", *HARMS]),
+    "change_configuration": Kind(Faults.store, Faults.change_configuration, ["single", "series"]),
+    "harm_searcher_link": Kind(Faults.calm_searcher, Faults.harm_searcher_link, HARMS),
+    "spoil_searcher": Kind(Faults.calm_searcher, Faults.spoil_searcher, SEARCHER_MODES),
+    "replace_searcher": Kind(Faults.calm_searcher, Faults.replace_searcher, ["drained", "removed", "address_reused"]),
 }
