Number texts of metrics and of operators' tables have names of their own

Change: metricNumberText() and roundedText(). Ruled out: a difference in behaviour of today's programs; one that needed both objects would not have linked.

--- a/libs/entry/src/latencymetric.cpp
+++ b/libs/entry/src/latencymetric.cpp
@@ -42,7 +42,7 @@
         std::uint64_t count = 0;
         for (std::size_t bucket = 0; bucket <= bounds.size(); ++bucket) {
             count += buckets.at(static_cast<int>(bucket));
-            labels.back().value = bucket < bounds.size() ? numberText(bounds.at(bucket)) : "+Inf";
+            labels.back().value = bucket < bounds.size() ? metricNumberText(bounds.at(bucket)) : "+Inf";
             writer.line(labelText(labels), count, "_bucket");
         }
         writer.line(common, sumSeconds, "_sum");
--- a/libs/observe/include/observe/metricwriter.h
+++ b/libs/observe/include/observe/metricwriter.h
@@ -21,7 +21,7 @@
 std::string labelText(const std::vector<MetricLabel> &labels);
 
 /// The shortest text that stands for \p number.
-std::string numberText(double number);
+std::string metricNumberText(double number);
 
 /// Writes the lines of one metric.
 ///
--- a/libs/observe/src/metricwriter.cpp
+++ b/libs/observe/src/metricwriter.cpp
@@ -35,7 +35,7 @@
     return text.empty() ? text : text + '}';
 }
 
-std::string numberText(double number)
+std::string metricNumberText(double number)
 {
     std::array<char, 32> text{};
     const std::to_chars_result result = std::to_chars(text.data(), text.data() + text.size(), number);
@@ -53,7 +53,7 @@
 
 void MetricWriter::line(std::string_view labels, double value, std::string_view suffix)
 {
-    line(labels, std::string_view(numberText(value)), suffix);
+    line(labels, std::string_view(metricNumberText(value)), suffix);
 }
 
 void MetricWriter::line(std::string_view labels, std::uint64_t value, std::string_view suffix)
--- a/libs/operators/src/differences.cpp
+++ b/libs/operators/src/differences.cpp
@@ -62,23 +62,24 @@
 
 std::string targetText(const ClassTarget &target)
 {
-    return numberText(toMilliseconds(target.latency)) + " ms at " + numberText(target.percentile) + " %, completeness "
-        + numberText(target.completeness) + ", extra load " + numberText(target.extraLoad * 100) + " %";
+    return roundedText(toMilliseconds(target.latency)) + " ms at " + roundedText(target.percentile)
+        + " %, completeness " + roundedText(target.completeness) + ", extra load " + roundedText(target.extraLoad * 100)
+        + " %";
 }
 
 void compareClass(const RequestClass &from, const RequestClass &to, Sentences &sentences)
 {
     Changes changes("class " + to.name);
     const auto milliseconds = [](const RequestClass &cls) {
-        return numberText(toMilliseconds(cls.target.latency)) + " ms at " + numberText(cls.target.percentile) + " %";
+        return roundedText(toMilliseconds(cls.target.latency)) + " ms at " + roundedText(cls.target.percentile) + " %";
     };
     const auto yields
         = [](const RequestClass &cls) { return cls.givesWay == GivesWay::Latency ? "latency" : "coverage"; };
     changes.add("back end", from.backEnd, to.backEnd);
     changes.add("latency", milliseconds(from), milliseconds(to));
-    changes.add("completeness", numberText(from.target.completeness), numberText(to.target.completeness));
+    changes.add("completeness", roundedText(from.target.completeness), roundedText(to.target.completeness));
     changes.add(
-        "extra load", numberText(from.target.extraLoad * 100) + " %", numberText(to.target.extraLoad * 100) + " %");
+        "extra load", roundedText(from.target.extraLoad * 100) + " %", roundedText(to.target.extraLoad * 100) + " %");
     changes.add("gives way:", yields(from), yields(to));
     changes.add("idempotent", from.isIdempotent ? "yes" : "no", to.isIdempotent ? "yes" : "no");
     changes.finish(sentences);
@@ -88,13 +89,13 @@
 {
     Changes changes("back end " + to.name);
     const auto cost
-        = [](const BackEndLimits &limits) { return numberText(toMilliseconds(limits.connectionCost)) + " ms"; };
+        = [](const BackEndLimits &limits) { return roundedText(toMilliseconds(limits.connectionCost)) + " ms"; };
     changes.add("slots", std::to_string(from.slots), std::to_string(to.slots));
     changes.add("connections", std::to_string(from.connections), std::to_string(to.connections));
     changes.add("connection cost", cost(from), cost(to));
     changes.add("cold allowance", std::to_string(from.coldAllowance), std::to_string(to.coldAllowance));
     changes.add(
-        "warm-up", numberText(toMilliseconds(from.warmUp)) + " ms", numberText(toMilliseconds(to.warmUp)) + " ms");
+        "warm-up", roundedText(toMilliseconds(from.warmUp)) + " ms", roundedText(toMilliseconds(to.warmUp)) + " ms");
     changes.finish(sentences);
 }
 
--- a/libs/operators/src/statusview.cpp
+++ b/libs/operators/src/statusview.cpp
@@ -14,7 +14,7 @@
     if (value.version == ConfigVersion{}) {
         return "none";
     }
-    const std::string age = value.ageSeconds < 0 ? "?" : numberText(value.ageSeconds);
+    const std::string age = value.ageSeconds < 0 ? "?" : roundedText(value.ageSeconds);
     return std::to_string(value.version.value) + " (" + age + " s)";
 }
 
@@ -63,7 +63,7 @@
         table.add({reply.daemon.toString(),
                    status.failureDomain,
                    name(status.phase),
-                   numberText(status.uptimeSeconds),
+                   roundedText(status.uptimeSeconds),
                    versionText(status.configuration),
                    versionText(status.shardMap),
                    versionText(status.vms),
@@ -77,7 +77,7 @@
 
 std::string againstTarget(double measured, double target, const char *unit, bool isMet)
 {
-    return numberText(measured) + unit + " / " + numberText(target) + unit + (isMet ? "" : " !");
+    return roundedText(measured) + unit + " / " + roundedText(target) + unit + (isMet ? "" : " !");
 }
 
 std::string refusalsText(const std::vector<RefusalCount> &refusals)
@@ -101,12 +101,12 @@
         {measured.name,
          daemon.toString(),
          std::to_string(measured.windowAnswers),
-         hasAnswers ? numberText(measured.p50Ms) : "-",
+         hasAnswers ? roundedText(measured.p50Ms) : "-",
          hasAnswers ? againstTarget(measured.p99Ms, targetMs, " ms", measured.p99Ms <= targetMs) : "-",
          hasAnswers ? againstTarget(
              measured.coverageMean, target.completeness, "", measured.coverageMean >= target.completeness)
                     : "-",
-         hasAnswers ? numberText(measured.coverageLeast) : "-",
+         hasAnswers ? roundedText(measured.coverageLeast) : "-",
          hasAnswers ? againstTarget(
              measured.extraLoad * percent, target.extraLoad * percent, " %", measured.extraLoad <= target.extraLoad)
                     : "-",
@@ -190,7 +190,7 @@
             table.add({reply.daemon.toString(),
                        entry.callers.toString(),
                        entry.failureDomain,
-                       numberText(reply.message.lifetimeSeconds)});
+                       roundedText(reply.message.lifetimeSeconds)});
         }
     }
     return table.toString();
--- a/libs/operators/src/texttable.cpp
+++ b/libs/operators/src/texttable.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-std::string numberText(double number)
+std::string roundedText(double number)
 {
     std::array<char, 64> text{};
     std::snprintf(text.data(), text.size(), "%.3f", number);
--- a/libs/operators/src/texttable.h
+++ b/libs/operators/src/texttable.h
@@ -10,7 +10,7 @@
 {
 
 /// \p number without trailing zeros, rounded to three decimals.
-std::string numberText(double number);
+std::string roundedText(double number);
 
 /// Rows in columns of equal width.
 ///
--- a/libs/operators/src/whyview.cpp
+++ b/libs/operators/src/whyview.cpp
@@ -27,7 +27,7 @@
         return std::to_string(*whole);
     }
     if (const auto *number = std::get_if<double>(&value)) {
-        return numberText(*number);
+        return roundedText(*number);
     }
     return std::get<bool>(value) ? "yes" : "no";
 }
@@ -85,8 +85,8 @@
             details += (details.empty() ? "" : " ") + attribute.name + '=' + attributeText(attribute.value);
         }
         table_.add({std::string(2 * depth, ' ') + span.name,
-                    numberText(start),
-                    numberText(length),
+                    roundedText(start),
+                    roundedText(length),
                     node.daemon.toString(),
                     span.status == SpanStatus::Error ? "error" : "ok",
                     details});
