--- a/libs/admission/include/admission/crashbar.h
+++ b/libs/admission/include/admission/crashbar.h
@@ -36,6 +36,8 @@
     bool isCleared = false;
     /// Time until the entry expires. Relative, as clocks differ.
     Duration timeLeft{0};
+
+    bool operator==(const CrashEntry &) const = default;
 };
 
 /// Suspects and bars requests that crash their servers, by fingerprint. A fingerprint covers the index version: a
@@ -100,6 +102,11 @@
     /// open at the server, on any connection.
     void onServerLost(TimePoint now, SearcherId searcher, std::span<const Fingerprint> running);
 
+    /// A request ended without an answer after \p servers servers were lost while they ran it. A request over many
+    /// shards is at many servers at once, so their common loss is strong evidence if no success of it is known.
+    /// \return the new evidence, for other daemons.
+    std::vector<CrashEntry> onRequestLost(TimePoint now, Fingerprint fingerprint, std::uint32_t servers);
+
     /// A server answered the request: it does not crash every server.
     void onSuccess(TimePoint now, Fingerprint fingerprint) noexcept;
 
--- a/libs/admission/src/crashbar.cpp
+++ b/libs/admission/src/crashbar.cpp
@@ -88,6 +88,19 @@
     makeRoom(now);
 }
 
+std::vector<CrashEntry> CrashBar::onRequestLost(TimePoint now, Fingerprint fingerprint, std::uint32_t servers)
+{
+    const std::uint64_t versionBefore = version_;
+    const bool isStrong = !successes_.contains(now, fingerprint);
+    Suspect &suspect = suspects_[fingerprint];
+    suspect.lastCrash = now;
+    for (std::uint32_t server = 0; server < std::min(servers, strongCrashesToBar()); ++server) {
+        mergeEvent(suspect, {mix(seed_, ++events_), isStrong, false, now + entryLifetime(), 0});
+    }
+    makeRoom(now);
+    return changes(now, versionBefore);
+}
+
 void CrashBar::onSuccess(TimePoint now, Fingerprint fingerprint) noexcept
 {
     successes_.add(fingerprint, now + successLifetime());
--- a/libs/admission/tests/crashbar_test.cpp
+++ b/libs/admission/tests/crashbar_test.cpp
@@ -222,6 +222,30 @@
     BOOST_TEST((second.check(origin + 5s, bad) == CrashVerdict::ProbeFirst));
 }
 
+BOOST_AUTO_TEST_CASE(requestLostWithManyServersIsBarredAtOnceUnlessItHasSucceeded)
+{
+    CrashBar bar(1);
+    const std::vector<CrashEntry> added = bar.onRequestLost(origin, bad, 10);
+    BOOST_TEST(added.size() == CrashBar::strongCrashesToBar());
+    BOOST_TEST((bar.check(origin, bad) == CrashVerdict::Barred));
+    CrashBar other(2);
+    BOOST_TEST(other.merge(origin, added));
+    BOOST_TEST((other.check(origin, bad) == CrashVerdict::Barred));
+
+    bar.onSuccess(origin, good);
+    bar.onRequestLost(origin, good, 10);
+    BOOST_TEST((bar.check(origin + 2s, good) == CrashVerdict::Suspect));
+}
+
+BOOST_AUTO_TEST_CASE(requestLostWithOneServerIsBarredAtTheSecondTime)
+{
+    CrashBar bar(1);
+    bar.onRequestLost(origin, bad, 1);
+    BOOST_TEST((bar.check(origin, bad) != CrashVerdict::Barred));
+    bar.onRequestLost(origin + 10ms, bad, 1);
+    BOOST_TEST((bar.check(origin + 10ms, bad) == CrashVerdict::Barred));
+}
+
 BOOST_AUTO_TEST_CASE(sizeIsBoundedAndBarredRequestsStay)
 {
     CrashBar bar(1);
--- a/libs/daemon/src/fleettask.cpp
+++ b/libs/daemon/src/fleettask.cpp
@@ -148,8 +148,8 @@
         taken = message.error();
     } else if (const GossipMessage *gossip = std::get_if<GossipMessage>(&message.value())) {
         taken = membership.handle(now, *gossip, memberActions);
-    } else {
-        taken = spread.handle(now, std::get<ConfigMessage>(message.value()), spreadActions);
+    } else if (const ConfigMessage *config = std::get_if<ConfigMessage>(&message.value())) {
+        taken = spread.handle(now, *config, spreadActions);
     }
     if (taken.has_error()) {
         hooks.onError(taken.error());
--- a/libs/entry/include/entry/counters.h
+++ b/libs/entry/include/entry/counters.h
@@ -23,6 +23,8 @@
     std::uint64_t unconfigured = 0;
     std::uint64_t malformed = 0;
     std::uint64_t overloaded = 0;
+    /// Refused because equal requests crashed searchers.
+    std::uint64_t barred = 0;
 
     /// Notes that a request ended.
     void record(std::string_view route, GatherEnd end, Duration elapsed)
--- a/libs/entry/include/entry/dispatcher.h
+++ b/libs/entry/include/entry/dispatcher.h
@@ -95,6 +95,7 @@
     void onOpened(const CallPtr &call, const std::error_code &error);
     void transmit(const CallPtr &call);
     void onResult(const CallPtr &call, http::CallResult result);
+    void checkSearcher(const CallPtr &call, CallVerdict outcome);
     static CallVerdict judge(Call &call, http::CallResult result);
     void end(const CallPtr &call, CallVerdict outcome);
     void breakOff(const CallPtr &call, CallEnd end);
--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "entry/counters.h"
+#include "entry/crashwatch.h"
 #include "entry/dispatcher.h"
 #include "entry/protocol.h"
 #include "entry/publishedstate.h"
@@ -45,6 +46,7 @@
                 const EntryProtocol &protocol,
                 SearcherPool &pool,
                 Dispatcher &dispatcher,
+                CrashWatch &crashes,
                 PublishedState &state,
                 EventLog &log,
                 std::uint64_t seed);
@@ -68,8 +70,9 @@
 private:
     void refuse(const std::shared_ptr<http::Exchange> &exchange,
                 const CallerTerms &terms,
-                unsigned status,
+                http::Response answer,
                 const char *reason);
+    http::Response notRun(const CallerTerms &terms);
     Duration outage() const;
     std::vector<BackendPool *> backendsOf(const RequestRoute &route);
     CallTimes &timesOf(const RequestRoute &route);
--- a/libs/entry/include/entry/linkchecks.h
+++ b/libs/entry/include/entry/linkchecks.h
@@ -8,20 +8,30 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <vector>
 
 /// \file
-/// Finds out when searchers that could not be reached are back.
+/// Finds out whether searchers can be reached.
 
 namespace sassafrasvane
 {
 
-/// Opens connections to unreachable searchers, so that no request has to wait for one that may still be gone.
+/// Whether a connection to a searcher can be opened.
+enum class LinkState {
+    Open,
+    Refused, ///< It could not be opened.
+    Unknown, ///< It was not tried, or neither opened nor failed in time.
+};
+
+/// Opens connections to searchers without a request that would have to wait for them.
 ///
-/// A connection that opens is kept for calls. The pauses between the checks of a searcher are those for which the
-/// searcher is left alone after failures.
+/// Unreachable searchers are checked until they are back; the pauses between the checks of a searcher are those for
+/// which it is left alone after failures. A connection that opens is kept for calls.
 class LinkChecks
 {
 public:
+    using Done = std::function<void(LinkState state)>;
+
     LinkChecks(SearcherPool &pool, SearcherLinks &links, EventLog &log);
     ~LinkChecks();
     LinkChecks(const LinkChecks &) = delete;
@@ -30,7 +40,11 @@
     /// Sets what is called when a searcher of a back end can be reached again.
     void setOnReachable(std::function<void(const std::string &backend)> hook) { onReachable_ = std::move(hook); }
 
-    /// Ends overdue checks and begins those that are due. To be called several times a second.
+    /// Opens a connection to \p searcher, or joins a check that runs. \p done is called once, maybe at once; Unknown
+    /// after about \p patience.
+    void check(TimePoint now, const std::shared_ptr<TrackedSearcher> &searcher, Duration patience, Done done);
+
+    /// Ends overdue checks and begins those of unreachable searchers that are due. To be called several times a second.
     void onTick(TimePoint now);
 
 private:
@@ -38,13 +52,14 @@
         std::shared_ptr<TrackedSearcher> searcher;
         std::shared_ptr<http::ClientConnection> connection;
         TimePoint expiresAt;
+        std::vector<Done> done;
         bool isEnded = false;
     };
     using CheckPtr = std::shared_ptr<Check>;
 
-    bool isRunning(const TrackedSearcher &searcher) const;
-    void begin(TimePoint now, const std::shared_ptr<TrackedSearcher> &searcher);
-    void end(const CheckPtr &check, bool isOpen);
+    CheckPtr running(const TrackedSearcher &searcher) const;
+    void end(const CheckPtr &check, LinkState state);
+    void onUnreachableChecked(const std::shared_ptr<TrackedSearcher> &searcher, LinkState state);
 
     SearcherPool &pool_;
     SearcherLinks &links_;
--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -2,6 +2,7 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "fleet/crashspread.h"
 #include "fleet/gossipcodec.h"
 #include "fleet/membership.h"
 #include "fleet/subset.h"
@@ -61,6 +62,16 @@
     /// Sets what is called when the members have changed.
     void setOnMembers(std::function<void()> hook) { onMembers_ = std::move(hook); }
 
+    /// Sets what takes evidence of requests that crash their searchers, and what tells all that is known.
+    void setCrashHooks(std::function<void(std::span<const CrashEntry> entries)> take,
+                       std::function<std::vector<CrashEntry>()> known);
+
+    /// Sends new evidence to all other members.
+    void spreadCrashes(std::span<const CrashEntry> entries);
+
+    /// Repeats what may have been lost. To be called several times a second.
+    void onTick(TimePoint now);
+
     /// Names peers to try.
     void setSeeds(std::span<const Address> peers);
 
@@ -100,7 +111,9 @@
     void receive();
     void take(std::string_view bytes);
     void apply();
-    void send(const GossipSend &out);
+    void send(DaemonId to, const FleetMessage &message);
+    void sendCrashes(DaemonId to, std::span<const CrashEntry> entries);
+    void welcome(const std::vector<MemberChange> &changes);
     void schedule(std::optional<TimePoint> at);
     void logChanges(const std::vector<MemberChange> &changes);
     std::vector<SubsetCandidate> candidates() const;
@@ -116,6 +129,9 @@
     std::string output_;
     std::vector<Member> members_;
     std::function<void()> onMembers_;
+    std::function<void(std::span<const CrashEntry> entries)> takeCrashes_;
+    std::function<std::vector<CrashEntry>()> knownCrashes_;
+    CrashSpread crashSpread_;
     std::map<DaemonId, TimePoint> namedAt_;
     std::size_t mostNamed_ = std::numeric_limits<std::size_t>::max();
     bool isLeaving_ = false;
--- a/libs/entry/include/entry/searcherlinks.h
+++ b/libs/entry/include/entry/searcherlinks.h
@@ -44,6 +44,9 @@
     /// Takes a connection. \param longestIdle an idle connection that is older is not used.
     Lease acquire(TimePoint now, const TrackedSearcher &searcher, std::size_t limit, Duration longestIdle);
 
+    /// Takes a connection that has to be opened, also if idle ones are there.
+    Lease acquireNew(const TrackedSearcher &searcher, std::size_t limit);
+
     /// Gives back a connection that may carry another call. \param idleTimeout how long the searcher keeps it.
     void release(TimePoint now,
                  const TrackedSearcher &searcher,
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -17,6 +17,9 @@
 constexpr Duration freshTime = std::chrono::milliseconds(500);
 constexpr Duration anyIdleTime = std::chrono::hours(1);
 
+/// Longest time that is spent on finding out why a connection was lost.
+constexpr Duration crashCheckTime = std::chrono::milliseconds(50);
+
 constexpr unsigned firstSuccess = 200;
 constexpr unsigned firstRedirect = 300;
 constexpr unsigned firstServerError = 500;
@@ -34,6 +37,8 @@
     /// What the last response says that was read.
     SearcherReply reply;
     bool isSent = false;
+    /// False once the connection has been given back or closed.
+    bool hasConnection = true;
     bool isEnded = false;
     std::list<CallPtr>::iterator place;
 };
@@ -116,14 +121,37 @@
         return;
     }
     const TimePoint now = BootClock::now();
-    const bool isReusable = result.isReusable;
+    const bool isReusable = result.isReusable && pool_.isRegistered(*call->order.searcher);
     CallVerdict outcome = judge(*call, std::move(result));
+    call->hasConnection = false;
     if (isReusable) {
         links_.release(now, *call->order.searcher, call->connection, outcome.reply.idleTimeout);
     } else {
+        call->connection->close();
         links_.discard(*call->order.searcher);
     }
-    end(call, std::move(outcome));
+    if (outcome.end == CallEnd::Broken) {
+        checkSearcher(call, std::move(outcome));
+    } else {
+        end(call, std::move(outcome));
+    }
+}
+
+// A connection may be lost alone or with its searcher. A new connection tells which, and takes the lost one's place.
+void Dispatcher::checkSearcher(const CallPtr &call, CallVerdict outcome)
+{
+    // The check has a time limit of its own.
+    call->expiresAt = TimePoint::max();
+    const LinkChecks::Done done = [this, call, outcome = std::move(outcome)](LinkState state) mutable {
+        if (call->isEnded) {
+            return;
+        }
+        if (state == LinkState::Refused) {
+            outcome.end = CallEnd::Crashed;
+        }
+        end(call, std::move(outcome));
+    };
+    checks_.check(BootClock::now(), call->order.searcher, crashCheckTime, done);
 }
 
 CallVerdict Dispatcher::judge(Call &call, http::CallResult result)
@@ -189,8 +217,11 @@
     if (call->isEnded) {
         return;
     }
-    call->connection->close();
-    links_.discard(*call->order.searcher);
+    if (call->hasConnection) {
+        call->hasConnection = false;
+        call->connection->close();
+        links_.discard(*call->order.searcher);
+    }
     CallVerdict outcome;
     outcome.end = callEnd;
     outcome.ran = call->isSent ? Ran::Unknown : Ran::No;
@@ -214,6 +245,9 @@
         return;
     }
     call->done = nullptr;
+    if (!call->hasConnection) {
+        return;
+    }
     if (call->isSent) {
         call->expiresAt = std::min(call->expiresAt, BootClock::now() + detachedTime());
     } else {
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -1,5 +1,6 @@
 #include "entry/entryprocess.h"
 
+#include "entry/crashwatch.h"
 #include "entry/dispatcher.h"
 #include "entry/entryserver.h"
 #include "entry/feedserver.h"
@@ -74,7 +75,8 @@
         , pool_(peerAddressOf(settings).toString(), settings.failureDomain, poolBounds(settings.bounds), seed_)
         , dispatcher_(context_, protocol_, pool_, log_)
         , state_(protocol_, pool_, log_)
-        , entry_(context_, protocol_, pool_, dispatcher_, state_, log_, mix(seed_, 2))
+        , crashes_(mix(seed_, 3), log_)
+        , entry_(context_, protocol_, pool_, dispatcher_, crashes_, state_, log_, mix(seed_, 2))
         , store_(context_, protocol_, settings.store, mix(seed_), state_, log_)
         , feedServer_(state_, store_)
         , feed_(context_, state_, store_, log_, mix(seed_, 1), startPatience())
@@ -120,6 +122,7 @@
     SearcherPool pool_;
     Dispatcher dispatcher_;
     PublishedState state_;
+    CrashWatch crashes_;
     EntryServer entry_;
     StoreTask store_;
     FeedServer feedServer_;
@@ -174,6 +177,9 @@
     });
     state_.setOnSearcherGone([this](const std::string &instance) { dispatcher_.forget(instance); });
     peers_->setOnMembers([this] { onMembers(); });
+    peers_->setCrashHooks([this](std::span<const CrashEntry> entries) { crashes_.merge(BootClock::now(), entries); },
+                          [this] { return crashes_.entries(BootClock::now()); });
+    crashes_.setSpread([this](std::span<const CrashEntry> entries) { peers_->spreadCrashes(entries); });
     setSeeds();
     peers_->start();
     onMembers();
@@ -207,7 +213,7 @@
 
 void EntryProcess::Implementation::answerMetrics(const ExchangePtr &exchange)
 {
-    detail::MetricsSources sources{entry_, dispatcher_, state_, store_, *peers_, servers_.callers(), log_};
+    detail::MetricsSources sources{entry_, dispatcher_, crashes_, state_, store_, *peers_, servers_.callers(), log_};
     exchange->respond(http::textResponse(200, "text/plain; version=0.0.4", detail::metricsText(sources)));
 }
 
@@ -358,6 +364,7 @@
     state_.onTick(now);
     feed_.onTick(now);
     feedServer_.onTick(now);
+    peers_->onTick(now);
     if (++ticks_ % slowTicks == 0) {
         onSlowTick(now);
     }
@@ -370,6 +377,7 @@
 void EntryProcess::Implementation::onSlowTick(TimePoint now)
 {
     servers_.closeExpired(now);
+    crashes_.onTick(now);
     onMembers();
     if (settingsFile_.hasChanged()) {
         reload("file");
--- a/libs/entry/src/entryserver.cpp
+++ b/libs/entry/src/entryserver.cpp
@@ -14,7 +14,6 @@
 
 constexpr unsigned badRequest = 400;
 constexpr unsigned notFound = 404;
-constexpr unsigned unavailable = 503;
 
 } // namespace
 
@@ -22,6 +21,7 @@
                          const EntryProtocol &protocol,
                          SearcherPool &pool,
                          Dispatcher &dispatcher,
+                         CrashWatch &crashes,
                          PublishedState &state,
                          EventLog &log,
                          std::uint64_t seed)
@@ -30,7 +30,8 @@
     , state_(state)
     , log_(log)
     , random_(seed)
-    , shared_(new detail::RequestContext{context, protocol, pool, dispatcher, waiting_, log, counters_, random_, {}})
+    , shared_(new detail::
+                  RequestContext{context, protocol, pool, dispatcher, crashes, waiting_, log, counters_, random_, {}})
 {
     shared_->release = [this](const detail::RequestTask *request) { requests_.erase(request); };
     dispatcher.setOnFree([this](const std::string &backend) { waiting_.onFree(backend); });
@@ -44,7 +45,7 @@
     const std::shared_ptr<const RouteTable> routes = state_.routes();
     if (!routes) {
         ++counters_.unconfigured;
-        refuse(exchange, terms, unavailable, "no configuration yet");
+        refuse(exchange, terms, notRun(terms), "no configuration yet");
         return;
     }
     const http::Request &request = exchange->request();
@@ -52,35 +53,38 @@
     const RequestRoute *route = routes->match(host, http::fromView(request.target()));
     if (route == nullptr) {
         ++counters_.unrouted;
-        refuse(exchange, terms, notFound, "no route");
+        refuse(exchange, terms, http::emptyResponse(notFound), "no route");
         return;
     }
     if (terms.requestId.empty()) {
         ++counters_.malformed;
-        refuse(exchange, terms, badRequest, "no request id");
+        refuse(exchange, terms, http::emptyResponse(badRequest), "no request id");
+        return;
+    }
+    const Fingerprint fingerprint = fingerprintOf(request);
+    if (shared_->crashes.isBarred(BootClock::now(), fingerprint)) {
+        ++counters_.barred;
+        refuse(exchange, terms, detail::notRunResponse(CrashBar::entryLifetime()), "crashes searchers");
         return;
     }
     if (requests_.size() >= mostRequests()) {
         ++counters_.overloaded;
-        refuse(exchange, terms, unavailable, "too many requests");
+        refuse(exchange, terms, notRun(terms), "too many requests");
         return;
     }
     const std::shared_ptr<detail::RequestTask> task = std::make_shared<detail::RequestTask>(
-        *shared_, exchange, std::move(terms), routes, *route, backendsOf(*route), timesOf(*route));
+        *shared_, exchange, std::move(terms), fingerprint, routes, *route, backendsOf(*route), timesOf(*route));
     requests_.emplace(task.get(), task);
     task->start();
 }
 
 void EntryServer::refuse(const std::shared_ptr<http::Exchange> &exchange,
                          const CallerTerms &terms,
-                         unsigned status,
+                         http::Response answer,
                          const char *reason)
 {
-    if (status == unavailable) {
-        exchange->respond(detail::notRunResponse(retryAfter({outage(), terms.patience}, random_)));
-    } else {
-        exchange->respond(http::emptyResponse(status));
-    }
+    const unsigned status = answer.result_int();
+    exchange->respond(std::move(answer));
     log_.line(EventRank::Important, "request_refused")
         .text("request", terms.requestId)
         .text("host", http::headerOf(exchange->request(), "Host"))
@@ -91,6 +95,11 @@
         .count("configuration", state_.routes() ? state_.routes()->version() : 0);
 }
 
+http::Response EntryServer::notRun(const CallerTerms &terms)
+{
+    return detail::notRunResponse(retryAfter({outage(), terms.patience}, random_));
+}
+
 // Without a configuration nothing was served since the start.
 Duration EntryServer::outage() const
 {
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -38,6 +38,8 @@
     add(text, "requests_unconfigured_total", "counter", counters.unconfigured);
     add(text, "requests_malformed_total", "counter", counters.malformed + server.malformedRequests);
     add(text, "requests_overloaded_total", "counter", counters.overloaded);
+    add(text, "requests_barred_total", "counter", counters.barred);
+    add(text, "requests_suspected", "gauge", sources.crashes.suspects());
     add(text, "requests_open", "gauge", sources.entry.openRequests());
     add(text, "calls_open", "gauge", sources.dispatcher.openCalls());
     add(text, "calls_waiting", "gauge", sources.entry.waitingCalls());
--- a/libs/entry/src/metricstext.h
+++ b/libs/entry/src/metricstext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/crashwatch.h"
 #include "entry/dispatcher.h"
 #include "entry/entryserver.h"
 #include "entry/peertask.h"
@@ -19,6 +20,7 @@
 struct MetricsSources {
     const EntryServer &entry;
     const Dispatcher &dispatcher;
+    const CrashWatch &crashes;
     const PublishedState &state;
     const StoreTask &store;
     const PeerTask &peers;
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -161,6 +161,10 @@
         log_.line(EventRank::Routine, "peer_message_refused").error(message.error());
         return;
     }
+    const CrashMessage *crashes = std::get_if<CrashMessage>(&message.value());
+    if (crashes != nullptr && takeCrashes_) {
+        takeCrashes_(crashes->entries);
+    }
     const GossipMessage *gossip = std::get_if<GossipMessage>(&message.value());
     if (gossip == nullptr) {
         return;
@@ -180,11 +184,12 @@
         codec_.setIncarnation(*actions.ownIncarnation);
     }
     for (const GossipSend &out : actions.sends) {
-        send(out);
+        send(out.to, out.message);
     }
     if (!actions.changes.empty()) {
         members_ = membership_.members();
         logChanges(actions.changes);
+        welcome(actions.changes);
         if (onMembers_) {
             onMembers_();
         }
@@ -192,16 +197,68 @@
     schedule(actions.wakeAt);
 }
 
-void PeerTask::send(const GossipSend &out)
+void PeerTask::send(DaemonId to, const FleetMessage &message)
 {
-    if (codec_.encode(out.to, out.message, output_).has_error()) {
+    const Result<void> encoded = codec_.encode(to, message, output_);
+    if (encoded.has_error()) {
+        log_.line(EventRank::Important, "peer_send_failed").error(encoded.error());
         return;
     }
-    const Address to = peerAddress(out.to);
+    const Address address = peerAddress(to);
     boost::system::error_code error;
-    socket_.send_to(boost::asio::buffer(output_), {boost::asio::ip::address_v4(to.ip), to.port}, 0, error);
+    socket_.send_to(boost::asio::buffer(output_), {boost::asio::ip::address_v4(address.ip), address.port}, 0, error);
     if (error) {
-        log_.line(EventRank::Routine, "peer_send_failed").text("peer", to.toString()).text("detail", error.message());
+        log_.line(EventRank::Routine, "peer_send_failed")
+            .text("peer", address.toString())
+            .text("detail", error.message());
+    }
+}
+
+void PeerTask::setCrashHooks(std::function<void(std::span<const CrashEntry> entries)> take,
+                             std::function<std::vector<CrashEntry>()> known)
+{
+    takeCrashes_ = std::move(take);
+    knownCrashes_ = std::move(known);
+}
+
+void PeerTask::spreadCrashes(std::span<const CrashEntry> entries)
+{
+    const TimePoint now = BootClock::now();
+    crashSpread_.add(now, entries);
+    onTick(now);
+}
+
+void PeerTask::onTick(TimePoint now)
+{
+    const std::vector<CrashEntry> entries = crashSpread_.due(now);
+    if (entries.empty()) {
+        return;
+    }
+    for (const Member &member : members_) {
+        if (member.record.state == MemberState::Alive) {
+            sendCrashes(member.record.daemon, entries);
+        }
+    }
+}
+
+void PeerTask::sendCrashes(DaemonId to, std::span<const CrashEntry> entries)
+{
+    while (!entries.empty()) {
+        const std::size_t count = std::min(entries.size(), maxCrashEntriesPerMessage);
+        CrashMessage message;
+        message.entries.assign(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(count));
+        send(to, message);
+        entries = entries.subspan(count);
+    }
+}
+
+// A member that appears may have missed what the others were sent.
+void PeerTask::welcome(const std::vector<MemberChange> &changes)
+{
+    for (const MemberChange &change : changes) {
+        if (change.state == MemberState::Alive && knownCrashes_) {
+            sendCrashes(change.member, knownCrashes_());
+        }
     }
 }
 
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -26,6 +26,8 @@
 constexpr double refuseShare = 0.2;
 /// Time before the caller's deadline at which the answer goes out.
 constexpr Duration deadlineMargin = std::chrono::milliseconds(5);
+/// Searchers that may crash with a request before it goes to no others until one has answered it.
+constexpr std::uint32_t crashesToHold = 2;
 /// Searchers that free themselves within this time are waited for.
 constexpr Duration shortBlock = std::chrono::milliseconds(25);
 
@@ -34,6 +36,7 @@
 RequestTask::RequestTask(RequestContext &shared,
                          std::shared_ptr<http::Exchange> exchange,
                          CallerTerms terms,
+                         Fingerprint fingerprint,
                          std::shared_ptr<const RouteTable> table,
                          const RequestRoute &route,
                          std::vector<BackendPool *> backends,
@@ -41,6 +44,7 @@
     : shared_(shared)
     , exchange_(std::move(exchange))
     , terms_(std::move(terms))
+    , fingerprint_(fingerprint)
     , table_(std::move(table))
     , route_(route)
     , times_(times)
@@ -123,6 +127,9 @@
 
 Placement RequestTask::place(std::size_t index, CallPurpose purpose, bool mayWait)
 {
+    if (isSuspect()) {
+        return mayWait ? wait(index, purpose) : Placement::Declined;
+    }
     Part &part = parts_[index];
     const TimePoint now = BootClock::now();
     if (!spendBudget(part, purpose)) {
@@ -195,6 +202,11 @@
 {
     const TimePoint now = BootClock::now();
     Part &part = parts_[index];
+    crashedSearchers_ += outcome.end == CallEnd::Crashed ? 1 : 0;
+    if (outcome.ran == Ran::Yes && !isProven_) {
+        isProven_ = true;
+        shared_.crashes.onAnswered(now, fingerprint_);
+    }
     if (outcome.end == CallEnd::Answered) {
         times_.add(outcome.elapsed);
         if (!part.response) {
@@ -209,9 +221,25 @@
         part.isNextFree = outcome.end == CallEnd::NotConnected;
         gather_.onFailed(now, index, outcome.ran);
     }
+    if (isSuspect() && !gather_.hasOpenCalls()) {
+        gather_.giveUpWaiting(now);
+    }
     schedule();
 }
 
+// True while the request is the likely cause of crashes: nothing else is known to have ended its calls.
+bool RequestTask::isSuspect() const noexcept
+{
+    return crashedSearchers_ >= crashesToHold && !isProven_;
+}
+
+void RequestTask::reportCrashes()
+{
+    if (crashedSearchers_ > 0 && !isProven_) {
+        shared_.crashes.onRequestLost(BootClock::now(), fingerprint_, crashedSearchers_, terms_.requestId);
+    }
+}
+
 void RequestTask::schedule()
 {
     const std::optional<TimePoint> wakeAt = gather_.wakeAt();
@@ -246,6 +274,7 @@
         .text("route", route_.name)
         .milliseconds("elapsed_ms", BootClock::now() - exchange_->receivedAt());
     const std::shared_ptr<RequestTask> self = shared_from_this();
+    reportCrashes();
     endCalls(true);
     timer_.cancel();
     shared_.release(this);
@@ -258,6 +287,7 @@
     const unsigned status = response.result_int();
     exchange_->respond(std::move(response));
     logEnd(end, status);
+    reportCrashes();
     endCalls(false);
     timer_.cancel();
     shared_.release(this);
@@ -346,6 +376,7 @@
         .count("parts", parts_.size())
         .count("answered", gather_.answeredParts())
         .count("extra_calls", extraCalls_)
+        .count("crashed_searchers", crashedSearchers_)
         .milliseconds("typical_call_ms", times_.typical())
         .milliseconds("hedge_after_ms", gatherTerms_.hedgeDelay)
         .count("configuration", table_->version());
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/counters.h"
+#include "entry/crashwatch.h"
 #include "entry/dispatcher.h"
 #include "entry/waitinglist.h"
 #include "gather/gather.h"
@@ -29,6 +30,7 @@
     const EntryProtocol &protocol;
     SearcherPool &pool;
     Dispatcher &dispatcher;
+    CrashWatch &crashes;
     WaitingList &waiting;
     EventLog &log;
     EntryCounters &counters;
@@ -45,6 +47,7 @@
     RequestTask(RequestContext &shared,
                 std::shared_ptr<http::Exchange> exchange,
                 CallerTerms terms,
+                Fingerprint fingerprint,
                 std::shared_ptr<const RouteTable> table,
                 const RequestRoute &route,
                 std::vector<BackendPool *> backends,
@@ -72,6 +75,8 @@
     bool spendBudget(Part &part, CallPurpose purpose);
     Placement wait(std::size_t part, CallPurpose purpose);
     void onCallEnded(std::size_t part, CallVerdict outcome);
+    bool isSuspect() const noexcept;
+    void reportCrashes();
     void schedule();
     void onTimer();
     void onAbandoned();
@@ -85,6 +90,7 @@
     RequestContext &shared_;
     std::shared_ptr<http::Exchange> exchange_;
     CallerTerms terms_;
+    Fingerprint fingerprint_;
     std::shared_ptr<const RouteTable> table_;
     const RequestRoute &route_;
     CallTimes &times_;
@@ -98,6 +104,10 @@
     /// A searcher's own failure, which is passed on if nothing better comes.
     std::optional<http::Response> failure_;
     std::uint32_t extraCalls_ = 0;
+    /// Searchers that crashed while they ran the request.
+    std::uint32_t crashedSearchers_ = 0;
+    /// True if some searcher has answered.
+    bool isProven_ = false;
 };
 
 } // namespace sassafrasvane::detail
--- a/libs/entry/src/searcherlinks.cpp
+++ b/libs/entry/src/searcherlinks.cpp
@@ -46,6 +46,12 @@
         --links.open;
         --open_;
     }
+    return acquireNew(searcher, limit);
+}
+
+SearcherLinks::Lease SearcherLinks::acquireNew(const TrackedSearcher &searcher, std::size_t limit)
+{
+    Links &links = links_[keyOf(searcher)];
     if (links.open >= limit) {
         return {};
     }
--- a/libs/fleet/include/fleet/messages.h
+++ b/libs/fleet/include/fleet/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/crashbar.h"
 #include "base/address.h"
 #include "base/ids.h"
 #include "base/time.h"
@@ -29,6 +30,9 @@
 /// Buckets of the digest of a member table.
 constexpr std::size_t digestBuckets = 64;
 
+/// Most entries in one CrashMessage; they fit a datagram.
+constexpr std::size_t maxCrashEntriesPerMessage = 32;
+
 /// Most bytes of a published value in one ConfigMessage.
 constexpr std::size_t maxChunkBytes = 1'000;
 
@@ -164,7 +168,15 @@
     bool operator==(const ConfigMessage &) const = default;
 };
 
+/// Evidence of requests that crash their servers.
+struct CrashMessage {
+    /// At most maxCrashEntriesPerMessage.
+    std::vector<CrashEntry> entries;
+
+    bool operator==(const CrashMessage &) const = default;
+};
+
 /// What one datagram carries.
-using FleetMessage = std::variant<GossipMessage, ConfigMessage>;
+using FleetMessage = std::variant<GossipMessage, ConfigMessage, CrashMessage>;
 
 } // namespace sassafrasvane
--- a/libs/fleet/src/gossipcodec.cpp
+++ b/libs/fleet/src/gossipcodec.cpp
@@ -23,9 +23,11 @@
 /// Most senders whose numbers are remembered.
 constexpr std::size_t maxWindows = 4'096;
 
+/// The kinds of messages, in the order of FleetMessage.
 enum class Body : std::uint8_t {
     Gossip,
     Config,
+    Crash,
 };
 
 using Digest = std::array<unsigned char, EVP_MAX_MD_SIZE>;
@@ -61,12 +63,11 @@
     bytes.clear();
     bytes.push_back(protocolVersion);
     detail::DatagramWriter writer(bytes);
-    const bool isGossip = std::holds_alternative<GossipMessage>(message);
     writer.number(self_.value);
     writer.number(incarnation_.value);
     writer.number(++lastNumber_);
     writer.number(to.value);
-    writer.number(static_cast<std::uint64_t>(isGossip ? Body::Gossip : Body::Config));
+    writer.number(message.index());
     std::visit([&writer](const auto &body) { detail::write(writer, body); }, message);
     if (bytes.size() + digestBytes > maxDatagramBytes) {
         return Error{Errc::TooLarge, Step::Gossip, peerAddress(to).toString(), "the message exceeds a datagram"};
@@ -117,18 +118,26 @@
     const Incarnation incarnation{reader.number()};
     const std::uint64_t number = reader.number();
     const DaemonId receiver{reader.number()};
-    const bool isGossip = static_cast<Body>(reader.number(static_cast<std::uint64_t>(Body::Config))) == Body::Gossip;
+    const Body kind = static_cast<Body>(reader.number(static_cast<std::uint64_t>(Body::Crash)));
     FleetMessage message;
-    if (isGossip) {
+    switch (kind) {
+    case Body::Gossip: {
         GossipMessage &gossip = message.emplace<GossipMessage>();
         gossip.sender.daemon = sender;
         gossip.sender.incarnation = incarnation;
         gossip.receiver = receiver;
         detail::read(reader, gossip);
-    } else {
+        break;
+    }
+    case Body::Config: {
         ConfigMessage &config = message.emplace<ConfigMessage>();
         config.sender = sender;
         detail::read(reader, config);
+        break;
+    }
+    case Body::Crash:
+        detail::read(reader, message.emplace<CrashMessage>());
+        break;
     }
     if (!reader.isComplete()) {
         return error(Errc::BadMessage, from, "undecodable");
@@ -139,7 +148,7 @@
     if (receiver != self_) {
         return error(Errc::InvalidRequest, from, "meant for another daemon");
     }
-    const Result<void> window = checkWindow(from, incarnation, number, isGossip);
+    const Result<void> window = checkWindow(from, incarnation, number, kind == Body::Gossip);
     if (!window.has_value()) {
         return window.error();
     }
--- a/libs/fleet/src/messageformat.cpp
+++ b/libs/fleet/src/messageformat.cpp
@@ -1,5 +1,7 @@
 #include "messageformat.h"
 
+#include <algorithm>
+
 namespace sassafrasvane::detail
 {
 
@@ -155,4 +157,28 @@
     message.bytes = reader.bytes(maxChunkBytes);
 }
 
+void write(DatagramWriter &writer, const CrashMessage &message)
+{
+    writer.number(message.entries.size());
+    for (const CrashEntry &entry : message.entries) {
+        writer.number(entry.fingerprint.value);
+        writer.number(entry.event);
+        writer.number(entry.isStrong ? 1 : 0);
+        writer.number(entry.isCleared ? 1 : 0);
+        writer.number(static_cast<std::uint64_t>(std::max(0.0, toMilliseconds(entry.timeLeft))));
+    }
+}
+
+void read(DatagramReader &reader, CrashMessage &message)
+{
+    for (std::uint64_t left = reader.number(maxCrashEntriesPerMessage); left > 0 && reader.isGood(); --left) {
+        CrashEntry &entry = message.entries.emplace_back();
+        entry.fingerprint = Fingerprint{reader.number()};
+        entry.event = reader.number();
+        entry.isStrong = reader.number(1) == 1;
+        entry.isCleared = reader.number(1) == 1;
+        entry.timeLeft = std::chrono::milliseconds(reader.number(UINT32_MAX));
+    }
+}
+
 } // namespace sassafrasvane::detail
--- a/libs/fleet/tests/gossipcodec_test.cpp
+++ b/libs/fleet/tests/gossipcodec_test.cpp
@@ -78,6 +78,10 @@
     config.bytes.assign(maxChunkBytes, '\0');
     BOOST_REQUIRE(sender.encode(daemonId(second), config, bytes).has_value());
     BOOST_TEST((std::get<ConfigMessage>(receiver.decode(first, bytes).value()) == config));
+
+    const CrashMessage crashes{{{Fingerprint{7}, 8, true, false, std::chrono::seconds(600)}}};
+    BOOST_REQUIRE(sender.encode(daemonId(second), crashes, bytes).has_value());
+    BOOST_TEST((std::get<CrashMessage>(receiver.decode(first, bytes).value()) == crashes));
 }
 
 BOOST_AUTO_TEST_CASE(largestMessagesFitADatagram)
@@ -97,6 +101,10 @@
     config.total = config.offset = config.count = UINT32_MAX;
     config.bytes.assign(maxChunkBytes, 'x');
     BOOST_TEST(sender.encode(DaemonId{UINT64_MAX}, config, bytes).has_value());
+    CrashMessage crashes;
+    crashes.entries.assign(maxCrashEntriesPerMessage,
+                           {Fingerprint{UINT64_MAX}, UINT64_MAX, true, true, std::chrono::milliseconds(UINT32_MAX)});
+    BOOST_TEST(sender.encode(DaemonId{UINT64_MAX}, crashes, bytes).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(foreignReplayedMisdirectedAndOtherVersionsAreRefusedAndCounted)
--- a/libs/gather/include/gather/gather.h
+++ b/libs/gather/include/gather/gather.h
@@ -28,7 +28,7 @@
 /// What became of the wish to send a part.
 enum class Placement {
     Sent,     ///< The call is on its way.
-    Waiting,  ///< All searchers are busy; Gather::onPlaced() or onUnplaceable() follows.
+    Waiting,  ///< All searchers are busy; Gather::onPlaced() or giveUpWaiting() may follow.
     Declined, ///< There is no searcher for it, or no budget for an extra call.
 };
 
@@ -94,8 +94,8 @@
     /// A part that was waiting has been sent.
     void onPlaced(TimePoint now, std::size_t part);
 
-    /// A part that was waiting will not be sent.
-    void onUnplaceable(TimePoint now, std::size_t part);
+    /// The parts that are waiting will not be sent.
+    void giveUpWaiting(TimePoint now);
 
     /// A call has answered \p part.
     void onAnswered(TimePoint now, std::size_t part);
@@ -110,6 +110,8 @@
     std::optional<TimePoint> wakeAt() const;
 
     bool isFinished() const noexcept { return isFinished_; }
+    /// True if some call is on its way.
+    bool hasOpenCalls() const noexcept;
     std::size_t answeredParts() const noexcept { return answered_; }
     bool isAnswered(std::size_t part) const { return parts_[part].state == State::Answered; }
     /// True if some call may have run.
--- a/libs/gather/src/gather.cpp
+++ b/libs/gather/src/gather.cpp
@@ -68,15 +68,21 @@
     state.sentAt = now;
 }
 
-void Gather::onUnplaceable(TimePoint now, std::size_t part)
+void Gather::giveUpWaiting(TimePoint now)
 {
-    if (isFinished_ || parts_[part].state != State::Waiting) {
-        return;
+    for (std::size_t part = 0; part < parts_.size(); ++part) {
+        if (parts_[part].state == State::Waiting) {
+            lose(part);
+        }
     }
-    lose(part);
     check(now);
 }
 
+bool Gather::hasOpenCalls() const noexcept
+{
+    return std::any_of(parts_.begin(), parts_.end(), [](const Part &part) { return part.openCalls > 0; });
+}
+
 void Gather::lose(std::size_t part)
 {
     parts_[part].state = State::Lost;
@@ -129,9 +135,7 @@
     }
     const std::size_t possible = parts_.size() - lost_;
     if (possible < terms_.leastParts) {
-        const bool isRunning
-            = std::any_of(parts_.begin(), parts_.end(), [](const Part &part) { return part.openCalls > 0; });
-        finish(mayHaveRun_ || isRunning ? GatherEnd::Failed : GatherEnd::Unserved);
+        finish(mayHaveRun_ || hasOpenCalls() ? GatherEnd::Failed : GatherEnd::Unserved);
         return;
     }
     const bool isComplete = answered_ == possible;
--- a/libs/gather/tests/gather_test.cpp
+++ b/libs/gather/tests/gather_test.cpp
@@ -155,6 +155,19 @@
     BOOST_TEST(world.hasEnded(GatherEnd::Unserved));
 }
 
+BOOST_AUTO_TEST_CASE(requestEndsWhenItsWaitingPartsAreGivenUp)
+{
+    World world(2);
+    world.placements = {Placement::Sent, Placement::Waiting, Placement::Waiting};
+    Gather &gather = world.start();
+    BOOST_TEST(gather.hasOpenCalls());
+    gather.onFailed(world.now, 0, Ran::Unknown);
+    BOOST_TEST(!gather.hasOpenCalls());
+    BOOST_TEST(world.ends.empty());
+    gather.giveUpWaiting(world.now);
+    BOOST_TEST(world.hasEnded(GatherEnd::Failed));
+}
+
 BOOST_AUTO_TEST_CASE(requestThatMayHaveRunIsNeverRepeatedNorCalledUnserved)
 {
     World world(1);
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -120,6 +120,9 @@
     /// Connections that this process may have to \p searcher.
     std::size_t connectionLimit(const TrackedSearcher &searcher) const;
 
+    /// True if \p searcher is still registered.
+    bool isRegistered(const TrackedSearcher &searcher) const;
+
     /// The registered searcher \p instance; null if there is none.
     std::shared_ptr<TrackedSearcher> find(std::string_view instance) const;
 
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -27,6 +27,7 @@
     WrongSearcher, ///< Another searcher has the address.
     ServerError,   ///< The searcher ran the call and answered with a failure, or with bytes that are no answer.
     Broken,        ///< The connection was lost after the call was sent.
+    Crashed,       ///< The connection was lost after the call was sent, and no other one can be opened.
     NotConnected,  ///< No connection could be opened; nothing was sent.
     TimedOut,      ///< No answer in time.
     Cancelled,     ///< Nobody waits for the answer any more; says nothing of the searcher.
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -233,6 +233,11 @@
     return std::min(connections, std::max(leastCalls, shared));
 }
 
+bool SearcherPool::isRegistered(const TrackedSearcher &searcher) const
+{
+    return find(searcher.entry().instance).get() == &searcher;
+}
+
 std::shared_ptr<TrackedSearcher> SearcherPool::find(std::string_view instance) const
 {
     const auto known = searchers_.find(std::string(instance));
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -62,8 +62,15 @@
 
 const char *name(CallEnd end) noexcept
 {
-    constexpr std::array<const char *, 8> names{
-        "answered", "rejected", "wrong_searcher", "server_error", "broken", "not_connected", "timed_out", "cancelled"};
+    constexpr std::array<const char *, 9> names{"answered",
+                                                "rejected",
+                                                "wrong_searcher",
+                                                "server_error",
+                                                "broken",
+                                                "crashed",
+                                                "not_connected",
+                                                "timed_out",
+                                                "cancelled"};
     return names.at(static_cast<std::size_t>(end));
 }
 
@@ -143,13 +150,14 @@
         heardAt_ = now;
     }
     const bool isSilent = end == CallEnd::TimedOut && heardAt_ < call.startedAt;
-    isUnreachable_ = isUnreachable_ || end == CallEnd::NotConnected || isSilent;
+    const bool isGone = end == CallEnd::NotConnected || end == CallEnd::Crashed;
+    isUnreachable_ = isUnreachable_ || isGone || isSilent;
     if (end == CallEnd::WrongSearcher) {
         blockedUntil_ = now + wrongSearcherBlock;
         return;
     }
     // Once a connection opens again, having been out of reach says nothing of how calls will end.
-    if (end != CallEnd::NotConnected) {
+    if (!isGone) {
         addFailure(now, 1);
     }
     if (end == CallEnd::Rejected) {
--- a/libs/placement/tests/searcherpool_test.cpp
+++ b/libs/placement/tests/searcherpool_test.cpp
@@ -114,6 +114,17 @@
     BOOST_TEST(searcher->failuresInRow() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(crashedSearcherGetsNoCallUntilAConnectionOpens)
+{
+    World world;
+    const std::shared_ptr<TrackedSearcher> searcher = world.pool.find("s1");
+    world.call("s1", 1ms, CallEnd::Crashed);
+    BOOST_TEST(searcher->isUnreachable());
+    BOOST_TEST(world.counts(100)["s1"] == 0);
+    searcher->onReachable(world.now);
+    BOOST_TEST(world.counts(100)["s1"] > 0);
+}
+
 BOOST_AUTO_TEST_CASE(unreachableSearcherGetsNoCallUntilAConnectionOpens)
 {
     World world;
--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -114,17 +114,19 @@
         return f"{self.host}:{self.port}"
 
     def start(self):
-        self.server = self.loop.run(asyncio.start_server(self.serve, self.host, self.port))
+        self.loop.run(self._start())
+
+    async def _start(self):
+        self.server = await asyncio.start_server(self.serve, self.host, self.port)
 
     def stop(self):
         """Closes the listener and cuts all connections."""
+        self.loop.call(self._stop)
 
-        def close():
-            self.server.close()
-            for writer in list(self.writers):
-                writer.transport.abort()
-
-        self.loop.call(close)
+    def _stop(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -232,6 +234,11 @@
         self.ran = []
         self.sequence = 0
         self.born = 1_700_000_000_000
+        # A request whose target holds this text crashes the searcher, which is back after a while.
+        self.crashes_on = None
+        self.crash_seconds = 1.0
+        # Tells the servers that go down with the searcher, such as a proxy before it.
+        self.crashes_with = lambda: ()
         # The address that the store names, if it is another one.
         self.published = None
         self.is_registered = False
@@ -258,6 +265,9 @@
         left = request.headers.get("x-sassafrasvane-deadline-ms")
         run = Run(request_id, request.method, request.target, request.body, int(left) if left else None, time.monotonic())
         self.ran.append(run)
+        if self.crashes_on and self.crashes_on in request.target:
+            self._crash()
+            return False
         try:
             if not await self.work(run, reader):
                 return False
@@ -265,6 +275,12 @@
             run.ended_at = time.monotonic()
         return self.answer(request_id, request.body, writer)
 
+    def _crash(self):
+        for server in (self, *self.crashes_with()):
+            server._stop()
+            restart = lambda server=server: asyncio.ensure_future(server._start())
+            self.loop.loop.call_later(self.crash_seconds, restart)
+
     async def work(self, run, reader):
         """Returns false if the connection ends first, and the work with it."""
         while time.monotonic() < run.at + self.delay or self.mode == "hang":
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -170,6 +170,70 @@
             entry.ask("/fetch/x", request_id=f"back{number}")
         self.assertTrue(any(run.request_id.startswith("back") for run in lost.ran))
 
+    def crashing_world(self):
+        """Three processes before searchers that crash when they run a request with "poison" in its target."""
+        world = self.world(entries=3, replicas=3)
+        for searcher in world.searchers.values():
+            searcher.crashes_on = "poison"
+        return world
+
+    def test_query_that_crashes_searchers_is_barred_everywhere(self):
+        world = self.crashing_world()
+        status = world.entries[0].ask("/board/poison", request_id="p0")[0]
+        self.assertEqual(status, 502)
+        # One searcher of each shard, and at most one retry before the second crash is known.
+        self.assertLessEqual(len(world.ran("p0")), 5)
+        barred = lambda: all(entry.lines("crash_evidence_received") for entry in world.entries[1:])
+        world.wait(barred, 2, "the evidence does not spread")
+        for number, entry in enumerate(world.entries):
+            status, headers, _ = entry.ask("/board/poison", request_id=f"again{number}")
+            self.assertEqual((status, world.ran(f"again{number}")), (503, []))
+            self.assertGreater(float(headers["Retry-After"]), 10)
+        served = lambda: all(entry.ask("/board/x")[0] == 200 for entry in world.entries)
+        world.wait(served, 4, "other requests are not served")
+
+    def test_request_that_crashes_its_searcher_is_barred_and_others_are_not(self):
+        world = self.crashing_world()
+        for name in ("i-desk-0", "i-desk-1"):
+            world.searchers[name].crash_seconds = 0.2
+        ran = []
+        for number in range(9):
+            request_id = f"p{number}"
+            world.entries[number % 3].ask("/book/poison", "POST", b"b", request_id)
+            ran += world.ran(request_id)
+            time.sleep(0.5)
+        # Two crashes are the evidence; a third one may happen before all know of them.
+        self.assertIn(len(ran), (2, 3))
+        self.assertEqual(world.entries[0].ask("/book/poison", "POST", b"other", "p-other")[0], 502)
+        time.sleep(0.5)
+        self.assertEqual(world.entries[0].ask("/book/x", "POST", b"b", "sound")[0], 200)
+
+    def test_newcomer_learns_of_requests_that_crash_searchers(self):
+        world = self.crashing_world()
+        newcomer = world.entries[2]
+        newcomer.stop()
+        world.entries[0].ask("/board/poison", request_id="p0")
+        newcomer.start()
+        world.wait(newcomer.is_ready, 5, "the newcomer is not ready")
+        world.wait(lambda: newcomer.lines("crash_evidence_received"), 4, "the newcomer does not learn of it")
+        self.assertEqual(newcomer.ask("/board/poison", request_id="again")[0], 503)
+
+    def test_searchers_that_crash_at_once_bar_no_request(self):
+        world = self.world(replicas=3)
+        entry = world.entries[0]
+        for searcher in world.searchers.values():
+            searcher.delay = 0.2
+        connection = entry.connect()
+        headers = {"Host": "search.example", "X-Sassafrasvane-Request-Id": "unlucky"}
+        connection.request("GET", "/board/x", headers=headers)
+        world.wait(lambda: len(world.ran("unlucky")) >= 4, 2, "the request did not arrive")
+        for name in [name for name in world.ran("unlucky")][:3]:
+            world.searchers[name].stop()
+        self.assertEqual(connection.getresponse().status, 200)
+        connection.close()
+        self.assertEqual(entry.lines("request_crashed_searchers"), [])
+        self.assertEqual(entry.ask("/board/x", request_id="next")[0], 200)
+
     def test_store_that_is_away_stops_nothing_and_newcomers_learn_from_others(self):
         world = self.world(entries=4)
         world.store.refusing = True
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,6 +11,8 @@
 # How long a caller waits beyond the time limit of its request.
 EXTRA_WAIT_S = 3.0
 DIRECTORY_LIFETIME_S = 5.0
+# Share of the requests that crash searchers while there are such ones.
+CRASHING_SHARE = 0.02
 
 
 @dataclasses.dataclass
@@ -115,6 +117,8 @@
     def next_request(self):
         self.sent += 1
         request_id = f"c{self.number}-{self.sent}"
+        if self.world.crashing and self.random.random() < CRASHING_SHARE:
+            return self.crashing_request(request_id)
         route = self.random.choice(["board", "board", "fetch", "fetch", "book", *self.world.extra_routes()])
         is_get = route != "book" and self.random.random() < 0.6
         body = b"" if is_get else request_id.encode() * self.random.choice([1, 1, 1, 400])
@@ -123,6 +127,12 @@
         limit = self.random.choice([1500, 2000, 4000])
         return Sent(request_id, method, target, body, limit, self.peer.split(":")[0], time.monotonic())
 
+    def crashing_request(self, request_id):
+        """A request that crashes searchers; it differs from the former ones in its id only."""
+        target = self.random.choice(self.world.crashing)
+        method = "POST" if target.startswith("/book/") else "GET"
+        return Sent(request_id, method, target, b"", 1500, self.peer.split(":")[0], time.monotonic())
+
     async def request(self):
         if self.writer is None:
             await self.connect()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,13 +7,15 @@
 from collections.abc import Callable
 
 from proxy import Harm
-from soakworld import GRACE, USUAL_DELAY_S, SoakWorld
+from soakworld import CRASHING, GRACE, USUAL_DELAY_S, SoakWorld
 
 HARMS = [Harm.DELAY, Harm.RESET, Harm.CUT_TO_SERVER, Harm.CUT_TO_CLIENT, Harm.SILENT]
 SEARCHER_MODES = ["lost", "truncated", "doubled", "error", "shed", "hang", "slow"]
 # How long a process is gone after a long kill, and a searcher stays after it was told to leave.
 LONG_S = 9.0
 DRAIN_S = 3.5
+# How long callers send a request that crashes searchers.
+CRASHING_S = 8.0
 # Share of the processes and searchers that are disturbed at the same time, so that service remains.
 MOST_DISTURBED = 0.5
 
@@ -218,6 +220,13 @@
             searcher.mode = step.detail
         return undo
 
+    def send_crashing(self, _store, step):
+        """Callers send a request that crashes the searchers that run it, again and again."""
+        target = f"/{step.detail}/{CRASHING}-{self.begun}"
+        self.world.history.crashing.append(target)
+        self.world.crashing.append(target)
+        self.undo.append((time.monotonic() + CRASHING_S, lambda: self.world.crashing.remove(target)))
+
     def replace_searcher(self, instance, step):
         """A searcher leaves, with or without word, and another one comes. Its address may go to another back end."""
         searcher = self.world.searchers[instance]
@@ -274,5 +283,6 @@
     "change_configuration": Kind(Faults.store, Faults.change_configuration, ["single", "series"]),
     "harm_searcher_link": Kind(Faults.calm_searcher, Faults.harm_searcher_link, HARMS),
     "spoil_searcher": Kind(Faults.calm_searcher, Faults.spoil_searcher, SEARCHER_MODES),
+    "send_crashing": Kind(Faults.store, Faults.send_crashing, ["board", "fetch", "book"]),
     "replace_searcher": Kind(Faults.calm_searcher, Faults.replace_searcher, ["drained", "removed", "address_reused"]),
 }
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,7 +5,7 @@
 
 import collections
 
-from soakworld import SHARDS, SoakWorld
+from soakworld import SHARDS, STABLE_S, SoakWorld
 
 NOT_RUN = (408, 421, 429, 503)
 MOST_ATTEMPTS = 2
@@ -22,6 +22,9 @@
 # A process that was ended is named to callers no more after so long.
 NAMED_S = 7.0
 LEAVE_S = 0.5
+# Crashes after which a request is known, and requests that may still reach searchers some time later.
+CRASHES_TO_LEARN = 3
+MOST_LATE_CRASHES = 3
 # Calm after which everything is served again.
 RECOVERY_S = 5.0
 STAMP = "x-sassafrasvane-server-stamp"
@@ -252,6 +255,22 @@
     return [f"{name} ended with {code}" for name, code in evidence.history.own_ends]
 
 
+def crashing_requests_are_stopped(evidence):
+    """A request that crashes its searchers reaches few more once it has crashed the third."""
+    broken = []
+    for target in evidence.history.crashing:
+        sent = [sent for sent in evidence.ended() if sent.target == target]
+        crashes = sorted(run.at for request in sent for _, run in evidence.runs[request.request_id])
+        if len(crashes) < CRASHES_TO_LEARN:
+            continue
+        known_at = crashes[CRASHES_TO_LEARN - 1] + STABLE_S
+        late = [request for request in sent if request.at > known_at and evidence.runs[request.request_id]]
+        late = [request.request_id for request in late if evidence.in_touch(request)]
+        if len(late) > MOST_LATE_CRASHES:
+            broken.append(f"{target}: {late} reached searchers after {crashes}")
+    return broken
+
+
 def searchers_keep_their_connections(evidence):
     """In calm, a searcher has no more connections than it takes."""
     searchers = [searcher for searcher in evidence.world.searchers.values() if searcher.is_registered]
@@ -285,6 +304,7 @@
     planned_stops_lose_nothing,
     ended_processes_are_not_named,
     processes_keep_running,
+    crashing_requests_are_stopped,
     searchers_keep_their_connections,
     service_returns,
 ]
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -205,6 +205,22 @@
             self.world.history.directory.append((START, "vm-0", ["127.0.0.10:80", "127.0.0.11:80"]))
         self.assertEqual(self.broken(), {"ended_processes_are_not_named"})
 
+    def crash(self, request_id, at):
+        sent = self.world.send(request_id, at=at, status=502, instances=(), target="/fetch/crash-1")
+        self.world.run("desk-0", sent, at + 0.01)
+
+    def test_crashing_request_that_goes_on(self):
+        self.world.history.crashing.append("/fetch/crash-1")
+        for number, at in enumerate([0, 0.1, 0.2, 4.5, 4.6, 4.7, 4.8]):
+            self.crash(f"r{number}", START + at)
+        self.assertEqual(self.broken(), {"crashing_requests_are_stopped"})
+
+    def test_crashing_request_that_is_stopped(self):
+        self.world.history.crashing.append("/fetch/crash-1")
+        for number, at in enumerate([0, 0.1, 0.2, 1, 2, 3, 4, 4.5, 4.6, 4.7]):
+            self.crash(f"r{number}", START + at)
+        self.assertEqual(self.broken(), set())
+
     def test_process_that_ends_by_itself(self):
         self.world.history.own_ends.append(("vm-0", -11))
         self.assertEqual(self.broken(), {"processes_keep_running"})
--- a/tests/soak/soakworld.py
+++ b/tests/soak/soakworld.py
@@ -12,6 +12,8 @@
 # Longest time of a stand-in's own stall that is taken for calm.
 STALL_S = 0.25
 SHARDS = 4
+# A request whose target holds this text crashes the searchers that run it.
+CRASHING = "crash"
 # Time that a searcher takes for a request.
 USUAL_DELAY_S = 0.03
 FOREVER = float("inf")
@@ -75,6 +77,8 @@
     late_stops: list = dataclasses.field(default_factory=list)
     # Processes that ended although nobody ended them: name and exit code.
     own_ends: list = dataclasses.field(default_factory=list)
+    # Targets of requests that crash searchers.
+    crashing: list = dataclasses.field(default_factory=list)
     calm_from: float = FOREVER
 
 
@@ -119,6 +123,8 @@
         self.store_disturbed = Disturbances()
         self.host_stalled = Disturbances()
         self.current = None
+        # Targets that callers send now and then, and that crash searchers.
+        self.crashing = []
         super().__init__(build, entries=entries, shards=SHARDS)
         for replica in range(2):
             self.add_searcher(f"i-desk2-{replica}", "desk2")
@@ -135,6 +141,8 @@
         link.target = searcher.address
         searcher.delay = USUAL_DELAY_S
         searcher.published = link.address
+        searcher.crashes_on = CRASHING
+        searcher.crashes_with = lambda: [link] if link.target == searcher.address else []
         searcher.register()
         self.searchers[instance] = searcher
         self.links[instance] = link
