Whose turn: calls in time first, newest first once the wait is long, a query starts with room

Cause of late answers there: calls waited in the order of their arrival, so under more load than the searchers bear each was late before its turn; each VM put a second call into the queue of a slow searcher; queries held searchers of nine shards while they waited for the tenth. Also: a call that cannot go (its request is held or has tried the free searchers) lets others pass; before, it held the whole back end's queue. Empty queues are erased. Virtual time and searchers of the load tests stand once.

--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -61,13 +61,15 @@
     void onConfiguration(const RouteTable &routes);
 
     /// Tries waiting calls again. To be called several times a second.
-    void onTick();
+    void onTick(TimePoint now);
 
     const EntryCounters &counters() const noexcept { return counters_; }
     std::size_t openRequests() const noexcept { return requests_.size(); }
+    std::size_t waitingRequests() const noexcept { return entrance_.size(); }
     std::size_t waitingCalls() const noexcept { return waiting_.size(); }
 
 private:
+    void onFree(const std::string &backend);
     void refuse(const std::shared_ptr<http::Exchange> &exchange,
                 const CallerTerms &terms,
                 http::Response answer,
@@ -82,6 +84,7 @@
     PublishedState &state_;
     EventLog &log_;
     WaitingList waiting_;
+    WaitingList entrance_;
     WeightedSplits splits_;
     EntryCounters counters_;
     Random random_;
--- a/libs/entry/include/entry/waitinglist.h
+++ b/libs/entry/include/entry/waitinglist.h
@@ -1,12 +1,14 @@
 #pragma once
 
+#include "base/time.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
 #include <string_view>
-#include <utility>
+#include <tuple>
 
 /// \file
 /// Calls that wait for a free searcher.
@@ -14,35 +16,63 @@
 namespace sassafrasvane
 {
 
-/// The waiting calls of each back end, the most urgent route first, then the earliest.
+/// The waiting calls of each back end.
+///
+/// Calls that can still be in time go before those that are late anyway, and among them the most urgent route goes
+/// first. Calls of one route go in the order of their arrival, unless the earliest one has waited for long: then the
+/// latest goes first, as with more load than the searchers bear the order of arrival makes every call late.
 ///
 /// \code
-/// waiting.add("desk", route.priority, [] { return tryToSend(); });
-/// waiting.onFree("desk");
+/// waiting.add("desk", {route.priority, now, targetAt}, [] { return tryToSend(); });
+/// waiting.onFree(now, "desk");
 /// \endcode
 class WaitingList
 {
 public:
-    /// Tries to send the call. \return true if it need not wait any longer, sent or not.
-    using Attempt = std::function<bool()>;
+    /// What became of the attempt to send a waiting call.
+    enum class Turn {
+        Over,   ///< The call need not wait any longer, sent or not.
+        Busy,   ///< No searcher is free for any call.
+        Passed, ///< This call cannot go now, but another one may.
+    };
+
+    using Attempt = std::function<Turn()>;
+
+    /// Whose turn a call is.
+    struct Terms {
+        /// Rank of the route; 0 is the most urgent.
+        std::uint32_t priority = 0;
+        TimePoint addedAt;
+        /// When the call is late.
+        TimePoint targetAt;
+    };
 
     /// Calls that may wait for one back end.
     static constexpr std::size_t mostPerBackend() noexcept { return 200; }
 
     /// Adds a call. \return false if too many wait.
-    bool add(std::string_view backend, std::uint32_t priority, Attempt attempt);
+    bool add(std::string_view backend, const Terms &terms, Attempt attempt);
 
-    /// A searcher of \p backend may be free: tries the calls in turn until one still has to wait.
-    void onFree(std::string_view backend);
+    /// A searcher of \p backend may be free: tries the calls in turn until all searchers are busy.
+    void onFree(TimePoint now, std::string_view backend);
 
     /// Tries the calls of all back ends.
-    void onTick();
+    void onTick(TimePoint now);
 
     std::size_t size() const noexcept;
 
 private:
-    using Rank = std::pair<std::uint32_t, std::uint64_t>;
-    using Queue = std::map<Rank, Attempt>;
+    /// Whether the call is late, its priority, and its order of arrival.
+    using Rank = std::tuple<bool, std::uint32_t, std::uint64_t>;
+
+    struct Call {
+        Terms terms;
+        Attempt attempt;
+    };
+    using Queue = std::map<Rank, Call>;
+
+    static void moveLate(TimePoint now, Queue &queue);
+    static Queue::iterator next(TimePoint now, Queue &queue);
 
     std::map<std::string, Queue, std::less<>> queues_;
     std::uint64_t lastOrder_ = 0;
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -360,7 +360,7 @@
     }
     lastTick_ = now;
     dispatcher_.onTick(now);
-    entry_.onTick();
+    entry_.onTick(now);
     state_.onTick(now);
     feed_.onTick(now);
     feedServer_.onTick(now);
--- a/libs/entry/src/entryserver.cpp
+++ b/libs/entry/src/entryserver.cpp
@@ -30,15 +30,32 @@
     , state_(state)
     , log_(log)
     , random_(seed)
-    , shared_(new detail::
-                  RequestContext{context, protocol, pool, dispatcher, crashes, waiting_, log, counters_, random_, {}})
+    , shared_(new detail::RequestContext{context,
+                                         protocol,
+                                         pool,
+                                         dispatcher,
+                                         crashes,
+                                         waiting_,
+                                         entrance_,
+                                         log,
+                                         counters_,
+                                         random_,
+                                         {}})
 {
     shared_->release = [this](const detail::RequestTask *request) { requests_.erase(request); };
-    dispatcher.setOnFree([this](const std::string &backend) { waiting_.onFree(backend); });
+    dispatcher.setOnFree([this](const std::string &backend) { onFree(backend); });
 }
 
 EntryServer::~EntryServer() = default;
 
+// Requests that have started go before those that have not: they hold searchers already.
+void EntryServer::onFree(const std::string &backend)
+{
+    const TimePoint now = BootClock::now();
+    waiting_.onFree(now, backend);
+    entrance_.onTick(now);
+}
+
 void EntryServer::handle(const std::shared_ptr<http::Exchange> &exchange)
 {
     CallerTerms terms = protocol_.readCallerTerms(exchange->request());
@@ -129,9 +146,10 @@
     splits_.keepOnly(routes.configuration());
 }
 
-void EntryServer::onTick()
+void EntryServer::onTick(TimePoint now)
 {
-    waiting_.onTick();
+    waiting_.onTick(now);
+    entrance_.onTick(now);
 }
 
 } // namespace sassafrasvane
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -42,6 +42,7 @@
     add(text, "requests_suspected", "gauge", sources.crashes.suspects());
     add(text, "requests_open", "gauge", sources.entry.openRequests());
     add(text, "calls_open", "gauge", sources.dispatcher.openCalls());
+    add(text, "requests_waiting", "gauge", sources.entry.waitingRequests());
     add(text, "calls_waiting", "gauge", sources.entry.waitingCalls());
     add(text, "caller_connections_open", "gauge", server.openConnections);
     add(text, "caller_connections_total", "counter", server.accepted);
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -28,6 +28,8 @@
 constexpr Duration deadlineMargin = std::chrono::milliseconds(5);
 /// Searchers that may crash with a request before it goes to no others until one has answered it.
 constexpr std::uint32_t crashesToHold = 2;
+/// A searcher is congested if a call would take more than this share of the latency target there.
+constexpr double congestedShare = 0.5;
 /// Searchers that free themselves within this time are waited for.
 constexpr Duration shortBlock = std::chrono::milliseconds(25);
 
@@ -87,6 +89,9 @@
 GatherHooks RequestTask::gatherHooks()
 {
     GatherHooks hooks;
+    hooks.hasRoom = [this](std::size_t part) {
+        return shared_.pool.hasRoom(BootClock::now(), *parts_[part].backend, mostRounds());
+    };
     hooks.place = [this](std::size_t part, CallPurpose purpose) { return place(part, purpose); };
     hooks.finish = [this](GatherEnd end) { finish(end); };
     return hooks;
@@ -107,10 +112,35 @@
         finish(GatherEnd::Unserved);
         return;
     }
-    gather_.start(now);
+    if (!gather_.start(now)) {
+        waitToStart();
+    }
     schedule();
 }
 
+void RequestTask::waitToStart()
+{
+    const WaitingList::Attempt attempt = [weak = weak_from_this()] {
+        const std::shared_ptr<RequestTask> self = weak.lock();
+        if (!self || self->gather_.isFinished()) {
+            return WaitingList::Turn::Over;
+        }
+        if (!self->gather_.start(BootClock::now())) {
+            return WaitingList::Turn::Busy;
+        }
+        self->schedule();
+        return WaitingList::Turn::Over;
+    };
+    if (!shared_.entrance.add(parts_.front().backend->name(), waitingTerms(), attempt)) {
+        gather_.refuse();
+    }
+}
+
+WaitingList::Terms RequestTask::waitingTerms() const
+{
+    return {route_.priority, BootClock::now(), gatherTerms_.targetAt - times_.typical()};
+}
+
 // Nothing is sent for a request whose answer could not have enough parts.
 bool RequestTask::canBeServed(TimePoint now) const
 {
@@ -135,7 +165,7 @@
     if (!spendBudget(part, purpose)) {
         return Placement::Declined;
     }
-    const Choice choice = shared_.pool.choose(now, *part.backend, part.tried);
+    const Choice choice = shared_.pool.choose(now, *part.backend, part.tried, mostRounds());
     std::optional<CallHandle> handle;
     if (choice.searcher) {
         CallOrder order;
@@ -174,6 +204,12 @@
     return isBusy && mayWait ? wait(index, purpose) : Placement::Declined;
 }
 
+double RequestTask::mostRounds() const
+{
+    const Duration longest = shareOf(route_.latencyTarget, congestedShare);
+    return toMilliseconds(longest) / std::max(1.0, toMilliseconds(times_.typical()));
+}
+
 bool RequestTask::spendBudget(Part &part, CallPurpose purpose)
 {
     return purpose == CallPurpose::First || part.isNextFree || part.backend->budget().spend();
@@ -184,17 +220,18 @@
     const WaitingList::Attempt attempt = [weak = weak_from_this(), index, purpose] {
         const std::shared_ptr<RequestTask> self = weak.lock();
         if (!self || self->gather_.isFinished()) {
-            return true;
+            return WaitingList::Turn::Over;
         }
         const TimePoint now = BootClock::now();
         if (self->place(index, purpose, false) == Placement::Sent) {
             self->gather_.onPlaced(now, index);
             self->schedule();
-            return true;
+            return WaitingList::Turn::Over;
         }
-        return false;
+        const bool isChoosy = self->isSuspect() || !self->parts_[index].tried.empty();
+        return isChoosy ? WaitingList::Turn::Passed : WaitingList::Turn::Busy;
     };
-    const bool isWaiting = shared_.waiting.add(parts_[index].backend->name(), route_.priority, attempt);
+    const bool isWaiting = shared_.waiting.add(parts_[index].backend->name(), waitingTerms(), attempt);
     return isWaiting ? Placement::Waiting : Placement::Declined;
 }
 
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -31,7 +31,10 @@
     SearcherPool &pool;
     Dispatcher &dispatcher;
     CrashWatch &crashes;
+    /// Calls that wait for a free searcher.
     WaitingList &waiting;
+    /// Requests of which nothing was sent yet, by the back end of their first part.
+    WaitingList &entrance;
     EventLog &log;
     EntryCounters &counters;
     Random &random;
@@ -69,9 +72,12 @@
 
     GatherTerms makeGatherTerms() const;
     GatherHooks gatherHooks();
+    void waitToStart();
+    WaitingList::Terms waitingTerms() const;
     bool canBeServed(TimePoint now) const;
     Placement place(std::size_t part, CallPurpose purpose);
     Placement place(std::size_t part, CallPurpose purpose, bool mayWait);
+    double mostRounds() const;
     bool spendBudget(Part &part, CallPurpose purpose);
     Placement wait(std::size_t part, CallPurpose purpose);
     void onCallEnded(std::size_t part, CallVerdict outcome);
--- a/libs/entry/src/waitinglist.cpp
+++ b/libs/entry/src/waitinglist.cpp
@@ -1,22 +1,56 @@
 #include "entry/waitinglist.h"
 
+#include <iterator>
 #include <vector>
 
 namespace sassafrasvane
 {
 
-bool WaitingList::add(std::string_view backend, std::uint32_t priority, Attempt attempt)
+namespace
+{
+
+/// Share of its time to the target for which a call waits before the latest one goes first.
+constexpr double longWaitShare = 0.25;
+
+} // namespace
+
+bool WaitingList::add(std::string_view backend, const Terms &terms, Attempt attempt)
 {
     const auto known = queues_.find(backend);
     Queue &queue = known == queues_.end() ? queues_[std::string(backend)] : known->second;
     if (queue.size() >= mostPerBackend()) {
         return false;
     }
-    queue.emplace(Rank{priority, ++lastOrder_}, std::move(attempt));
+    queue.emplace(Rank{false, terms.priority, ++lastOrder_}, Call{terms, std::move(attempt)});
     return true;
 }
 
-void WaitingList::onFree(std::string_view backend)
+void WaitingList::moveLate(TimePoint now, Queue &queue)
+{
+    for (Queue::iterator place = queue.begin(); place != queue.end() && !std::get<bool>(place->first);) {
+        if (now < place->second.terms.targetAt) {
+            ++place;
+            continue;
+        }
+        Queue::node_type call = queue.extract(place++);
+        std::get<bool>(call.key()) = true;
+        queue.insert(std::move(call));
+    }
+}
+
+WaitingList::Queue::iterator WaitingList::next(TimePoint now, Queue &queue)
+{
+    const Queue::iterator earliest = queue.begin();
+    const auto &[isLate, priority, order] = earliest->first;
+    const Terms &terms = earliest->second.terms;
+    const bool isLongWait = now - terms.addedAt > shareOf(terms.targetAt - terms.addedAt, longWaitShare);
+    if (isLate || !isLongWait) {
+        return earliest;
+    }
+    return std::prev(queue.lower_bound(Rank{false, priority + 1, 0}));
+}
+
+void WaitingList::onFree(TimePoint now, std::string_view backend)
 {
     const auto known = queues_.find(backend);
     // An attempt may free a searcher again; the outer loop goes on with it.
@@ -25,18 +59,30 @@
     }
     isTrying_ = true;
     Queue &queue = known->second;
+    moveLate(now, queue);
+    Queue passed;
     while (!queue.empty()) {
-        const Rank rank = queue.begin()->first;
-        const Attempt attempt = queue.begin()->second;
-        if (!attempt()) {
+        // Attempts may add calls, but only this loop removes them.
+        const Queue::iterator call = next(now, queue);
+        const Attempt attempt = call->second.attempt;
+        const Turn turn = attempt();
+        if (turn == Turn::Busy) {
             break;
         }
-        queue.erase(rank);
+        if (turn == Turn::Passed) {
+            passed.insert(queue.extract(call));
+        } else {
+            queue.erase(call);
+        }
+    }
+    queue.merge(passed);
+    if (queue.empty()) {
+        queues_.erase(known);
     }
     isTrying_ = false;
 }
 
-void WaitingList::onTick()
+void WaitingList::onTick(TimePoint now)
 {
     std::vector<std::string> backends;
     for (const auto &[backend, queue] : queues_) {
@@ -45,7 +91,7 @@
         }
     }
     for (const std::string &backend : backends) {
-        onFree(backend);
+        onFree(now, backend);
     }
 }
 
--- a/libs/entry/tests/waitinglist_test.cpp
+++ b/libs/entry/tests/waitinglist_test.cpp
@@ -5,24 +5,33 @@
 #include <vector>
 
 using namespace sassafrasvane;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const TimePoint now{100s};
+const TimePoint later = now + 80ms;
+
+} // namespace
 
 BOOST_AUTO_TEST_CASE(mostUrgentThenEarliestGoesFirst)
 {
     WaitingList waiting;
     std::vector<int> order;
     const auto add = [&](std::uint32_t priority, int number) {
-        waiting.add("desk", priority, [&order, number] {
+        waiting.add("desk", {priority, now, later}, [&order, number] {
             order.push_back(number);
-            return true;
+            return WaitingList::Turn::Over;
         });
     };
     add(2, 1);
     add(1, 2);
     add(2, 3);
     add(1, 4);
-    waiting.onFree("other");
+    waiting.onFree(now, "other");
     BOOST_TEST(order.empty());
-    waiting.onFree("desk");
+    waiting.onFree(now, "desk");
     const std::vector<int> expected{2, 4, 1, 3};
     BOOST_TEST(order == expected);
     BOOST_TEST(waiting.size() == 0U);
@@ -34,27 +43,87 @@
     int free = 1;
     int sent = 0;
     for (int call = 0; call < 3; ++call) {
-        waiting.add("desk", 1, [&free, &sent] {
+        waiting.add("desk", {1, now, later}, [&free, &sent] {
             const bool isSent = free > 0;
             free -= isSent ? 1 : 0;
             sent += isSent ? 1 : 0;
-            return isSent;
+            return isSent ? WaitingList::Turn::Over : WaitingList::Turn::Busy;
         });
     }
-    waiting.onTick();
+    waiting.onTick(now);
     BOOST_TEST(sent == 1);
     BOOST_TEST(waiting.size() == 2U);
     free = 5;
-    waiting.onFree("desk");
+    waiting.onFree(now, "desk");
     BOOST_TEST(sent == 3);
 }
 
+BOOST_AUTO_TEST_CASE(callThatCanBeInTimeGoesBeforeLateOnes)
+{
+    WaitingList waiting;
+    std::vector<int> order;
+    const auto add = [&](std::uint32_t priority, TimePoint targetAt, int number) {
+        waiting.add("desk", {priority, now, targetAt}, [&order, number] {
+            order.push_back(number);
+            return WaitingList::Turn::Over;
+        });
+    };
+    add(1, now, 1);
+    add(2, later, 2);
+    add(1, now - 5ms, 3);
+    add(1, later, 4);
+    waiting.onFree(now, "desk");
+    const std::vector<int> expected{4, 2, 1, 3};
+    BOOST_TEST(order == expected);
+}
+
+BOOST_AUTO_TEST_CASE(latestCallGoesFirstOnceTheEarliestHasWaitedForLong)
+{
+    WaitingList waiting;
+    std::vector<int> order;
+    int free = 0;
+    const auto add = [&](TimePoint at, std::uint32_t priority, int number) {
+        waiting.add("desk", {priority, at, at + 80ms}, [&order, &free, number] {
+            if (free == 0) {
+                return WaitingList::Turn::Busy;
+            }
+            --free;
+            order.push_back(number);
+            return WaitingList::Turn::Over;
+        });
+    };
+    add(now, 1, 1);
+    add(now + 5ms, 1, 2);
+    add(now + 10ms, 1, 3);
+    add(now + 10ms, 2, 4);
+    free = 1;
+    waiting.onFree(now + 20ms, "desk");
+    free = 3;
+    waiting.onFree(now + 40ms, "desk");
+    const std::vector<int> expected{1, 3, 2, 4};
+    BOOST_TEST(order == expected);
+}
+
+BOOST_AUTO_TEST_CASE(callThatCannotGoLetsOthersPass)
+{
+    WaitingList waiting;
+    int sent = 0;
+    waiting.add("desk", {1, now, later}, [] { return WaitingList::Turn::Passed; });
+    waiting.add("desk", {2, now, later}, [&sent] {
+        ++sent;
+        return WaitingList::Turn::Over;
+    });
+    waiting.onFree(now, "desk");
+    BOOST_TEST(sent == 1);
+    BOOST_TEST(waiting.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(listIsBounded)
 {
     WaitingList waiting;
     for (std::size_t call = 0; call < WaitingList::mostPerBackend(); ++call) {
-        BOOST_TEST(waiting.add("desk", 1, [] { return false; }));
+        BOOST_TEST(waiting.add("desk", {1, now, later}, [] { return WaitingList::Turn::Busy; }));
     }
-    BOOST_TEST(!waiting.add("desk", 1, [] { return false; }));
-    BOOST_TEST(waiting.add("other", 1, [] { return false; }));
+    BOOST_TEST(!waiting.add("desk", {1, now, later}, [] { return WaitingList::Turn::Busy; }));
+    BOOST_TEST(waiting.add("other", {1, now, later}, [] { return WaitingList::Turn::Busy; }));
 }
--- a/libs/gather/include/gather/gather.h
+++ b/libs/gather/include/gather/gather.h
@@ -65,6 +65,8 @@
 
 /// What Gather wants done.
 struct GatherHooks {
+    /// True if a searcher could take \p part now.
+    std::function<bool(std::size_t part)> hasRoom;
     /// Sends \p part to a searcher that it has not been sent to, now or when one is free.
     std::function<Placement(std::size_t part, CallPurpose purpose)> place;
     /// The request ends; called once. \p end is Answered only if leastParts parts are there.
@@ -73,13 +75,16 @@
 
 /// One request over one or more parts.
 ///
-/// Every part is sent at once. A late part is hedged and a failed one retried, on other searchers and within
-/// maxAttempts. The request ends as soon as its outcome cannot improve in time: when every part is answered or lost,
-/// when leastParts can no longer be reached, at the target if leastParts are there, or at the deadline.
+/// Nothing is sent until most of the parts that an answer needs have room: a query must not hold searchers of some
+/// shards while it waits for many others, and one that cannot start can be refused as not run. Then every part is sent
+/// at once. A late part
+/// is hedged and a failed one retried, on other searchers and within maxAttempts. The request ends as soon as its
+/// outcome cannot improve in time: when every part is answered or lost, when leastParts can no longer be reached, at
+/// the target if leastParts are there, or at the deadline.
 ///
 /// \code
 /// Gather gather(terms, hooks);
-/// gather.start(now);
+/// const bool isStarted = gather.start(now);
 /// gather.onAnswered(now, part);
 /// gather.onTimer(now);
 /// \endcode
@@ -88,8 +93,12 @@
 public:
     Gather(const GatherTerms &terms, GatherHooks hooks);
 
-    /// Sends all parts.
-    void start(TimePoint now);
+    /// Sends all parts. \return false if too few of them have room: nothing was sent then, and start() may be called
+    /// again.
+    bool start(TimePoint now);
+
+    /// Ends a request that could not start.
+    void refuse();
 
     /// A part that was waiting has been sent.
     void onPlaced(TimePoint now, std::size_t part);
--- a/libs/gather/src/gather.cpp
+++ b/libs/gather/src/gather.cpp
@@ -6,6 +6,14 @@
 namespace sassafrasvane
 {
 
+namespace
+{
+
+/// Share of the least parts that must have room before anything is sent. The others may find room while these run.
+constexpr double startShare = 0.75;
+
+} // namespace
+
 const char *name(CallPurpose purpose) noexcept
 {
     constexpr std::array<const char *, 3> names{"first", "retry", "hedge"};
@@ -23,14 +31,29 @@
 {
 }
 
-void Gather::start(TimePoint now)
+bool Gather::start(TimePoint now)
 {
+    std::size_t roomy = 0;
+    for (std::size_t part = 0; part < parts_.size(); ++part) {
+        roomy += hooks_.hasRoom(part) ? 1 : 0;
+    }
+    if (static_cast<double>(roomy) < startShare * static_cast<double>(terms_.leastParts)) {
+        return false;
+    }
     isStarting_ = true;
     for (std::size_t part = 0; part < parts_.size(); ++part) {
         place(now, part, CallPurpose::First);
     }
     isStarting_ = false;
     check(now);
+    return true;
+}
+
+void Gather::refuse()
+{
+    if (!isFinished_ && sent_ == 0) {
+        finish(GatherEnd::Unserved);
+    }
 }
 
 void Gather::place(TimePoint now, std::size_t part, CallPurpose purpose)
--- a/libs/gather/tests/gather_test.cpp
+++ b/libs/gather/tests/gather_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
+#include <set>
 
 using namespace sassafrasvane;
 using namespace std::chrono_literals;
@@ -25,6 +26,8 @@
     std::vector<GatherEnd> ends;
     /// What the next wishes to send become; Sent once it is empty.
     std::vector<Placement> placements;
+    /// Parts for which no searcher has room.
+    std::set<std::size_t> busy;
     std::unique_ptr<Gather> gather;
 
     explicit World(std::size_t parts, std::size_t leastParts = 0)
@@ -41,6 +44,7 @@
     Gather &start()
     {
         GatherHooks hooks;
+        hooks.hasRoom = [this](std::size_t part) { return !busy.contains(part); };
         hooks.place = [this](std::size_t part, CallPurpose purpose) {
             Placement placement = Placement::Sent;
             if (!placements.empty()) {
@@ -155,6 +159,28 @@
     BOOST_TEST(world.hasEnded(GatherEnd::Unserved));
 }
 
+BOOST_AUTO_TEST_CASE(nothingIsSentUntilEnoughPartsHaveRoom)
+{
+    World world(3, 2);
+    world.busy = {0, 1};
+    Gather &gather = world.start();
+    BOOST_TEST(world.sent.empty());
+    BOOST_TEST((*gather.wakeAt() == world.terms.refuseAt));
+    world.busy = {1};
+    BOOST_TEST(gather.start(world.now + 5ms));
+    BOOST_TEST(world.sent.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(requestThatFindsNoRoomIsRefusedAsNotRun)
+{
+    World world(3, 2);
+    world.busy = {0, 1};
+    Gather &gather = world.start();
+    gather.onTimer(world.terms.refuseAt);
+    BOOST_TEST(world.hasEnded(GatherEnd::Unserved));
+    BOOST_TEST(!gather.mayHaveRun());
+}
+
 BOOST_AUTO_TEST_CASE(requestEndsWhenItsWaitingPartsAreGivenUp)
 {
     World world(2);
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -7,6 +7,7 @@
 #include "placement/trackedsearcher.h"
 #include "routing/configuration.h"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -108,8 +109,16 @@
     BackendPool &backend(std::string_view name);
 
     /// Chooses a searcher for one more call, or says why there is none.
-    /// \param tried searchers that the request has already been sent to.
-    Choice choose(TimePoint now, BackendPool &backend, std::span<const std::shared_ptr<TrackedSearcher>> tried);
+    /// \param tried searchers that the request has already been sent to. \param mostRounds a searcher at which the call
+    /// is expected to take more than this many times its usual time gets no second call of this process: it would only
+    /// wait there, while one that waits here can go to the first searcher that is free.
+    Choice choose(TimePoint now,
+                  BackendPool &backend,
+                  std::span<const std::shared_ptr<TrackedSearcher>> tried,
+                  double mostRounds = std::numeric_limits<double>::infinity());
+
+    /// True if choose() would find a searcher of \p backend that has not been tried.
+    bool hasRoom(TimePoint now, const BackendPool &backend, double mostRounds) const;
 
     /// True if some searcher of \p backend may be tried now or soon.
     bool isServing(TimePoint now, const BackendPool &backend) const;
@@ -133,9 +142,10 @@
 
     bool isUsable(const TrackedSearcher &searcher) const;
     static bool isAvailable(TimePoint now, const TrackedSearcher &searcher);
-    bool mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms);
+    bool hasRoom(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms, double mostRounds) const;
+    bool mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms) const;
     std::size_t connectionLimit(const BackendTerms &terms) const;
-    std::size_t callLimit(const TrackedSearcher &searcher, std::size_t connections) const;
+    std::size_t callLimit(const TrackedSearcher &searcher, const BackendTerms &terms) const;
     void updateBudgets();
 
     std::string self_;
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -79,7 +79,11 @@
     /// True if an open call has taken much longer than usual: the searcher may be standing still.
     bool isOverdue(TimePoint now) const noexcept;
 
-    /// Expected time of one more call, in multiples of the usual time.
+    /// Expected time of one more call with its wait for a slot, in multiples of the usual time.
+    double expectedRounds(TimePoint now) const noexcept;
+
+    /// What one more call is expected to cost its request, in multiples of the usual time: beside its own time, that of
+    /// failures and of an overdue call.
     double cost(TimePoint now) const noexcept;
 
     /// Failures in a row.
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -131,12 +131,12 @@
 
 Choice SearcherPool::choose(TimePoint now,
                             BackendPool &backend,
-                            std::span<const std::shared_ptr<TrackedSearcher>> tried)
+                            std::span<const std::shared_ptr<TrackedSearcher>> tried,
+                            double mostRounds)
 {
     std::shared_ptr<TrackedSearcher> best;
     double bestCost = 0;
     Unplaced reason = Unplaced::Unknown;
-    const std::size_t connections = connectionLimit(backend.terms_);
     for (const std::shared_ptr<TrackedSearcher> &searcher : backend.searchers_) {
         if (!isUsable(*searcher) || contains(tried, searcher)) {
             continue;
@@ -145,8 +145,7 @@
             reason = std::max(reason, Unplaced::Blocked);
             continue;
         }
-        if (searcher->openCalls() >= callLimit(*searcher, connections)
-            || !mayCallCold(now, *searcher, backend.terms_)) {
+        if (!hasRoom(now, *searcher, backend.terms_, mostRounds)) {
             reason = Unplaced::Saturated;
             continue;
         }
@@ -170,6 +169,25 @@
     return {best, Unplaced::None};
 }
 
+bool SearcherPool::hasRoom(TimePoint now, const BackendPool &backend, double mostRounds) const
+{
+    return std::any_of(backend.searchers_.begin(),
+                       backend.searchers_.end(),
+                       [this, now, &backend, mostRounds](const std::shared_ptr<TrackedSearcher> &searcher) {
+                           return isUsable(*searcher) && isAvailable(now, *searcher)
+                               && hasRoom(now, *searcher, backend.terms_, mostRounds);
+                       });
+}
+
+bool SearcherPool::hasRoom(TimePoint now,
+                           const TrackedSearcher &searcher,
+                           const BackendTerms &terms,
+                           double mostRounds) const
+{
+    const bool isCongested = searcher.openCalls() > 0 && searcher.expectedRounds(now) > mostRounds;
+    return !isCongested && searcher.openCalls() < callLimit(searcher, terms) && mayCallCold(now, searcher, terms);
+}
+
 bool SearcherPool::isServing(TimePoint now, const BackendPool &backend) const
 {
     return std::any_of(backend.searchers_.begin(),
@@ -200,7 +218,7 @@
     return due;
 }
 
-bool SearcherPool::mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms)
+bool SearcherPool::mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms) const
 {
     if (!searcher.isCold(now) || terms.coldCallsPerSecond <= 0) {
         return true;
@@ -210,7 +228,8 @@
         = std::max_element(fleet_.begin(), fleet_.end(), [key](const std::string &left, const std::string &right) {
               return mix(key, hashBytes(left)) < mix(key, hashBytes(right));
           });
-    return *holder == self_ && now >= coldPaces_[searcher.entry().instance].nextAt;
+    const auto pace = coldPaces_.find(searcher.entry().instance);
+    return *holder == self_ && (pace == coldPaces_.end() || now >= pace->second.nextAt);
 }
 
 std::size_t SearcherPool::connectionLimit(const TrackedSearcher &searcher) const
@@ -226,11 +245,11 @@
     return std::max<std::size_t>(1, shared / std::max(fleet_.size(), leastFleet));
 }
 
-std::size_t SearcherPool::callLimit(const TrackedSearcher &searcher, std::size_t connections) const
+std::size_t SearcherPool::callLimit(const TrackedSearcher &searcher, const BackendTerms &terms) const
 {
     const std::size_t fleet = std::max(fleet_.size(), leastFleet);
     const std::size_t shared = (searcher.entry().slots * callsPerSlot + fleet - 1) / fleet;
-    return std::min(connections, std::max(leastCalls, shared));
+    return std::min(connectionLimit(terms), std::max(leastCalls, shared));
 }
 
 bool SearcherPool::isRegistered(const TrackedSearcher &searcher) const
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -232,6 +232,11 @@
     return std::max(0.0, expectedQueue(now) + 1 - slots) / slots;
 }
 
+double TrackedSearcher::expectedRounds(TimePoint now) const noexcept
+{
+    return slowness(now) * (1 + waitingRounds(now));
+}
+
 double TrackedSearcher::cost(TimePoint now) const noexcept
 {
     const double slots = std::max<double>(1, entry_.slots);
--- a/libs/placement/tests/load_test.cpp
+++ b/libs/placement/tests/load_test.cpp
@@ -1,13 +1,8 @@
-#include "base/random.h"
 #include "placement/searcherpool.h"
+#include "virtualload.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cmath>
-#include <deque>
-#include <functional>
-#include <map>
-
 /// \file
 /// Plays load on several entry VMs and small searchers in virtual time, and checks what callers get. The baseline takes
 /// any searcher at random and never refuses.
@@ -20,72 +15,10 @@
 
 constexpr Duration target = 80ms;
 constexpr Duration meanWork = 7'500us;
-constexpr std::size_t slots = 2;
 constexpr std::size_t searcherCount = 4;
 constexpr std::size_t vmCount = 4;
 /// Calls a second that all searchers together can run.
-constexpr double capacity = searcherCount * slots / 0.0075;
-
-/// Runs events in the order of their times.
-class VirtualTime
-{
-public:
-    TimePoint now() const { return now_; }
-    void at(TimePoint time, std::function<void()> action) { events_.emplace(time, std::move(action)); }
-    void runUntil(TimePoint end)
-    {
-        while (!events_.empty() && events_.begin()->first <= end) {
-            now_ = events_.begin()->first;
-            const std::function<void()> action = std::move(events_.begin()->second);
-            events_.erase(events_.begin());
-            action();
-        }
-        now_ = end;
-    }
-
-private:
-    TimePoint now_{1'000s};
-    std::multimap<TimePoint, std::function<void()>> events_;
-};
-
-/// A searcher with slots and a queue.
-class FakeSearcher
-{
-public:
-    FakeSearcher(VirtualTime &time, Random &random) : time_(time), random_(random) { }
-
-    void setSlowness(double slowness) { slowness_ = slowness; }
-    LoadReport load() const { return {running_, static_cast<std::uint32_t>(queue_.size()), slots}; }
-
-    void submit(std::function<void()> done)
-    {
-        queue_.push_back(std::move(done));
-        startNext();
-    }
-
-private:
-    void startNext()
-    {
-        if (queue_.empty() || running_ >= slots) {
-            return;
-        }
-        ++running_;
-        const std::function<void()> done = std::move(queue_.front());
-        queue_.pop_front();
-        const Duration work = shareOf(meanWork, -std::log(1 - random_.unit()) * slowness_);
-        time_.at(time_.now() + work, [this, done] {
-            --running_;
-            startNext();
-            done();
-        });
-    }
-
-    VirtualTime &time_;
-    Random &random_;
-    double slowness_ = 1;
-    std::uint32_t running_ = 0;
-    std::deque<std::function<void()>> queue_;
-};
+constexpr double capacity = searcherCount * FakeSearcher::slots / 0.0075;
 
 /// What callers got.
 struct Outcome {
@@ -118,7 +51,7 @@
             entry.instance = std::to_string(number);
             entry.backend = "desk";
             entry.failureDomain = "a";
-            entry.slots = slots;
+            entry.slots = FakeSearcher::slots;
             for (const std::unique_ptr<SearcherPool> &pool : pools_) {
                 pool->put(time.now(), entry);
             }
@@ -166,7 +99,7 @@
         const TimePoint sentAt = time.now();
         const std::uint64_t number = chosen->begin(sentAt, meanWork);
         FakeSearcher &searcher = searchers_[std::stoul(chosen->entry().instance)];
-        searcher.submit([this, chosen, number, sentAt, &searcher, &outcome] {
+        searcher.submit(meanWork, [this, chosen, number, sentAt, &searcher, &outcome] {
             chosen->end(time.now(), number, CallEnd::Answered, searcher.load());
             ++(time.now() - sentAt <= target ? outcome.inTime : outcome.late);
         });
--- /dev/null
+++ b/libs/placement/tests/virtualload.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "base/random.h"
+#include "placement/trackedsearcher.h"
+
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+
+/// \file
+/// Virtual time and small searchers, for tests that play load.
+
+namespace sassafrasvane
+{
+
+/// Runs events in the order of their times.
+class VirtualTime
+{
+public:
+    TimePoint now() const { return now_; }
+    void at(TimePoint time, std::function<void()> action) { events_.emplace(time, std::move(action)); }
+    void runUntil(TimePoint end)
+    {
+        while (!events_.empty() && events_.begin()->first <= end) {
+            now_ = events_.begin()->first;
+            const std::function<void()> action = std::move(events_.begin()->second);
+            events_.erase(events_.begin());
+            action();
+        }
+        now_ = end;
+    }
+
+private:
+    TimePoint now_{std::chrono::seconds(1'000)};
+    std::multimap<TimePoint, std::function<void()>> events_;
+};
+
+/// A searcher with slots and a queue.
+class FakeSearcher
+{
+public:
+    static constexpr std::uint32_t slots = 2;
+
+    FakeSearcher(VirtualTime &time, Random &random) : time_(time), random_(random) { }
+
+    void setSlowness(double slowness) { slowness_ = slowness; }
+    LoadReport load() const { return {running_, static_cast<std::uint32_t>(queue_.size()), slots}; }
+
+    /// Runs a call, whose time is exponential with mean \p meanWork, and calls \p done at its end.
+    void submit(Duration meanWork, std::function<void()> done)
+    {
+        queue_.push_back({shareOf(meanWork, -std::log(1 - random_.unit())), std::move(done)});
+        startNext();
+    }
+
+private:
+    struct Call {
+        Duration work;
+        std::function<void()> done;
+    };
+
+    void startNext()
+    {
+        if (queue_.empty() || running_ >= slots) {
+            return;
+        }
+        ++running_;
+        const Call call = std::move(queue_.front());
+        queue_.pop_front();
+        time_.at(time_.now() + shareOf(call.work, slowness_), [this, done = call.done] {
+            --running_;
+            startNext();
+            done();
+        });
+    }
+
+    VirtualTime &time_;
+    Random &random_;
+    double slowness_ = 1;
+    std::uint32_t running_ = 0;
+    std::deque<Call> queue_;
+};
+
+} // namespace sassafrasvane
