A trace span for each hop of an entry process

Change: a request with a sampled traceparent gets a span line, each of its calls one too, and the searchers are told of the call's span. Ruled out: the sink of libs/observe (its writer is a thread). Also: an empty branch in the server's connection is gone.

--- a/libs/entry/include/entry/dispatcher.h
+++ b/libs/entry/include/entry/dispatcher.h
@@ -4,6 +4,7 @@
 #include "entry/latencymetric.h"
 #include "entry/linkchecks.h"
 #include "entry/protocol.h"
+#include "entry/requesttrace.h"
 #include "entry/searcherlinks.h"
 #include "observe/eventlog.h"
 #include "placement/searcherpool.h"
@@ -44,6 +45,8 @@
     bool isIdempotent = true;
     /// True if only a success will do: the part of a merged answer.
     bool isPart = false;
+    /// Set if the call is recorded.
+    std::optional<TraceSpan> span;
 };
 
 /// A call that has been made; cancel() with it.
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -106,6 +106,9 @@
     http::Request request = *call->order.request;
     const Duration timeLeft = std::max(Duration{0}, call->order.deadline - now);
     protocol_.addressCall(request, timeLeft, call->order.searcher->entry().instance);
+    if (call->order.span && call->order.span->isPassedOn) {
+        writeTrace(request, *call->order.span);
+    }
     call->connection->call(
         std::move(request),
         [this, call](const http::Response &response) {
@@ -190,6 +193,12 @@
     TrackedSearcher &searcher = *call->order.searcher;
     searcher.end(now, call->number, outcome.end, outcome.reply.load);
     latencies_.add(searcher.entry().backend, name(outcome.end), outcome.elapsed);
+    if (call->order.span) {
+        spanLine(log_, *call->order.span, "searcher call", outcome.elapsed)
+            .text("request", call->order.requestId)
+            .text("peer", searcher.entry().address.toString())
+            .text("end", name(outcome.end));
+    }
     const bool isFailure = outcome.end != CallEnd::Answered && outcome.end != CallEnd::Cancelled;
     if (isFailure) {
         log_.line(EventRank::Important, "call_failed")
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -47,6 +47,7 @@
     , exchange_(std::move(exchange))
     , terms_(std::move(terms))
     , fingerprint_(fingerprint)
+    , span_(beginTrace(exchange_->request(), shared.random))
     , table_(std::move(table))
     , route_(route)
     , times_(times)
@@ -176,6 +177,9 @@
         order.typical = times_.typical();
         order.isIdempotent = route_.isIdempotent;
         order.isPart = route_.isGathered();
+        if (span_) {
+            order.span = childSpan(*span_, shared_.random);
+        }
         handle = shared_.dispatcher.send(order, [weak = weak_from_this(), index](CallVerdict outcome) {
             if (const std::shared_ptr<RequestTask> self = weak.lock()) {
                 self->onCallEnded(index, std::move(outcome));
@@ -403,6 +407,12 @@
 {
     const Duration elapsed = BootClock::now() - exchange_->receivedAt();
     shared_.counters.record(route_.name, end, elapsed);
+    if (span_) {
+        spanLine(shared_.log, *span_, "request", elapsed)
+            .text("request", terms_.requestId)
+            .text("route", route_.name)
+            .text("end", name(end));
+    }
     const EventRank rank = end == GatherEnd::Answered ? EventRank::Routine : EventRank::Important;
     EventLine line = shared_.log.line(rank, "request_ended");
     line.text("request", terms_.requestId)
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -97,6 +97,8 @@
     std::shared_ptr<http::Exchange> exchange_;
     CallerTerms terms_;
     Fingerprint fingerprint_;
+    /// Set if the request is recorded.
+    std::optional<TraceSpan> span_;
     std::shared_ptr<const RouteTable> table_;
     const RequestRoute &route_;
     CallTimes &times_;
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -183,8 +183,6 @@
     if (isClosed_) {
         return;
     }
-    if (phase_ == Phase::Working) {
-    }
     isClosed_ = true;
     boost::system::error_code ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -65,6 +65,7 @@
     time_left_ms: int | None
     at: float
     ended_at: float | None = None
+    headers: dict = dataclasses.field(default_factory=dict)
 
     def what(self):
         return self.request_id, self.method, self.target, self.body
@@ -264,6 +265,7 @@
             return True
         left = request.headers.get("x-sassafrasvane-deadline-ms")
         run = Run(request_id, request.method, request.target, request.body, int(left) if left else None, time.monotonic())
+        run.headers = request.headers
         self.ran.append(run)
         if self.crashes_on and self.crashes_on in request.target:
             self._crash()
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -352,6 +352,23 @@
         self.assertEqual((calls[0]["end"], calls[0]["ran"]), ("broken", "unknown"))
         self.assertEqual((ends[0]["end"], ends[0]["status"]), ("failed", 502))
 
+    def test_trace_of_the_caller_has_a_span_for_each_hop(self):
+        world = self.world()
+        trace = "0af7651916cd43dd8448eb211c80319c"
+        traced = {"traceparent": f"00-{trace}-b7ad6b7169203331-01"}
+        self.assertEqual(world.entries[0].ask("/board/x", request_id="traced", more=traced)[0], 200)
+        world.wait(lambda: len(world.entries[0].lines("span")) >= 5, 2, "spans are missing")
+        spans = world.entries[0].lines("span")
+        self.assertEqual([span["name"] for span in spans].count("searcher call"), 4)
+        (request,) = [span for span in spans if span["name"] == "request"]
+        self.assertEqual(request["parent"], "b7ad6b7169203331")
+        calls = {span["span"] for span in spans if span["parent"] == request["span"]}
+        told = {run.headers["traceparent"] for searcher in world.searchers.values() for run in searcher.ran}
+        self.assertEqual(told, {f"00-{trace}-{call}-01" for call in calls})
+        world.entries[0].ask("/board/x", request_id="untraced")
+        runs = [run for searcher in world.searchers.values() for run in searcher.ran if run.request_id == "untraced"]
+        self.assertFalse(any("traceparent" in run.headers for run in runs))
+
     def test_metrics_are_served(self):
         world = self.world()
         world.entries[0].ask("/board/x")
--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -71,10 +71,10 @@
     def connect(self, listener="callers", timeout=10):
         return http.client.HTTPConnection(self.host, self.world.ports[listener], timeout=timeout)
 
-    def ask(self, target, method="GET", body=None, request_id="r", deadline=2000, listener="callers"):
-        """Sends one request. Returns status, headers and body."""
+    def ask(self, target, method="GET", body=None, request_id="r", deadline=2000, listener="callers", more=()):
+        """Sends one request, with more headers. Returns status, headers and body."""
         connection = self.connect(listener)
-        headers = {"Host": "search.example", "X-Sassafrasvane-Request-Id": request_id}
+        headers = dict(more) | {"Host": "search.example", "X-Sassafrasvane-Request-Id": request_id}
         headers["X-Sassafrasvane-Deadline-Ms"] = str(deadline)
         try:
             connection.request(method, target, body=body, headers=headers)
