The task of a request stands in three files

RequestTask::place() no longer builds the order of the call itself. The bound of crashes is the one of CrashBar instead of a second constant.

--- /dev/null
+++ b/libs/entry/src/requestcalls.cpp
@@ -0,0 +1,167 @@
+#include "requesttask.h"
+
+#include <algorithm>
+
+// The calls of a request.
+
+namespace sassafrasvane::detail
+{
+
+namespace
+{
+
+/// A searcher is congested if a call would take more than this share of the latency target there.
+constexpr double congestedShare = 0.5;
+/// Searchers that free themselves within this time are waited for.
+constexpr Duration shortBlock = std::chrono::milliseconds(25);
+
+} // namespace
+
+WaitingList::Terms RequestTask::waitingTerms() const
+{
+    return {route_.priority, BootClock::now(), gatherTerms_.targetAt - times_.typical()};
+}
+
+Placement RequestTask::place(std::size_t part, CallPurpose purpose)
+{
+    return place(part, purpose, purpose != CallPurpose::Hedge);
+}
+
+Placement RequestTask::place(std::size_t index, CallPurpose purpose, bool mayWait)
+{
+    if (isSuspect()) {
+        return mayWait ? wait(index, purpose) : Placement::Declined;
+    }
+    Part &part = parts_[index];
+    const TimePoint now = BootClock::now();
+    if (!spendBudget(part, purpose)) {
+        return Placement::Declined;
+    }
+    const Choice choice = shared_.pool.choose(now, *part.backend, part.tried, mostRounds());
+    std::optional<CallHandle> handle;
+    if (choice.searcher) {
+        handle = send(index, choice.searcher);
+    }
+    if (handle) {
+        part.tried.push_back(choice.searcher);
+        part.calls.push_back(*handle);
+        noteSent(part, purpose);
+        return Placement::Sent;
+    }
+    if (purpose != CallPurpose::First && !part.isNextFree) {
+        part.backend->budget().refund();
+    }
+    const bool isBusy = choice.searcher || choice.reason == Unplaced::Saturated
+        || (choice.reason == Unplaced::Blocked && shared_.pool.isServing(now + shortBlock, *part.backend));
+    return isBusy && mayWait ? wait(index, purpose) : Placement::Declined;
+}
+
+std::optional<CallHandle> RequestTask::send(std::size_t index, const std::shared_ptr<TrackedSearcher> &searcher)
+{
+    CallOrder order;
+    order.searcher = searcher;
+    order.request = request_;
+    order.requestId = terms_.requestId;
+    order.deadline = deadline_;
+    order.typical = times_.typical();
+    order.isIdempotent = route_.isIdempotent;
+    order.isPart = route_.isGathered();
+    if (span_) {
+        order.span = childSpan(*span_, shared_.random);
+    }
+    return shared_.dispatcher.send(order, [weak = weak_from_this(), index](CallVerdict outcome) {
+        if (const std::shared_ptr<RequestTask> self = weak.lock()) {
+            self->onCallEnded(index, std::move(outcome));
+        }
+    });
+}
+
+void RequestTask::noteSent(const Part &part, CallPurpose purpose)
+{
+    if (purpose == CallPurpose::First) {
+        return;
+    }
+    ++extraCalls_;
+    shared_.log.line(EventRank::Routine, "call_repeated")
+        .text("request", terms_.requestId)
+        .text("purpose", name(purpose))
+        .text("backend", part.backend->name())
+        .text("searcher", part.tried.back()->entry().instance)
+        .number("budget_left", part.backend->budget().available());
+}
+
+// A searcher at which a call is expected to take more than this many times its usual time is congested.
+double RequestTask::mostRounds() const
+{
+    const Duration longest = shareOf(route_.latencyTarget, congestedShare);
+    return toMilliseconds(longest) / std::max(1.0, toMilliseconds(times_.typical()));
+}
+
+bool RequestTask::spendBudget(Part &part, CallPurpose purpose)
+{
+    return purpose == CallPurpose::First || part.isNextFree || part.backend->budget().spend();
+}
+
+Placement RequestTask::wait(std::size_t index, CallPurpose purpose)
+{
+    const WaitingList::Attempt attempt = [weak = weak_from_this(), index, purpose] {
+        const std::shared_ptr<RequestTask> self = weak.lock();
+        if (!self || self->gather_.isFinished()) {
+            return WaitingList::Turn::Over;
+        }
+        const TimePoint now = BootClock::now();
+        if (self->place(index, purpose, false) == Placement::Sent) {
+            self->gather_.onPlaced(now, index);
+            self->schedule();
+            return WaitingList::Turn::Over;
+        }
+        const bool isChoosy = self->isSuspect() || !self->parts_[index].tried.empty();
+        return isChoosy ? WaitingList::Turn::Passed : WaitingList::Turn::Busy;
+    };
+    const bool isWaiting = shared_.waiting.add(parts_[index].backend->name(), waitingTerms(), attempt);
+    return isWaiting ? Placement::Waiting : Placement::Declined;
+}
+
+void RequestTask::onCallEnded(std::size_t index, CallVerdict outcome)
+{
+    const TimePoint now = BootClock::now();
+    Part &part = parts_[index];
+    crashedSearchers_ += outcome.end == CallEnd::Crashed ? 1 : 0;
+    if (outcome.ran == Ran::Yes && !isProven_) {
+        isProven_ = true;
+        shared_.crashes.onAnswered(now, fingerprint_);
+    }
+    if (outcome.end == CallEnd::Answered) {
+        times_.add(outcome.elapsed);
+        if (!part.response) {
+            part.response = std::move(outcome.response);
+            part.proof = std::move(outcome.reply.proof);
+        }
+        gather_.onAnswered(now, index);
+    } else {
+        if (outcome.ran == Ran::Yes && outcome.response) {
+            failure_ = std::move(outcome.response);
+        }
+        part.isNextFree = outcome.end == CallEnd::NotConnected;
+        gather_.onFailed(now, index, outcome.ran);
+    }
+    if (isSuspect() && !gather_.hasOpenCalls()) {
+        gather_.giveUpWaiting(now);
+    }
+    schedule();
+}
+
+// True while the request is the likely cause of crashes. It then goes to no more searchers until one has answered it.
+bool RequestTask::isSuspect() const noexcept
+{
+    return crashedSearchers_ >= CrashBar::strongCrashesToBar() && !isProven_;
+}
+
+void RequestTask::reportCrashes()
+{
+    if (crashedSearchers_ > 0 && !isProven_) {
+        shared_.crashes.onRequestLost(BootClock::now(), fingerprint_, crashedSearchers_, terms_.requestId);
+    }
+}
+
+} // namespace sassafrasvane::detail
--- /dev/null
+++ b/libs/entry/src/requestend.cpp
@@ -0,0 +1,149 @@
+#include "requesttask.h"
+
+#include "entry/retryadvice.h"
+#include "gather/recordmerge.h"
+#include "headers.h"
+#include "refusal.h"
+
+#include <algorithm>
+
+// The end of a request and its answer.
+
+namespace sassafrasvane::detail
+{
+
+void RequestTask::onAbandoned()
+{
+    if (gather_.isFinished()) {
+        return;
+    }
+    ++shared_.counters.abandoned;
+    shared_.log.line(EventRank::Important, "request_abandoned")
+        .text("request", terms_.requestId)
+        .text("route", route_.name)
+        .milliseconds("elapsed_ms", BootClock::now() - exchange_->receivedAt());
+    const std::shared_ptr<RequestTask> self = shared_from_this();
+    reportCrashes();
+    endCalls(true);
+    timer_.cancel();
+    shared_.release(this);
+}
+
+void RequestTask::finish(GatherEnd end)
+{
+    const std::shared_ptr<RequestTask> self = shared_from_this();
+    http::Response response = answer(end);
+    const unsigned status = response.result_int();
+    exchange_->respond(std::move(response));
+    logEnd(end, status);
+    reportCrashes();
+    endCalls(false);
+    timer_.cancel();
+    shared_.release(this);
+}
+
+void RequestTask::endCalls(bool isAbandoned)
+{
+    for (Part &part : parts_) {
+        for (const CallHandle &call : part.calls) {
+            if (isAbandoned) {
+                shared_.dispatcher.cancel(call);
+            } else {
+                shared_.dispatcher.detach(call);
+            }
+        }
+    }
+}
+
+http::Response RequestTask::answer(GatherEnd end)
+{
+    constexpr unsigned badGateway = 502;
+    constexpr unsigned gatewayTimeout = 504;
+    switch (end) {
+    case GatherEnd::Answered:
+        if (route_.isGathered()) {
+            return mergedAnswer();
+        }
+        removeConnectionHeaders(*parts_.front().response);
+        parts_.front().response->prepare_payload();
+        return std::move(*parts_.front().response);
+    case GatherEnd::Unserved:
+        return notRunResponse(retryAfter({outage(BootClock::now()), terms_.patience}, shared_.random));
+    case GatherEnd::Failed:
+        if (failure_ && !route_.isGathered() && !promisesNotRun(failure_->result_int())) {
+            removeConnectionHeaders(*failure_);
+            failure_->prepare_payload();
+            return std::move(*failure_);
+        }
+        return http::emptyResponse(badGateway);
+    case GatherEnd::TimedOut:
+        break;
+    }
+    return http::emptyResponse(gatewayTimeout);
+}
+
+// How long the back end that has been out of service for the longest time has been so.
+Duration RequestTask::outage(TimePoint now) const
+{
+    Duration longest{0};
+    for (const Part &part : parts_) {
+        const std::optional<TimePoint> lastChosenAt = part.backend->lastChosenAt();
+        if (lastChosenAt && !shared_.pool.isServing(now, *part.backend)) {
+            longest = std::max(longest, now - *lastChosenAt);
+        }
+    }
+    return longest;
+}
+
+http::Response RequestTask::mergedAnswer()
+{
+    std::vector<std::string_view> bodies;
+    std::vector<std::string_view> proofs;
+    for (std::size_t part = 0; part < parts_.size(); ++part) {
+        if (gather_.isAnswered(part)) {
+            bodies.push_back(parts_[part].response->body());
+            proofs.push_back(parts_[part].proof);
+        }
+    }
+    http::Response response
+        = http::textResponse(200, "application/octet-stream", mergeRecords(bodies, route_.topRecords));
+    shared_.protocol.writeCoverage(response, proofs, parts_.size() - proofs.size());
+    return response;
+}
+
+void RequestTask::logEnd(GatherEnd end, unsigned status) const
+{
+    const Duration elapsed = BootClock::now() - exchange_->receivedAt();
+    shared_.counters.record(route_.name, end, elapsed);
+    if (span_) {
+        spanLine(shared_.log, *span_, "request", elapsed)
+            .text("request", terms_.requestId)
+            .text("route", route_.name)
+            .text("end", name(end));
+    }
+    const EventRank rank = end == GatherEnd::Answered ? EventRank::Routine : EventRank::Important;
+    EventLine line = shared_.log.line(rank, "request_ended");
+    line.text("request", terms_.requestId)
+        .text("route", route_.name)
+        .text("end", name(end))
+        .count("status", status)
+        .milliseconds("elapsed_ms", elapsed)
+        .count("parts", parts_.size())
+        .count("answered", gather_.answeredParts())
+        .count("extra_calls", extraCalls_)
+        .count("crashed_searchers", crashedSearchers_)
+        .milliseconds("typical_call_ms", times_.typical())
+        .milliseconds("hedge_after_ms", gatherTerms_.hedgeDelay)
+        .count("configuration", table_->version());
+    if (gather_.answeredParts() < parts_.size()) {
+        std::string missing;
+        for (std::size_t part = 0; part < parts_.size(); ++part) {
+            if (!gather_.isAnswered(part)) {
+                missing += (missing.empty() ? "" : ",") + parts_[part].backend->name();
+            }
+        }
+        line.text("missing", missing);
+    }
+}
+
+} // namespace sassafrasvane::detail
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -77,6 +77,8 @@
     bool canBeServed(TimePoint now) const;
     Placement place(std::size_t part, CallPurpose purpose);
     Placement place(std::size_t part, CallPurpose purpose, bool mayWait);
+    std::optional<CallHandle> send(std::size_t part, const std::shared_ptr<TrackedSearcher> &searcher);
+    void noteSent(const Part &part, CallPurpose purpose);
     double mostRounds() const;
     bool spendBudget(Part &part, CallPurpose purpose);
     Placement wait(std::size_t part, CallPurpose purpose);
