--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -327,6 +327,13 @@
         for name in ("i-desk-0", "i-desk-1"):
             world.searchers[name].delay = 5
         lost = world.entries[2]
+        peer = f"{lost.host}:{world.ports['peers']}"
+
+        def changes(state):
+            lines = world.entries[0].lines("member_changed")
+            return [line for line in lines if (line["peer"], line["state"]) == (peer, state)]
+
+        world.wait(lambda: changes("alive"), 5, "the process is not known to the others")
         connection = lost.connect()
         headers = {"Host": "search.example", "X-Sassafrasvane-Request-Id": "lost1"}
         connection.request("GET", "/fetch/x", headers=headers)
@@ -335,11 +342,10 @@
         with self.assertRaises(OSError):
             connection.getresponse()
         connection.close()
-        dead = lambda: [line for line in world.entries[0].lines("member_changed") if line["state"] == "dead"]
-        world.wait(dead, 10, "the loss is not noticed")
+        world.wait(lambda: changes("dead"), 10, "the loss is not noticed")
         story = self.why(world, "lost1")
         self.assertIn("no line names request lost1", story)
-        self.assertIn(f'"peer":"{lost.host}:{world.ports["peers"]}","state":"dead"', story)
+        self.assertIn(f'"peer":"{peer}","state":"dead"', story)
 
     def test_failed_request_is_explained_by_its_id(self):
         world = self.world()
