Evidence for members that appear is gathered once; a comment is wrapped

Behaviour is unchanged. Looked at and left: Gather::start() asks the clock once for each part through its hook (a hook with the time would do); tests/entry and tests/process start their processes in like manner, as each has its own kind of process.

--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -255,9 +255,10 @@
 // A member that appears may have missed what the others were sent.
 void PeerTask::welcome(const std::vector<MemberChange> &changes)
 {
+    const std::vector<CrashEntry> known = knownCrashes_ ? knownCrashes_() : std::vector<CrashEntry>();
     for (const MemberChange &change : changes) {
-        if (change.state == MemberState::Alive && knownCrashes_) {
-            sendCrashes(change.member, knownCrashes_());
+        if (change.state == MemberState::Alive) {
+            sendCrashes(change.member, known);
         }
     }
 }
--- a/libs/gather/include/gather/gather.h
+++ b/libs/gather/include/gather/gather.h
@@ -77,10 +77,9 @@
 ///
 /// Nothing is sent until most of the parts that an answer needs have room: a query must not hold searchers of some
 /// shards while it waits for many others, and one that cannot start can be refused as not run. Then every part is sent
-/// at once. A late part
-/// is hedged and a failed one retried, on other searchers and within maxAttempts. The request ends as soon as its
-/// outcome cannot improve in time: when every part is answered or lost, when leastParts can no longer be reached, at
-/// the target if leastParts are there, or at the deadline.
+/// at once. A late part is hedged and a failed one retried, on other searchers and within maxAttempts. The request ends
+/// as soon as its outcome cannot improve in time: when every part is answered or lost, when leastParts can no longer be
+/// reached, at the target if leastParts are there, or at the deadline.
 ///
 /// \code
 /// Gather gather(terms, hooks);
