Responses are read within bounds; no exception of one connection ends the process

Ruled out: the servers' side, which answers 413 and stops reading at 64 KiB; endless header lines, which the parser bounds.

Change: ResponseReader takes the head alone first and checks the length it names; it bounds unread bytes, dropped and informational responses. ResponseMemory bounds the bodies of all responses of a process, held ones included: a fifth of the VM's memory for searchers, 16 MiB for the store and other processes. The less is left, the smaller a response may become, so ordinary ones still find room. Parts may weigh 1 MiB, whole answers 8 MiB. Bytes that are no answer count as the searcher's failure and cost no further connection. Handlers that run again and again (listeners, datagrams, ticks, the store's calls) are armed before they work, and the loop goes on after an exception, which is logged and counted (unexpected_errors_total).

--- a/libs/entry/include/entry/dispatcher.h
+++ b/libs/entry/include/entry/dispatcher.h
@@ -28,6 +28,8 @@
     Ran ran = Ran::Unknown;
     /// The searcher's response, if there is one.
     std::optional<http::Response> response;
+    /// The memory that the response takes.
+    http::MemoryLease lease;
     SearcherReply reply;
     Duration elapsed{0};
 };
@@ -61,7 +63,12 @@
     /// Time for which a call goes on whose answer nobody waits for: breaking it off costs the searcher a connection.
     static constexpr Duration detachedTime() noexcept { return std::chrono::milliseconds(200); }
 
-    Dispatcher(boost::asio::io_context &context, const EntryProtocol &protocol, SearcherPool &pool, EventLog &log);
+    /// \param memory bounds the responses of all searchers together.
+    Dispatcher(boost::asio::io_context &context,
+               http::ResponseMemory &memory,
+               const EntryProtocol &protocol,
+               SearcherPool &pool,
+               EventLog &log);
     ~Dispatcher();
     Dispatcher(const Dispatcher &) = delete;
     Dispatcher &operator=(const Dispatcher &) = delete;
@@ -98,7 +105,7 @@
     void onOpened(const CallPtr &call, const std::error_code &error);
     void transmit(const CallPtr &call);
     void onResult(const CallPtr &call, http::CallResult result);
-    void checkSearcher(const CallPtr &call, CallVerdict outcome);
+    void checkSearcher(const CallPtr &call, const CallVerdict &outcome);
     static CallVerdict judge(Call &call, http::CallResult result);
     void end(const CallPtr &call, CallVerdict outcome);
     void breakOff(const CallPtr &call, CallEnd end);
--- a/libs/entry/include/entry/feedclient.h
+++ b/libs/entry/include/entry/feedclient.h
@@ -43,7 +43,11 @@
     };
 
     /// \param wantsItems true if the other process is followed for its changes.
-    FeedClient(boost::asio::io_context &context, const Address &peer, bool wantsItems, Hooks hooks);
+    FeedClient(boost::asio::io_context &context,
+               http::ResponseMemory &memory,
+               const Address &peer,
+               bool wantsItems,
+               Hooks hooks);
     FeedClient(const FeedClient &) = delete;
     FeedClient &operator=(const FeedClient &) = delete;
 
@@ -69,6 +73,7 @@
     void onTimer(Duration after, void (FeedClient::*action)());
 
     boost::asio::io_context &context_;
+    http::ResponseMemory &memory_;
     Address peer_;
     bool wantsItems_;
     Hooks hooks_;
--- a/libs/entry/include/entry/feedtask.h
+++ b/libs/entry/include/entry/feedtask.h
@@ -35,7 +35,9 @@
     /// Time without any source after which registrations may have lapsed.
     static constexpr Duration outageTime() noexcept { return std::chrono::milliseconds(1'500); }
 
+    /// \param memory bounds the responses of other processes.
     FeedTask(boost::asio::io_context &context,
+             http::ResponseMemory &memory,
              PublishedState &state,
              StoreTask &store,
              EventLog &log,
@@ -60,6 +62,7 @@
     void follow(bool store, const char *reason);
 
     boost::asio::io_context &context_;
+    http::ResponseMemory &memory_;
     PublishedState &state_;
     StoreTask &store_;
     EventLog &log_;
--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -110,6 +110,7 @@
 
     void receive();
     void take(std::string_view bytes);
+    void takeDatagram(std::string_view bytes);
     void apply();
     void send(DaemonId to, const FleetMessage &message);
     void sendCrashes(DaemonId to, std::span<const CrashEntry> entries);
--- a/libs/entry/include/entry/searcherlinks.h
+++ b/libs/entry/include/entry/searcherlinks.h
@@ -39,7 +39,8 @@
     /// Longest time in which a connection must open.
     static constexpr Duration connectTimeout() noexcept { return std::chrono::milliseconds(300); }
 
-    explicit SearcherLinks(boost::asio::io_context &context);
+    /// \param memory bounds the responses of all searchers together.
+    SearcherLinks(boost::asio::io_context &context, http::ResponseMemory &memory);
 
     /// Takes a connection. \param longestIdle an idle connection that is older is not used.
     Lease acquire(TimePoint now, const TrackedSearcher &searcher, std::size_t limit, Duration longestIdle);
@@ -81,6 +82,7 @@
     void drop(const std::string &instance, const http::ClientConnection *connection);
 
     boost::asio::io_context &context_;
+    http::ResponseMemory &memory_;
     std::unordered_map<std::string, Links> links_;
     std::size_t open_ = 0;
     std::uint64_t opened_ = 0;
--- a/libs/entry/include/entry/storetask.h
+++ b/libs/entry/include/entry/storetask.h
@@ -20,7 +20,9 @@
 class StoreTask
 {
 public:
+    /// \param memory bounds the responses of the store.
     StoreTask(boost::asio::io_context &context,
+              http::ResponseMemory &memory,
               const EntryProtocol &protocol,
               const Address &store,
               std::uint64_t seed,
@@ -72,6 +74,7 @@
     void schedule(TimePoint at);
 
     boost::asio::io_context &context_;
+    http::ResponseMemory &memory_;
     const EntryProtocol &protocol_;
     Address store_;
     PublishedState &state_;
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -20,6 +20,10 @@
 /// Longest time that is spent on finding out why a connection was lost.
 constexpr Duration crashCheckTime = std::chrono::milliseconds(50);
 
+/// Most bytes of a searcher's answer. Parts are held until the last one is there, so they must be smaller.
+constexpr std::uint64_t mostAnswerBytes = 8'388'608;
+constexpr std::uint64_t mostPartBytes = 1'048'576;
+
 constexpr unsigned firstSuccess = 200;
 constexpr unsigned firstRedirect = 300;
 constexpr unsigned firstServerError = 500;
@@ -44,10 +48,11 @@
 };
 
 Dispatcher::Dispatcher(boost::asio::io_context &context,
+                       http::ResponseMemory &memory,
                        const EntryProtocol &protocol,
                        SearcherPool &pool,
                        EventLog &log)
-    : protocol_(protocol), pool_(pool), log_(log), links_(context), checks_(pool, links_, log)
+    : protocol_(protocol), pool_(pool), log_(log), links_(context, memory), checks_(pool, links_, log)
 {
 }
 
@@ -111,6 +116,7 @@
     }
     call->connection->call(
         std::move(request),
+        call->order.isPart ? mostPartBytes : mostAnswerBytes,
         [this, call](const http::Response &response) {
             call->reply = protocol_.readSearcherReply(response);
             return call->reply.requestId.empty() || call->reply.requestId == call->order.requestId;
@@ -134,25 +140,25 @@
         links_.discard(*call->order.searcher);
     }
     if (outcome.end == CallEnd::Broken) {
-        checkSearcher(call, std::move(outcome));
+        checkSearcher(call, outcome);
     } else {
         end(call, std::move(outcome));
     }
 }
 
 // A connection may be lost alone or with its searcher. A new connection tells which, and takes the lost one's place.
-void Dispatcher::checkSearcher(const CallPtr &call, CallVerdict outcome)
+void Dispatcher::checkSearcher(const CallPtr &call, const CallVerdict &outcome)
 {
     // The check has a time limit of its own.
     call->expiresAt = TimePoint::max();
-    const LinkChecks::Done done = [this, call, outcome = std::move(outcome)](LinkState state) mutable {
+    const LinkChecks::Done done = [this, call, ran = outcome.ran](LinkState state) {
         if (call->isEnded) {
             return;
         }
-        if (state == LinkState::Refused) {
-            outcome.end = CallEnd::Crashed;
-        }
-        end(call, std::move(outcome));
+        CallVerdict verdict;
+        verdict.end = state == LinkState::Refused ? CallEnd::Crashed : CallEnd::Broken;
+        verdict.ran = ran;
+        end(call, std::move(verdict));
     };
     checks_.check(BootClock::now(), call->order.searcher, crashCheckTime, done);
 }
@@ -160,12 +166,18 @@
 CallVerdict Dispatcher::judge(Call &call, http::CallResult result)
 {
     CallVerdict outcome;
+    if (!result.response && result.failure == Errc::BadMessage) {
+        outcome.end = CallEnd::ServerError;
+        outcome.ran = Ran::Unknown;
+        return outcome;
+    }
     if (!result.response) {
         outcome.end = result.mayHaveArrived ? CallEnd::Broken : CallEnd::NotConnected;
         outcome.ran = result.mayHaveArrived ? Ran::Unknown : Ran::No;
         return outcome;
     }
     outcome.response = std::move(result.response);
+    outcome.lease = std::move(result.lease);
     outcome.reply = std::move(call.reply);
     const unsigned status = outcome.response->result_int();
     if (outcome.reply.isWrongSearcher || outcome.reply.isNotRun) {
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -43,6 +43,9 @@
 constexpr std::size_t leastNamed = 12;
 /// A tick that is later than this means that the process stood still.
 constexpr Duration pauseBound = std::chrono::milliseconds(1'500);
+/// Share of the VM's memory for responses of searchers, and bytes for those of the store and of other processes.
+constexpr double responseMemoryShare = 0.2;
+constexpr std::size_t sourceBytes = 16'777'216;
 /// Proves membership among the entry processes of one private network.
 constexpr const char *peerKey = "sassafrasvane-entry-peers";
 
@@ -56,6 +59,12 @@
     return pool;
 }
 
+std::size_t responseBytes(const EntrySettings &settings)
+{
+    constexpr double bytesPerMb = 1'048'576;
+    return static_cast<std::size_t>(static_cast<double>(settings.memoryMb) * bytesPerMb * responseMemoryShare);
+}
+
 Address peerAddressOf(const EntrySettings &settings)
 {
     return {settings.listeners.control.ip, settings.peerPort};
@@ -72,14 +81,16 @@
         , protocol_(std::move(protocol))
         , log_(STDOUT_FILENO, settings.vm)
         , seed_(mix(daemonId(peerAddressOf(settings)).value, wallClockMicros()))
+        , searcherMemory_(responseBytes(settings))
+        , sourceMemory_(sourceBytes)
         , pool_(peerAddressOf(settings).toString(), settings.failureDomain, poolBounds(settings.bounds), seed_)
-        , dispatcher_(context_, protocol_, pool_, log_)
+        , dispatcher_(context_, searcherMemory_, protocol_, pool_, log_)
         , state_(protocol_, pool_, log_)
         , crashes_(mix(seed_, 3), log_)
         , entry_(context_, protocol_, pool_, dispatcher_, crashes_, state_, log_, mix(seed_, 2))
-        , store_(context_, protocol_, settings.store, mix(seed_), state_, log_)
+        , store_(context_, sourceMemory_, protocol_, settings.store, mix(seed_), state_, log_)
         , feedServer_(state_, store_)
-        , feed_(context_, state_, store_, log_, mix(seed_, 1), startPatience())
+        , feed_(context_, sourceMemory_, state_, store_, log_, mix(seed_, 1), startPatience())
         , signals_(context_, SIGTERM, SIGINT, SIGHUP)
         , ticker_(context_)
     {
@@ -111,6 +122,7 @@
     void setSeeds();
     void tick();
     void onTick();
+    void runLoop();
     void onSlowTick(TimePoint now);
 
     EntrySettings settings_;
@@ -119,6 +131,8 @@
     boost::asio::io_context context_{1};
     EventLog log_;
     std::uint64_t seed_;
+    http::ResponseMemory searcherMemory_;
+    http::ResponseMemory sourceMemory_;
     SearcherPool pool_;
     Dispatcher dispatcher_;
     PublishedState state_;
@@ -134,6 +148,7 @@
     TimePoint startedAt_ = BootClock::now();
     TimePoint lastTick_ = BootClock::now();
     unsigned ticks_ = 0;
+    std::uint64_t unexpectedErrors_ = 0;
     PlannedStop stop_;
 };
 
@@ -185,12 +200,25 @@
     onMembers();
     waitForSignal();
     tick();
-    context_.run();
+    runLoop();
     log_.line(EventRank::Important, "process_stopped").count("open_requests", entry_.openRequests());
     log_.flush();
     return 0;
 }
 
+// An exception that leaves a handler ends only what the handler was working on, which its time limits then end.
+void EntryProcess::Implementation::runLoop()
+{
+    while (!context_.stopped()) {
+        try {
+            context_.run();
+        } catch (const std::exception &exception) {
+            ++unexpectedErrors_;
+            log_.line(EventRank::Important, "unexpected_error").text("detail", exception.what());
+        }
+    }
+}
+
 void EntryProcess::Implementation::answerReadiness(const ExchangePtr &exchange) const
 {
     constexpr unsigned ok = 200;
@@ -213,7 +241,16 @@
 
 void EntryProcess::Implementation::answerMetrics(const ExchangePtr &exchange)
 {
-    detail::MetricsSources sources{entry_, dispatcher_, crashes_, state_, store_, *peers_, servers_.callers(), log_};
+    const detail::MetricsSources sources{entry_,
+                                         dispatcher_,
+                                         crashes_,
+                                         state_,
+                                         store_,
+                                         *peers_,
+                                         servers_.callers(),
+                                         log_,
+                                         searcherMemory_,
+                                         unexpectedErrors_};
     exchange->respond(http::textResponse(200, "text/plain; version=0.0.4", detail::metricsText(sources)));
 }
 
@@ -264,8 +301,8 @@
 {
     signals_.async_wait([this](const boost::system::error_code &error, int signal) {
         if (!error) {
-            onSignal(signal);
             waitForSignal();
+            onSignal(signal);
         }
     });
 }
@@ -345,8 +382,8 @@
     ticker_.expires_after(tickPeriod);
     ticker_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
-            onTick();
             tick();
+            onTick();
         }
     });
 }
--- a/libs/entry/src/feedclient.cpp
+++ b/libs/entry/src/feedclient.cpp
@@ -5,8 +5,17 @@
 namespace sassafrasvane
 {
 
-FeedClient::FeedClient(boost::asio::io_context &context, const Address &peer, bool wantsItems, Hooks hooks)
-    : context_(context), peer_(peer), wantsItems_(wantsItems), hooks_(std::move(hooks)), timer_(context)
+FeedClient::FeedClient(boost::asio::io_context &context,
+                       http::ResponseMemory &memory,
+                       const Address &peer,
+                       bool wantsItems,
+                       Hooks hooks)
+    : context_(context)
+    , memory_(memory)
+    , peer_(peer)
+    , wantsItems_(wantsItems)
+    , hooks_(std::move(hooks))
+    , timer_(context)
 {
 }
 
@@ -44,7 +53,7 @@
         send();
         return;
     }
-    connection_ = http::ClientConnection::create(context_, peer_);
+    connection_ = http::ClientConnection::create(context_, peer_, memory_);
     connection_->open([self = shared_from_this(), opened = connection_.get()](const std::error_code &error) {
         if (opened != self->connection_.get()) {
             return;
@@ -68,9 +77,8 @@
     request.method(boost::beast::http::verb::get);
     request.target(feedTarget(question));
     request.set(boost::beast::http::field::host, peer_.toString());
-    connection_->call(std::move(request), nullptr, [self = shared_from_this()](http::CallResult result) {
-        self->onResult(std::move(result));
-    });
+    connection_->call(std::move(request),
+                      [self = shared_from_this()](http::CallResult result) { self->onResult(std::move(result)); });
 }
 
 void FeedClient::onResult(http::CallResult result)
--- a/libs/entry/src/feedtask.cpp
+++ b/libs/entry/src/feedtask.cpp
@@ -6,12 +6,14 @@
 {
 
 FeedTask::FeedTask(boost::asio::io_context &context,
+                   http::ResponseMemory &memory,
                    PublishedState &state,
                    StoreTask &store,
                    EventLog &log,
                    std::uint64_t seed,
                    Duration startPatience)
     : context_(context)
+    , memory_(memory)
     , state_(state)
     , store_(store)
     , log_(log)
@@ -79,7 +81,8 @@
         }
         const FeedClient::Hooks hooks{[this] { return completeRevision(); },
                                       [this](const FeedAnswer &answer) { take(answer); }};
-        const std::shared_ptr<FeedClient> client = std::make_shared<FeedClient>(context_, peer, peer == *main, hooks);
+        const std::shared_ptr<FeedClient> client
+            = std::make_shared<FeedClient>(context_, memory_, peer, peer == *main, hooks);
         clients_.emplace(peer, client);
         client->start();
     }
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -55,6 +55,9 @@
     add(text, "store_connected", "gauge", sources.store.isConnected() ? 1 : 0);
     add(text, "members_reachable", "gauge", sources.peers.reachable());
     add(text, "log_lines_dropped_total", "counter", sources.log.droppedLines());
+    add(text, "response_bytes_held", "gauge", sources.responses.used());
+    add(text, "responses_without_memory_total", "counter", sources.responses.refusals());
+    add(text, "unexpected_errors_total", "counter", sources.unexpectedErrors);
     return text;
 }
 
--- a/libs/entry/src/metricstext.h
+++ b/libs/entry/src/metricstext.h
@@ -26,6 +26,8 @@
     const PeerTask &peers;
     const http::Server &callers;
     const EventLog &log;
+    const http::ResponseMemory &responses;
+    std::uint64_t unexpectedErrors = 0;
 };
 
 /// All series.
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -153,7 +153,17 @@
         });
 }
 
+// A datagram that cannot be worked on must not end the receiving.
 void PeerTask::take(std::string_view bytes)
+{
+    try {
+        takeDatagram(bytes);
+    } catch (const std::exception &exception) {
+        log_.line(EventRank::Important, "unexpected_error").text("detail", exception.what());
+    }
+}
+
+void PeerTask::takeDatagram(std::string_view bytes)
 {
     const Address from{sender_.address().to_v4().to_uint(), sender_.port()};
     const Result<FleetMessage> message = codec_.decode(from, bytes);
--- a/libs/entry/src/requestcalls.cpp
+++ b/libs/entry/src/requestcalls.cpp
@@ -135,6 +135,7 @@
         times_.add(outcome.elapsed);
         if (!part.response) {
             part.response = std::move(outcome.response);
+            part.lease = std::move(outcome.lease);
             part.proof = std::move(outcome.reply.proof);
         }
         gather_.onAnswered(now, index);
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -65,6 +65,7 @@
         std::vector<std::shared_ptr<TrackedSearcher>> tried;
         std::vector<CallHandle> calls;
         std::optional<http::Response> response;
+        http::MemoryLease lease;
         std::string proof;
         /// True if the last call never reached a searcher, so that the next one is no extra call.
         bool isNextFree = false;
--- a/libs/entry/src/searcherlinks.cpp
+++ b/libs/entry/src/searcherlinks.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-SearcherLinks::SearcherLinks(boost::asio::io_context &context) : context_(context)
+SearcherLinks::SearcherLinks(boost::asio::io_context &context, http::ResponseMemory &memory)
+    : context_(context), memory_(memory)
 {
 }
 
@@ -58,7 +59,7 @@
     ++links.open;
     ++open_;
     ++opened_;
-    return {http::ClientConnection::create(context_, searcher.entry().address), true};
+    return {http::ClientConnection::create(context_, searcher.entry().address, memory_), true};
 }
 
 void SearcherLinks::release(TimePoint now,
--- a/libs/entry/src/storetask.cpp
+++ b/libs/entry/src/storetask.cpp
@@ -8,12 +8,14 @@
 {
 
 StoreTask::StoreTask(boost::asio::io_context &context,
+                     http::ResponseMemory &memory,
                      const EntryProtocol &protocol,
                      const Address &store,
                      std::uint64_t seed,
                      PublishedState &state,
                      EventLog &log)
     : context_(context)
+    , memory_(memory)
     , protocol_(protocol)
     , store_(store)
     , state_(state)
@@ -112,7 +114,7 @@
         send(call);
         return;
     }
-    connection_ = http::ClientConnection::create(context_, store_);
+    connection_ = http::ClientConnection::create(context_, store_, memory_);
     connection_->open([this, call, opened = connection_.get()](const std::error_code &error) {
         if (opened != connection_.get()) {
             return;
@@ -127,9 +129,8 @@
 
 void StoreTask::send(const StoreCall &call)
 {
-    connection_->call(protocol_.writeStoreCall(call), nullptr, [this, call](http::CallResult result) {
-        onResult(call, std::move(result));
-    });
+    connection_->call(protocol_.writeStoreCall(call),
+                      [this, call](http::CallResult result) { onResult(call, std::move(result)); });
 }
 
 void StoreTask::onTimeout()
@@ -154,7 +155,12 @@
         fail(*failure);
         return;
     }
-    take(call, *result.response);
+    try {
+        take(call, *result.response);
+    } catch (const std::exception &exception) {
+        // The calls to the store must go on.
+        refuse(Error{Errc::Internal, Step::Configuration, store_.toString(), exception.what()});
+    }
 }
 
 void StoreTask::take(const StoreCall &call, const http::Response &response)
--- a/libs/entry/src/waitinglist.cpp
+++ b/libs/entry/src/waitinglist.cpp
@@ -1,6 +1,7 @@
 #include "entry/waitinglist.h"
 
 #include <iterator>
+#include <memory>
 #include <vector>
 
 namespace sassafrasvane
@@ -58,6 +59,7 @@
         return;
     }
     isTrying_ = true;
+    const std::unique_ptr<bool, void (*)(bool *)> guard(&isTrying_, [](bool *isTrying) { *isTrying = false; });
     Queue &queue = known->second;
     moveLate(now, queue);
     Queue passed;
@@ -79,7 +81,6 @@
     if (queue.empty()) {
         queues_.erase(known);
     }
-    isTrying_ = false;
 }
 
 void WaitingList::onTick(TimePoint now)
--- a/libs/entry/tests/searcherlinks_test.cpp
+++ b/libs/entry/tests/searcherlinks_test.cpp
@@ -12,7 +12,8 @@
 /// Links to one searcher; nothing is connected.
 struct World {
     boost::asio::io_context context;
-    SearcherLinks links{context};
+    http::ResponseMemory memory{1'048'576};
+    SearcherLinks links{context, memory};
     TimePoint now{1'000s};
     TrackedSearcher searcher{now, SearcherEntry()};
 
--- a/libs/http/include/http/clientconnection.h
+++ b/libs/http/include/http/clientconnection.h
@@ -3,7 +3,7 @@
 #include "base/address.h"
 #include "base/error.h"
 #include "base/time.h"
-#include "http/message.h"
+#include "http/responsereader.h"
 
 #include <functional>
 #include <memory>
@@ -24,6 +24,8 @@
 struct CallResult {
     /// The whole response; nothing if the connection failed first.
     std::optional<Response> response;
+    /// The memory that the response takes; to be kept as long as its body.
+    MemoryLease lease;
     /// Set if there is no response: Errc::ConnectionLost or Errc::BadMessage.
     Errc failure = Errc::ConnectionLost;
     /// True if bytes of the request may have reached the server.
@@ -39,21 +41,20 @@
 /// filter does not accept belongs to an earlier call: it is dropped, and the next one is awaited.
 ///
 /// \code
-/// std::shared_ptr<ClientConnection> connection = ClientConnection::create(context, address);
+/// std::shared_ptr<ClientConnection> connection = ClientConnection::create(context, address, memory);
 /// connection->open([](const std::error_code &error) { ... });
-/// connection->call(request, filter, [](CallResult result) { ... });
+/// connection->call(request, terms, filter, [](CallResult result) { ... });
 /// \endcode
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
 public:
     using OpenHandler = std::function<void(const std::error_code &error)>;
     using CallHandler = std::function<void(CallResult result)>;
-    using ResponseFilter = std::function<bool(const Response &response)>;
 
-    /// Largest response that is taken, in bytes of body.
-    static constexpr std::uint64_t maxResponseBytes = 8'388'608;
-
-    static std::shared_ptr<ClientConnection> create(boost::asio::io_context &context, const Address &server);
+    /// \param memory bounds the responses of all connections that share it; must outlive them and their results.
+    static std::shared_ptr<ClientConnection> create(boost::asio::io_context &context,
+                                                    const Address &server,
+                                                    ResponseMemory &memory);
 
     virtual ~ClientConnection() = default;
 
@@ -61,7 +62,14 @@
     virtual void open(OpenHandler handler) = 0;
 
     /// Sends \p request; \p handler is called once unless close() comes first.
-    virtual void call(Request request, ResponseFilter filter, CallHandler handler) = 0;
+    /// \param bodyLimit most bytes of body of its response. \param filter may be null: then any response will do.
+    virtual void call(Request request, std::uint64_t bodyLimit, ResponseFilter filter, CallHandler handler) = 0;
+
+    /// Sends \p request, whose response may have any size that the memory grants, within a usual limit.
+    void call(Request request, CallHandler handler)
+    {
+        call(std::move(request), ResponseTerms().bodyBytes, nullptr, std::move(handler));
+    }
 
     /// Sets what is called when the connection is lost while idle.
     virtual void setOnLost(std::function<void()> hook) = 0;
--- a/libs/http/src/clientconnection.cpp
+++ b/libs/http/src/clientconnection.cpp
@@ -5,8 +5,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace sassafrasvane::http
@@ -18,26 +16,23 @@
 using boost::asio::ip::tcp;
 
 constexpr std::size_t readBytes = 16'384;
-constexpr std::uint32_t maxHeaderBytes = 32'768;
 
 /// The connection on a TCP socket.
 class TcpClientConnection final : public ClientConnection
 {
 public:
-    TcpClientConnection(boost::asio::io_context &context, const Address &server)
-        : socket_(context), server_(boost::asio::ip::address_v4(server.ip), server.port)
+    TcpClientConnection(boost::asio::io_context &context, const Address &server, ResponseMemory &memory)
+        : socket_(context), server_(boost::asio::ip::address_v4(server.ip), server.port), reader_(memory)
     {
     }
 
     void open(OpenHandler handler) override;
-    void call(Request request, ResponseFilter filter, CallHandler handler) override;
+    void call(Request request, std::uint64_t bodyLimit, ResponseFilter filter, CallHandler handler) override;
     void setOnLost(std::function<void()> hook) override { onLost_ = std::move(hook); }
     void close() override;
     bool isOpen() const noexcept override { return socket_.is_open(); }
 
 private:
-    using Parser = beast_http::response_parser<beast_http::string_body>;
-
     std::shared_ptr<TcpClientConnection> self()
     {
         return std::static_pointer_cast<TcpClientConnection>(shared_from_this());
@@ -47,7 +42,6 @@
     void onReadError(const boost::system::error_code &error);
     void onWritten(const boost::system::error_code &error, std::size_t size);
     void parse();
-    void beginResponse();
     void complete();
     void fail(Errc failure);
     void finish(CallResult result);
@@ -56,8 +50,7 @@
     tcp::endpoint server_;
     boost::beast::flat_buffer buffer_;
     std::optional<Request> request_;
-    std::optional<Parser> parser_;
-    ResponseFilter filter_;
+    ResponseReader reader_;
     CallHandler handler_;
     std::function<void()> onLost_;
     bool isReadPending_ = false;
@@ -82,14 +75,13 @@
     });
 }
 
-void TcpClientConnection::call(Request request, ResponseFilter filter, CallHandler handler)
+void TcpClientConnection::call(Request request, std::uint64_t bodyLimit, ResponseFilter filter, CallHandler handler)
 {
     request_.emplace(std::move(request));
-    filter_ = std::move(filter);
     handler_ = std::move(handler);
     hasWritten_ = false;
     isWriting_ = true;
-    beginResponse();
+    reader_.begin({request_->method() == beast_http::verb::head, bodyLimit}, std::move(filter));
     beast_http::async_write(
         socket_, *request_, [self = self()](const boost::system::error_code &error, std::size_t size) {
             self->onWritten(error, size);
@@ -97,16 +89,6 @@
     read();
 }
 
-void TcpClientConnection::beginResponse()
-{
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(maxHeaderBytes);
-    parser_->body_limit(maxResponseBytes);
-    // The answer to HEAD names the length of a body that it does not have.
-    parser_->skip(request_->method() == beast_http::verb::head);
-}
-
 void TcpClientConnection::onWritten(const boost::system::error_code &error, std::size_t size)
 {
     isWriting_ = false;
@@ -150,55 +132,39 @@
 
 void TcpClientConnection::onReadError(const boost::system::error_code &error)
 {
-    const bool isUnframedEnd
-        = error == boost::asio::error::eof && handler_ && parser_->is_header_done() && parser_->need_eof();
-    if (isUnframedEnd) {
-        boost::system::error_code ended;
-        parser_->put_eof(ended);
-        if (!ended && parser_->is_done()) {
-            complete();
-            return;
-        }
+    const bool isEnd = error == boost::asio::error::eof && handler_;
+    if (isEnd) {
+        reader_.putEnd();
+    }
+    if (isEnd && reader_.state() == ResponseReader::State::Whole) {
+        complete();
+    } else {
+        fail(Errc::ConnectionLost);
     }
-    fail(Errc::ConnectionLost);
 }
 
 void TcpClientConnection::parse()
 {
-    while (handler_ && buffer_.size() > 0) {
-        boost::system::error_code error;
-        const std::size_t used = parser_->put(buffer_.data(), error);
-        buffer_.consume(used);
-        if (error && error != beast_http::error::need_more) {
-            fail(Errc::BadMessage);
-            return;
-        }
-        if (parser_->is_done()) {
-            complete();
-            return;
-        }
-        if (used == 0) {
-            return;
-        }
+    const boost::asio::const_buffer bytes = buffer_.data();
+    buffer_.consume(reader_.put({static_cast<const char *>(bytes.data()), bytes.size()}));
+    switch (reader_.state()) {
+    case ResponseReader::State::Reading:
+        break;
+    case ResponseReader::State::Whole:
+        complete();
+        break;
+    case ResponseReader::State::Failed:
+        fail(Errc::BadMessage);
+        break;
     }
 }
 
 void TcpClientConnection::complete()
 {
-    const bool isInformational = parser_->get().result_int() < 200;
-    if (isInformational || (filter_ && !filter_(parser_->get()))) {
-        const bool canFollow = isInformational || parser_->keep_alive();
-        beginResponse();
-        if (!canFollow) {
-            fail(Errc::BadMessage);
-            return;
-        }
-        parse();
-        return;
-    }
     CallResult result;
-    result.isReusable = parser_->keep_alive() && !isWriting_ && buffer_.size() == 0;
-    result.response.emplace(parser_->release());
+    result.isReusable = reader_.isKeptAlive() && !isWriting_ && buffer_.size() == 0;
+    result.response.emplace(reader_.release());
+    result.lease = reader_.releaseLease();
     finish(std::move(result));
 }
 
@@ -215,7 +181,6 @@
     const std::shared_ptr<TcpClientConnection> alive = self();
     const CallHandler handler = std::move(handler_);
     handler_ = nullptr;
-    filter_ = nullptr;
     const std::function<void()> onLost = handler ? nullptr : onLost_;
     if (!result.isReusable) {
         close();
@@ -230,7 +195,6 @@
 void TcpClientConnection::close()
 {
     handler_ = nullptr;
-    filter_ = nullptr;
     onLost_ = nullptr;
     boost::system::error_code ignored;
     socket_.close(ignored);
@@ -238,9 +202,11 @@
 
 } // namespace
 
-std::shared_ptr<ClientConnection> ClientConnection::create(boost::asio::io_context &context, const Address &server)
+std::shared_ptr<ClientConnection> ClientConnection::create(boost::asio::io_context &context,
+                                                           const Address &server,
+                                                           ResponseMemory &memory)
 {
-    return std::make_shared<TcpClientConnection>(context, server);
+    return std::make_shared<TcpClientConnection>(context, server, memory);
 }
 
 } // namespace sassafrasvane::http
--- /dev/null
+++ b/libs/http/src/responsereader.cpp
@@ -0,0 +1,127 @@
+#include "http/responsereader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+#include <exception>
+
+namespace sassafrasvane::http
+{
+
+namespace
+{
+
+/// Most bytes of a response's head.
+constexpr std::uint32_t maxHeaderBytes = 32'768;
+/// Most bytes that are kept until they make sense: a chunk's head or a trailer may come without end.
+constexpr std::size_t maxUnread = 65'536;
+/// Most responses of one call that are dropped, informational ones included.
+constexpr unsigned maxDropped = 8;
+constexpr unsigned firstFinalStatus = 200;
+
+} // namespace
+
+ResponseReader::ResponseReader(ResponseMemory &memory) : memory_(memory)
+{
+}
+
+void ResponseReader::begin(const ResponseTerms &terms, ResponseFilter filter)
+{
+    terms_ = terms;
+    filter_ = std::move(filter);
+    dropped_ = 0;
+    beginResponse();
+}
+
+void ResponseReader::beginResponse()
+{
+    state_ = State::Reading;
+    lease_ = MemoryLease(memory_);
+    parser_.emplace();
+    // The head alone at first: the parser reserves memory for a body of any length that the head names.
+    parser_->eager(false);
+    parser_->header_limit(maxHeaderBytes);
+    parser_->body_limit(terms_.bodyBytes);
+    parser_->skip(terms_.hasNoBody);
+}
+
+std::size_t ResponseReader::put(std::string_view bytes)
+{
+    std::size_t used = 0;
+    try {
+        while (state_ == State::Reading && used < bytes.size()) {
+            const std::size_t taken = putSome(bytes.substr(used));
+            used += taken;
+            if (taken == 0) {
+                break;
+            }
+        }
+        if (state_ == State::Reading && bytes.size() - used > maxUnread) {
+            state_ = State::Failed;
+        }
+    } catch (const std::exception &) {
+        // Memory that cannot be had, or a parser's error: either way there is no response.
+        state_ = State::Failed;
+    }
+    return used;
+}
+
+std::size_t ResponseReader::putSome(std::string_view bytes)
+{
+    boost::system::error_code error;
+    const std::size_t used = parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+    const bool isMalformed = error && error != beast_http::error::need_more;
+    if (isMalformed || !isWithinTerms()) {
+        state_ = State::Failed;
+        return used;
+    }
+    if (parser_->is_done()) {
+        endResponse();
+    }
+    return used;
+}
+
+bool ResponseReader::isWithinTerms() noexcept
+{
+    if (!parser_->is_header_done()) {
+        return true;
+    }
+    parser_->eager(true);
+    const bool hasLength = !terms_.hasNoBody && parser_->content_length().has_value();
+    const std::uint64_t length = hasLength ? *parser_->content_length() : 0;
+    const std::uint64_t size = std::max<std::uint64_t>(length, parser_->get().body().size());
+    return size <= terms_.bodyBytes && lease_.resize(static_cast<std::size_t>(size));
+}
+
+void ResponseReader::endResponse()
+{
+    const bool isInformational = parser_->get().result_int() < firstFinalStatus;
+    const bool isDropped = isInformational || (filter_ && !filter_(parser_->get()));
+    if (!isDropped) {
+        state_ = State::Whole;
+        return;
+    }
+    const bool canFollow = isInformational || parser_->keep_alive();
+    if (!canFollow || ++dropped_ > maxDropped) {
+        state_ = State::Failed;
+        return;
+    }
+    beginResponse();
+}
+
+void ResponseReader::putEnd()
+{
+    const bool isUnframed = state_ == State::Reading && parser_->is_header_done() && parser_->need_eof();
+    state_ = State::Failed;
+    if (!isUnframed) {
+        return;
+    }
+    boost::system::error_code error;
+    parser_->put_eof(error);
+    if (!error && parser_->is_done()) {
+        endResponse();
+    }
+}
+
+} // namespace sassafrasvane::http
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -111,10 +111,10 @@
             if (!self->acceptor.is_open() || error == boost::asio::error::operation_aborted) {
                 return;
             }
+            self->accept();
             if (!error) {
                 self->take(std::move(socket));
             }
-            self->accept();
         });
 }
 
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -211,10 +211,14 @@
 namespace
 {
 
+/// Most bytes of body that a call accepts.
+constexpr std::uint64_t bodyLimit = 8'388'608;
+
 /// A raw server that answers with given bytes, and a client connection to it.
 struct ClientWorld {
     boost::asio::io_context context;
     tcp::acceptor acceptor{context, {boost::asio::ip::address_v4::loopback(), 0}};
+    http::ResponseMemory memory{64 * 1'024 * 1'024};
     std::shared_ptr<http::ClientConnection> connection;
     tcp::socket peer{context};
     std::vector<http::CallResult> results;
@@ -222,7 +226,7 @@
     ClientWorld()
     {
         const Address address{boost::asio::ip::address_v4::loopback().to_uint(), acceptor.local_endpoint().port()};
-        connection = http::ClientConnection::create(context, address);
+        connection = http::ClientConnection::create(context, address, memory);
         bool isOpen = false;
         connection->open([&isOpen](const std::error_code &error) { isOpen = !error; });
         peer = acceptor.accept();
@@ -238,15 +242,16 @@
         return isDone();
     }
 
-    void call(http::ClientConnection::ResponseFilter filter = nullptr)
+    void call(http::ResponseFilter filter = nullptr)
     {
         http::Request request;
         request.version(11);
         request.method(boost::beast::http::verb::get);
         request.target("/x");
         request.set(boost::beast::http::field::host, "x");
-        connection->call(
-            request, std::move(filter), [this](http::CallResult result) { results.push_back(std::move(result)); });
+        connection->call(request, bodyLimit, std::move(filter), [this](http::CallResult result) {
+            results.push_back(std::move(result));
+        });
         // The request has arrived before it is answered.
         std::string received;
         peer.non_blocking(true);
@@ -350,3 +355,17 @@
     BOOST_TEST(world.runUntil([&] { return isLost; }));
     BOOST_TEST(!world.connection->isOpen());
 }
+
+BOOST_AUTO_TEST_CASE(responseThatNamesTooLargeALengthFailsTheCall)
+{
+    const std::vector<std::string> lengths{
+        "8388609", "99999999999", "9223372036854775807", "9223372036854775808", "18446744073709551615"};
+    for (const std::string &length : lengths) {
+        ClientWorld world;
+        world.call();
+        world.answer("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nbody");
+        BOOST_TEST(!world.result().response.has_value(), length);
+        BOOST_TEST((world.result().failure == Errc::BadMessage), length);
+        BOOST_TEST(!world.connection->isOpen(), length);
+    }
+}
--- /dev/null
+++ b/libs/http/tests/responsereader_test.cpp
@@ -0,0 +1,145 @@
+#include "http/responsereader.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace sassafrasvane;
+using State = http::ResponseReader::State;
+
+namespace
+{
+
+constexpr std::size_t mebibyte = 1'048'576;
+
+struct ReaderWorld {
+    http::ResponseMemory memory{32 * mebibyte};
+    http::ResponseReader reader{memory};
+
+    ReaderWorld() { reader.begin({}, nullptr); }
+
+    /// Gives \p text in pieces of \p size bytes, as a connection would: what is not used is given again.
+    /// \return the bytes that were read.
+    std::size_t feed(const std::string &text, std::size_t size)
+    {
+        std::string unread;
+        std::size_t begin = 0;
+        while (begin < text.size() && reader.state() == State::Reading) {
+            unread += text.substr(begin, size);
+            begin += size;
+            unread.erase(0, reader.put(unread));
+        }
+        return begin;
+    }
+};
+
+std::string chunk(std::size_t size)
+{
+    return "10000\r\n" + std::string(size, 'x') + "\r\n";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(responseIsReadInPiecesOfAnySize)
+{
+    const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: z\r\n\r\n";
+    for (const std::size_t size : {std::size_t{1}, std::size_t{2}, std::size_t{7}, text.size()}) {
+        ReaderWorld world;
+        world.feed(text, size);
+        BOOST_REQUIRE((world.reader.state() == State::Whole));
+        BOOST_TEST(world.reader.release().body() == "abcde");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(noMemoryIsReservedForALengthOverTheLimit)
+{
+    for (const char *length : {"8388609", "99999999999", "9223372036854775808", "18446744073709551615"}) {
+        ReaderWorld world;
+        world.feed("HTTP/1.1 200 OK\r\nContent-Length: " + std::string(length) + "\r\n\r\nbody", 1'000);
+        BOOST_TEST((world.reader.state() == State::Failed), length);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(bytesWithoutEndAreCutOff)
+{
+    constexpr std::size_t offered = 20 * mebibyte;
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    std::string chunks;
+    std::string informational;
+    while (chunks.size() < offered) {
+        chunks += chunk(65'536);
+    }
+    for (int count = 0; count < 1'000; ++count) {
+        informational += "HTTP/1.1 103 Early Hints\r\n\r\n";
+    }
+    const std::string endless(offered, 'y');
+    const std::vector<std::string> streams{
+        head + "X: " + endless,
+        head + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+        head + "Transfer-Encoding: chunked\r\n\r\n5;" + endless,
+        head + "Transfer-Encoding: chunked\r\n\r\n0\r\nT: " + endless,
+        head + "\r\n" + endless,
+        "HTTP/1.1 " + endless,
+        informational,
+    };
+    for (const std::string &stream : streams) {
+        ReaderWorld world;
+        const std::size_t read = world.feed(stream, 16'384);
+        BOOST_TEST((world.reader.state() == State::Failed), stream.substr(0, 60));
+        BOOST_TEST(read <= 9 * mebibyte, stream.substr(0, 60));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(memoryOfManyResponsesIsBounded)
+{
+    constexpr std::size_t limit = 32 * mebibyte;
+    http::ResponseMemory memory(limit);
+    std::vector<std::unique_ptr<http::ResponseReader>> readers;
+    for (int count = 0; count < 40; ++count) {
+        readers.push_back(std::make_unique<http::ResponseReader>(memory));
+        readers.back()->begin({}, nullptr);
+        readers.back()->put("HTTP/1.1 200 OK\r\n\r\n");
+    }
+    const std::string piece(16'384, 'x');
+    std::size_t most = 0;
+    for (int round = 0; round < 1'000; ++round) {
+        for (const std::unique_ptr<http::ResponseReader> &reader : readers) {
+            reader->put(piece);
+        }
+        most = std::max(most, memory.used());
+    }
+    BOOST_TEST(most <= limit);
+    // An ordinary response still finds room while the others take what they can get.
+    http::ResponseReader ordinary(memory);
+    ordinary.begin({}, nullptr);
+    ordinary.put("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood");
+    BOOST_TEST((ordinary.state() == State::Whole));
+    readers.clear();
+}
+
+BOOST_AUTO_TEST_CASE(memoryIsGivenBackWithTheResponse)
+{
+    ReaderWorld world;
+    world.feed("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood", 100);
+    BOOST_REQUIRE((world.reader.state() == State::Whole));
+    BOOST_TEST(world.memory.used() == 4U);
+    {
+        const http::MemoryLease lease = world.reader.releaseLease();
+        world.reader.begin({}, nullptr);
+        BOOST_TEST(world.memory.used() == 4U);
+    }
+    BOOST_TEST(world.memory.used() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(brokenOffResponseIsNone)
+{
+    for (const char *text : {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfour",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n",
+                             "HTTP/1.1 200 OK\r\nContent-Le"}) {
+        ReaderWorld world;
+        world.feed(text, 1'000);
+        world.reader.putEnd();
+        BOOST_TEST((world.reader.state() == State::Failed), text);
+    }
+}
--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -100,6 +100,28 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
+# Answers that never end: what comes first, and what follows again and again until the caller closes.
+ENDLESS = {
+    "head": (b"HTTP/1.1 200 X\r\nX: ", b"y" * 8192),
+    "length": (b"HTTP/1.1 200 X\r\nContent-Length: 99999999999\r\n\r\n", b"y" * 8192),
+    "chunks": (b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", b"2000\r\n" + b"y" * 8192 + b"\r\n"),
+    "chunk-head": (b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n5;", b"y" * 8192),
+    "until-close": (b"HTTP/1.1 200 X\r\n\r\n", b"y" * 8192),
+    "informational": (b"", b"HTTP/1.1 103 X\r\n\r\n" * 100),
+    "noise": (b"", b"\0" * 8192),
+}
+
+
+async def pour(writer, kind):
+    """Sends an answer without end until the caller closes the connection."""
+    first, again = ENDLESS[kind]
+    writer.write(first)
+    while not writer.transport.is_closing():
+        writer.write(again)
+        await writer.drain()
+        await asyncio.sleep(0)
+
+
 class Server:
     """A listener that can be closed and opened again."""
 
@@ -109,6 +131,8 @@
         self.port = port
         self.server = None
         self.writers = set()
+        # A kind of ENDLESS that all requests are answered with.
+        self.endless = None
 
     @property
     def address(self):
@@ -136,6 +160,9 @@
                 request = await read_request(reader)
                 if request is None:
                     break
+                if self.endless:
+                    await pour(writer, self.endless)
+                    break
                 if not await self.handle(request, reader, writer):
                     break
                 await writer.drain()
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -3,6 +3,7 @@
 Usage: entry_test.py BUILD_DIRECTORY [-k NAME]
 """
 
+import concurrent.futures
 import json
 import os
 import pathlib
@@ -17,6 +18,8 @@
 BUILD = None
 # Longest time that a change may take to be in force, in seconds; the promise is 3.
 IN_FORCE = 3.0
+# Most memory of a process in MB, whatever others send.
+MOST_MEMORY = 100
 
 
 class EntryTest(unittest.TestCase):
@@ -234,6 +237,49 @@
         self.assertEqual(entry.lines("request_crashed_searchers"), [])
         self.assertEqual(entry.ask("/board/x", request_id="next")[0], 200)
 
+    def test_answers_without_end_leave_the_process_alive(self):
+        for kind in standin.ENDLESS:
+            with self.subTest(kind=kind):
+                world = self.world()
+                entry = world.entries[0]
+                for searcher in world.searchers.values():
+                    searcher.endless = kind
+                asks = [lambda number=number: entry.ask("/board/x", request_id=f"e{number}", deadline=2000) for number in range(40)]
+                with concurrent.futures.ThreadPoolExecutor(40) as pool:
+                    statuses = [future.result()[0] for future in [pool.submit(ask) for ask in asks]]
+                self.assertLessEqual(set(statuses), {502, 503, 504})
+                self.assertLess(entry.peak_memory(), MOST_MEMORY)
+                for searcher in world.searchers.values():
+                    searcher.endless = None
+                served = lambda: entry.ask("/board/x", request_id="sound")[0] == 200
+                world.wait(served, 5, "sound searchers are not used again")
+                self.assertEqual(entry.lines("unexpected_error"), [])
+
+    def test_searcher_that_answers_without_end_is_replaced(self):
+        for kind in standin.ENDLESS:
+            with self.subTest(kind=kind):
+                world = self.world()
+                for shard in range(4):
+                    world.searchers[f"i-{shard}-0"].endless = kind
+                world.searchers["i-desk-0"].endless = kind
+                for number in range(6):
+                    self.assertEqual(world.entries[0].ask("/board/x", request_id=f"b{number}")[0], 200)
+                    self.assertEqual(world.entries[0].ask("/fetch/x", request_id=f"f{number}")[0], 200)
+
+    def test_store_and_processes_that_answer_without_end_stop_nothing(self):
+        for kind in standin.ENDLESS:
+            with self.subTest(kind=kind):
+                world = self.world(entries=2)
+                world.store.endless = kind
+                time.sleep(3)
+                for entry in world.entries:
+                    self.assertEqual(entry.ask("/board/x")[0], 200)
+                    self.assertLess(entry.peak_memory(), MOST_MEMORY)
+                world.store.endless = None
+                world.configure(2, 3)
+                in_force = lambda: all("stamp.i-3" not in entry.ask("/board/x")[1].get("X-Sassafrasvane-Part-Stamps", "stamp.i-3") for entry in world.entries)
+                world.wait(in_force, 8, "the store is not followed again")
+
     def test_store_that_is_away_stops_nothing_and_newcomers_learn_from_others(self):
         world = self.world(entries=4)
         world.store.refusing = True
--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -83,6 +83,11 @@
         finally:
             connection.close()
 
+    def peak_memory(self):
+        """The most memory that the process has had, in MB."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        return next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM")) / 1024
+
     def is_ready(self):
         try:
             return self.ask("/-/ready", listener="readiness")[0] == 200
