Searchers at which calls queue are called by turns; a query starts when all parts it needs have room

Change: load reports with a call waiting for each slot make a searcher full for half a second; each VM then calls it at its share of what the searcher bears, from the time of a call in its slot. Shares count the VMs that are named now; those that were named lately are far more after a start. A query starts if all parts that it needs have room now or soon and no call that can be in time waits there; else it is refused as not run within a fifth of its target as its caller sees it. Hedges go to no full searcher. A refused query's log line names the back ends without room.

--- a/libs/entry/include/entry/waitinglist.h
+++ b/libs/entry/include/entry/waitinglist.h
@@ -61,6 +61,9 @@
 
     std::size_t size() const noexcept;
 
+    /// True if a call for \p backend waits that can still be in time.
+    bool isWaitedFor(TimePoint now, std::string_view backend) const;
+
 private:
     /// Whether the call is late, its priority, and its order of arrival.
     using Rank = std::tuple<bool, std::uint32_t, std::uint64_t>;
--- a/libs/entry/src/requestcalls.cpp
+++ b/libs/entry/src/requestcalls.cpp
@@ -37,7 +37,7 @@
     if (!spendBudget(part, purpose)) {
         return Placement::Declined;
     }
-    const Choice choice = shared_.pool.choose(now, *part.backend, part.tried, mostRounds());
+    const Choice choice = shared_.pool.choose(now, *part.backend, part.tried, callTerms(purpose == CallPurpose::Hedge));
     std::optional<CallHandle> handle;
     if (choice.searcher) {
         handle = send(index, choice.searcher);
@@ -90,11 +90,9 @@
         .number("budget_left", part.backend->budget().available());
 }
 
-// A searcher at which a call is expected to take more than this many times its usual time is congested.
-double RequestTask::mostRounds() const
+CallTerms RequestTask::callTerms(bool isHedge) const
 {
-    const Duration longest = shareOf(route_.latencyTarget, congestedShare);
-    return toMilliseconds(longest) / std::max(1.0, toMilliseconds(times_.typical()));
+    return {times_.typical(), shareOf(route_.latencyTarget, congestedShare), isHedge};
 }
 
 bool RequestTask::spendBudget(Part &part, CallPurpose purpose)
--- a/libs/entry/src/requestend.cpp
+++ b/libs/entry/src/requestend.cpp
@@ -111,6 +111,18 @@
     return response;
 }
 
+// Names of the back ends of some parts, separated by commas.
+std::string RequestTask::backendsWhere(const std::function<bool(std::size_t part)> &isListed) const
+{
+    std::string names;
+    for (std::size_t part = 0; part < parts_.size(); ++part) {
+        if (isListed(part)) {
+            names += (names.empty() ? "" : ",") + parts_[part].backend->name();
+        }
+    }
+    return names;
+}
+
 void RequestTask::logEnd(GatherEnd end, unsigned status) const
 {
     const Duration elapsed = BootClock::now() - exchange_->receivedAt();
@@ -136,13 +148,10 @@
         .milliseconds("hedge_after_ms", gatherTerms_.hedgeDelay)
         .count("configuration", table_->version());
     if (gather_.answeredParts() < parts_.size()) {
-        std::string missing;
-        for (std::size_t part = 0; part < parts_.size(); ++part) {
-            if (!gather_.isAnswered(part)) {
-                missing += (missing.empty() ? "" : ",") + parts_[part].backend->name();
-            }
-        }
-        line.text("missing", missing);
+        line.text("missing", backendsWhere([this](std::size_t part) { return !gather_.isAnswered(part); }));
+    }
+    if (end == GatherEnd::Unserved) {
+        line.text("without_room", backendsWhere([this](std::size_t part) { return room(part) == Room::None; }));
     }
 }
 
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -20,7 +20,7 @@
 constexpr int keptConnectionTrips = 1;
 /// The way takes at most this part of the latency target.
 constexpr double mostWayShare = 0.4;
-/// A request of which nothing could be sent in this share of its latency target is refused.
+/// A request of which nothing could be sent is refused, so that its caller knows within this share of its target.
 constexpr double refuseShare = 0.2;
 /// Time before the caller's deadline at which the answer goes out.
 constexpr Duration deadlineMargin = std::chrono::milliseconds(5);
@@ -74,7 +74,8 @@
     const int trips = exchange_->isFirstOfConnection() ? newConnectionTrips : keptConnectionTrips;
     const Duration way = exchange_->roundTrip() * trips + queueTime;
     terms.targetAt = receivedAt + route_.latencyTarget - std::min(way, shareOf(route_.latencyTarget, mostWayShare));
-    terms.refuseAt = receivedAt + shareOf(route_.latencyTarget, refuseShare);
+    const Duration refuseAfter = shareOf(route_.latencyTarget, refuseShare);
+    terms.refuseAt = receivedAt + refuseAfter - std::min(exchange_->roundTrip(), refuseAfter / 2);
     terms.deadline = deadline_;
     return terms;
 }
@@ -82,14 +83,19 @@
 GatherHooks RequestTask::gatherHooks()
 {
     GatherHooks hooks;
-    hooks.hasRoom = [this](std::size_t part) {
-        return shared_.pool.hasRoom(BootClock::now(), *parts_[part].backend, mostRounds());
-    };
+    hooks.room = [this](std::size_t part) { return room(part); };
     hooks.place = [this](std::size_t part, CallPurpose purpose) { return place(part, purpose); };
     hooks.finish = [this](GatherEnd end) { finish(end); };
     return hooks;
 }
 
+Room RequestTask::room(std::size_t part) const
+{
+    const TimePoint now = BootClock::now();
+    const BackendPool &backend = *parts_[part].backend;
+    return shared_.pool.room(now, backend, callTerms(false), shared_.waiting.isWaitedFor(now, backend.name()));
+}
+
 void RequestTask::start()
 {
     const TimePoint now = BootClock::now();
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -73,6 +73,7 @@
 
     GatherTerms makeGatherTerms() const;
     GatherHooks gatherHooks();
+    Room room(std::size_t part) const;
     void waitToStart();
     WaitingList::Terms waitingTerms() const;
     bool canBeServed(TimePoint now) const;
@@ -80,7 +81,7 @@
     Placement place(std::size_t part, CallPurpose purpose, bool mayWait);
     std::optional<CallHandle> send(std::size_t part, const std::shared_ptr<TrackedSearcher> &searcher);
     void noteSent(const Part &part, CallPurpose purpose);
-    double mostRounds() const;
+    CallTerms callTerms(bool isHedge) const;
     bool spendBudget(Part &part, CallPurpose purpose);
     Placement wait(std::size_t part, CallPurpose purpose);
     void onCallEnded(std::size_t part, CallVerdict outcome);
@@ -95,6 +96,7 @@
     Duration outage(TimePoint now) const;
     http::Response mergedAnswer();
     void logEnd(GatherEnd end, unsigned status) const;
+    std::string backendsWhere(const std::function<bool(std::size_t part)> &isListed) const;
 
     RequestContext &shared_;
     std::shared_ptr<http::Exchange> exchange_;
--- a/libs/entry/src/waitinglist.cpp
+++ b/libs/entry/src/waitinglist.cpp
@@ -1,5 +1,6 @@
 #include "entry/waitinglist.h"
 
+#include <algorithm>
 #include <iterator>
 #include <memory>
 #include <vector>
@@ -96,6 +97,14 @@
     }
 }
 
+bool WaitingList::isWaitedFor(TimePoint now, std::string_view backend) const
+{
+    const auto known = queues_.find(backend);
+    return known != queues_.end() && std::any_of(known->second.begin(), known->second.end(), [now](const auto &entry) {
+               return now < entry.second.terms.targetAt;
+           });
+}
+
 std::size_t WaitingList::size() const noexcept
 {
     std::size_t size = 0;
--- a/libs/entry/tests/waitinglist_test.cpp
+++ b/libs/entry/tests/waitinglist_test.cpp
@@ -127,3 +127,14 @@
     BOOST_TEST(!waiting.add("desk", {1, now, later}, [] { return WaitingList::Turn::Busy; }));
     BOOST_TEST(waiting.add("other", {1, now, later}, [] { return WaitingList::Turn::Busy; }));
 }
+
+BOOST_AUTO_TEST_CASE(onlyCallsThatCanBeInTimeAreWaitedFor)
+{
+    const TimePoint now{std::chrono::seconds(1'000)};
+    WaitingList waiting;
+    BOOST_TEST(!waiting.isWaitedFor(now, "desk"));
+    waiting.add("desk", {0, now, now + std::chrono::milliseconds(10)}, [] { return WaitingList::Turn::Busy; });
+    BOOST_TEST(waiting.isWaitedFor(now, "desk"));
+    BOOST_TEST(!waiting.isWaitedFor(now, "other"));
+    BOOST_TEST(!waiting.isWaitedFor(now + std::chrono::milliseconds(10), "desk"));
+}
--- a/libs/gather/include/gather/gather.h
+++ b/libs/gather/include/gather/gather.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "base/room.h"
 #include "base/time.h"
 
 #include <cstddef>
@@ -65,8 +66,8 @@
 
 /// What Gather wants done.
 struct GatherHooks {
-    /// True if a searcher could take \p part now.
-    std::function<bool(std::size_t part)> hasRoom;
+    /// How soon a searcher could take \p part.
+    std::function<Room(std::size_t part)> room;
     /// Sends \p part to a searcher that it has not been sent to, now or when one is free.
     std::function<Placement(std::size_t part, CallPurpose purpose)> place;
     /// The request ends; called once. \p end is Answered only if leastParts parts are there.
@@ -75,11 +76,11 @@
 
 /// One request over one or more parts.
 ///
-/// Nothing is sent until most of the parts that an answer needs have room: a query must not hold searchers of some
-/// shards while it waits for many others, and one that cannot start can be refused as not run. Then every part is sent
-/// at once. A late part is hedged and a failed one retried, on other searchers and within maxAttempts. The request ends
-/// as soon as its outcome cannot improve in time: when every part is answered or lost, when leastParts can no longer be
-/// reached, at the target if leastParts are there, or at the deadline.
+/// Nothing is sent until the parts that an answer needs have room, most of them now and the rest soon: a query must not
+/// hold searchers of some shards while it waits for others, and one that cannot start can be refused as not run. Then
+/// every part is sent at once. A late part is hedged and a failed one retried, on other searchers and within
+/// maxAttempts. The request ends as soon as its outcome cannot improve in time: when every part is answered or lost,
+/// when leastParts can no longer be reached, at the target if leastParts are there, or at the deadline.
 ///
 /// \code
 /// Gather gather(terms, hooks);
--- a/libs/gather/src/gather.cpp
+++ b/libs/gather/src/gather.cpp
@@ -34,10 +34,14 @@
 bool Gather::start(TimePoint now)
 {
     std::size_t roomy = 0;
+    std::size_t soon = 0;
     for (std::size_t part = 0; part < parts_.size(); ++part) {
-        roomy += hooks_.hasRoom(part) ? 1 : 0;
+        const Room room = hooks_.room(part);
+        roomy += room == Room::Now ? 1 : 0;
+        soon += room == Room::Soon ? 1 : 0;
     }
-    if (static_cast<double>(roomy) < startShare * static_cast<double>(terms_.leastParts)) {
+    const bool isEnoughNow = static_cast<double>(roomy) >= startShare * static_cast<double>(terms_.leastParts);
+    if (!isEnoughNow || roomy + soon < terms_.leastParts) {
         return false;
     }
     isStarting_ = true;
--- a/libs/gather/tests/gather_test.cpp
+++ b/libs/gather/tests/gather_test.cpp
@@ -28,6 +28,7 @@
     std::vector<Placement> placements;
     /// Parts for which no searcher has room.
     std::set<std::size_t> busy;
+    Room roomOfBusy = Room::Soon;
     std::unique_ptr<Gather> gather;
 
     explicit World(std::size_t parts, std::size_t leastParts = 0)
@@ -44,7 +45,7 @@
     Gather &start()
     {
         GatherHooks hooks;
-        hooks.hasRoom = [this](std::size_t part) { return !busy.contains(part); };
+        hooks.room = [this](std::size_t part) { return busy.contains(part) ? roomOfBusy : Room::Now; };
         hooks.place = [this](std::size_t part, CallPurpose purpose) {
             Placement placement = Placement::Sent;
             if (!placements.empty()) {
@@ -256,3 +257,25 @@
     nothing.start();
     BOOST_TEST(nothing.hasEnded(GatherEnd::Unserved));
 }
+
+BOOST_AUTO_TEST_CASE(queryWhoseNeededPartsWouldQueueIsNotStarted)
+{
+    World world(8, 8);
+    world.busy = {5};
+    world.roomOfBusy = Room::None;
+    Gather &gather = world.start();
+    BOOST_TEST(world.sent.empty());
+    // A part that finds a place soon does not hold the others up.
+    world.roomOfBusy = Room::Soon;
+    BOOST_TEST(gather.start(world.now + 5ms));
+    BOOST_TEST(world.sent.size() == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(partThatIsNotNeededMayBeWithoutRoom)
+{
+    World world(8, 7);
+    world.busy = {5};
+    world.roomOfBusy = Room::None;
+    world.start();
+    BOOST_TEST(world.sent.size() == 8U);
+}
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "base/random.h"
+#include "base/room.h"
 #include "base/time.h"
 #include "catalog/searcherentry.h"
 #include "placement/retrybudget.h"
 #include "placement/trackedsearcher.h"
 #include "routing/configuration.h"
 
-#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -43,6 +43,18 @@
 /// Stable lower-case name of \p reason, for log lines.
 const char *name(Unplaced reason) noexcept;
 
+/// What a call is to its route.
+struct CallTerms {
+    /// Usual time of the route's calls.
+    Duration typical{0};
+    /// A searcher at which the call is expected to take longer gets no second call of this process: it would only wait
+    /// there, while one that waits here can go to the first searcher that is free.
+    Duration longestWait = std::chrono::hours(1);
+    /// True if another call of the request is open. It goes to no searcher that is full: calls that are alone wait
+    /// there.
+    bool isHedge = false;
+};
+
 /// A choice; searcher is null if none may take the call.
 struct Choice {
     std::shared_ptr<TrackedSearcher> searcher;
@@ -102,23 +114,25 @@
     /// Sets the failure domains whose searchers take no calls. \return false if they are the same as before.
     bool setDomainsOut(const std::set<std::string> &domains);
 
-    /// Sets the names of all entry VMs that may be sending, this one included.
-    void setFleet(const std::set<std::string> &vms);
+    /// Sets the names of all entry VMs that may be sending, this one included. \param named how many of them are named
+    /// to callers now, and so make nearly all calls.
+    void setFleet(const std::set<std::string> &vms, std::size_t named);
+
+    /// The same if all of them make calls.
+    void setFleet(const std::set<std::string> &vms) { setFleet(vms, vms.size()); }
 
     /// The back end called \p name, which need not have searchers.
     BackendPool &backend(std::string_view name);
 
     /// Chooses a searcher for one more call, or says why there is none.
-    /// \param tried searchers that the request has already been sent to. \param mostRounds a searcher at which the call
-    /// is expected to take more than this many times its usual time gets no second call of this process: it would only
-    /// wait there, while one that waits here can go to the first searcher that is free.
+    /// \param tried searchers that the request has already been sent to.
     Choice choose(TimePoint now,
                   BackendPool &backend,
                   std::span<const std::shared_ptr<TrackedSearcher>> tried,
-                  double mostRounds = std::numeric_limits<double>::infinity());
+                  const CallTerms &terms = {});
 
-    /// True if choose() would find a searcher of \p backend that has not been tried.
-    bool hasRoom(TimePoint now, const BackendPool &backend, double mostRounds) const;
+    /// How soon choose() would find a searcher of \p backend. \param isWaitedFor true if other calls go first.
+    Room room(TimePoint now, const BackendPool &backend, const CallTerms &terms, bool isWaitedFor) const;
 
     /// True if some searcher of \p backend may be tried now or soon.
     bool isServing(TimePoint now, const BackendPool &backend) const;
@@ -142,7 +156,12 @@
 
     bool isUsable(const TrackedSearcher &searcher) const;
     static bool isAvailable(TimePoint now, const TrackedSearcher &searcher);
-    bool hasRoom(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms, double mostRounds) const;
+    bool hasRoom(TimePoint now,
+                 const TrackedSearcher &searcher,
+                 const BackendTerms &backend,
+                 const CallTerms &terms) const;
+    static bool isCongested(TimePoint now, const TrackedSearcher &searcher, const CallTerms &terms);
+    Duration turn(const TrackedSearcher &searcher, const CallTerms &terms) const;
     bool mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms) const;
     std::size_t connectionLimit(const BackendTerms &terms) const;
     std::size_t callLimit(const TrackedSearcher &searcher, const BackendTerms &terms) const;
@@ -157,6 +176,8 @@
     std::unordered_map<std::string, ColdPace> coldPaces_;
     std::set<std::string> domainsOut_;
     std::set<std::string> fleet_;
+    /// Entry VMs that callers are sent to.
+    std::size_t named_ = 1;
 };
 
 } // namespace sassafrasvane
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -79,6 +79,18 @@
     /// True if an open call has taken much longer than usual: the searcher may be standing still.
     bool isOverdue(TimePoint now) const noexcept;
 
+    /// True if calls were queueing there when the searcher last told its load, unless that was long ago.
+    bool isFull(TimePoint now) const noexcept { return now < fullUntil_; }
+
+    /// False if the searcher is full and this process has had its part of what the searcher bears for now.
+    bool hasTurn(TimePoint now) const noexcept { return !isFull(now) || now >= nextTurnAt_; }
+
+    /// Notes that this process has taken its turn. \param turn time until the next one.
+    void takeTurn(TimePoint now, Duration turn) noexcept;
+
+    /// Time of a call in its slot, without the wait for it, in multiples of the usual time.
+    double serviceRounds() const noexcept { return serviceRounds_; }
+
     /// Expected time of one more call with its wait for a slot, in multiples of the usual time.
     double expectedRounds(TimePoint now) const noexcept;
 
@@ -103,6 +115,8 @@
     void onGood(TimePoint now, Duration elapsed, Duration typical);
     void onBad(TimePoint now, const OpenCall &call, CallEnd end);
     void leaveAlone(TimePoint now, std::uint32_t doublings, Duration longest);
+    void addLoad(TimePoint now, const LoadReport &load);
+    void addServiceTime(double rounds, const LoadReport &load);
     void addSlowness(TimePoint now, double sample);
     void addFailure(TimePoint now, double sample);
     double failureShare(TimePoint now) const noexcept;
@@ -125,6 +139,9 @@
     /// Calls of other processes that the searcher had when it last told its load.
     double othersCalls_ = 0;
     TimePoint loadAt_;
+    TimePoint fullUntil_;
+    TimePoint nextTurnAt_;
+    double serviceRounds_ = 1;
 };
 
 } // namespace sassafrasvane
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t callsPerSlot = 3;
 /// Calls that one process may have at a searcher in any case.
 constexpr std::size_t leastCalls = 2;
+/// Calls that a searcher at which calls queue is given, in multiples of what it bears: the entry VMs do not all use
+/// their parts at all times.
+constexpr double fullShare = 1.25;
 /// Share of a cold searcher's rate that its holder uses; two VMs may take themselves for the holder for a short time.
 constexpr double coldShare = 0.45;
 /// Range of the random factor that keeps entry VMs from choosing alike.
@@ -98,9 +101,10 @@
     return true;
 }
 
-void SearcherPool::setFleet(const std::set<std::string> &vms)
+void SearcherPool::setFleet(const std::set<std::string> &vms, std::size_t named)
 {
     fleet_ = vms;
+    named_ = std::max<std::size_t>(1, named);
     fleet_.insert(self_);
     updateBudgets();
 }
@@ -132,7 +136,7 @@
 Choice SearcherPool::choose(TimePoint now,
                             BackendPool &backend,
                             std::span<const std::shared_ptr<TrackedSearcher>> tried,
-                            double mostRounds)
+                            const CallTerms &terms)
 {
     std::shared_ptr<TrackedSearcher> best;
     double bestCost = 0;
@@ -145,7 +149,7 @@
             reason = std::max(reason, Unplaced::Blocked);
             continue;
         }
-        if (!hasRoom(now, *searcher, backend.terms_, mostRounds)) {
+        if (!hasRoom(now, *searcher, backend.terms_, terms)) {
             reason = Unplaced::Saturated;
             continue;
         }
@@ -166,26 +170,50 @@
         const double rate = backend.terms_.coldCallsPerSecond * bounds_.coldFactor + bounds_.coldSlack;
         coldPaces_[best->entry().instance].nextAt = now + fromMilliseconds(1'000 / (rate * coldShare));
     }
+    best->takeTurn(now, turn(*best, terms));
     return {best, Unplaced::None};
 }
 
-bool SearcherPool::hasRoom(TimePoint now, const BackendPool &backend, double mostRounds) const
+Room SearcherPool::room(TimePoint now, const BackendPool &backend, const CallTerms &terms, bool isWaitedFor) const
 {
-    return std::any_of(backend.searchers_.begin(),
-                       backend.searchers_.end(),
-                       [this, now, &backend, mostRounds](const std::shared_ptr<TrackedSearcher> &searcher) {
-                           return isUsable(*searcher) && isAvailable(now, *searcher)
-                               && hasRoom(now, *searcher, backend.terms_, mostRounds);
-                       });
+    Room room = Room::None;
+    for (const std::shared_ptr<TrackedSearcher> &searcher : backend.searchers_) {
+        if (!isUsable(*searcher) || !isAvailable(now, *searcher)) {
+            continue;
+        }
+        if (!isWaitedFor && hasRoom(now, *searcher, backend.terms_, terms)) {
+            return Room::Now;
+        }
+        const bool hasTurnSoon = searcher->hasTurn(now + terms.longestWait);
+        const bool isFreeSoon = !searcher->isFull(now) || (hasTurnSoon && !isWaitedFor);
+        if (isFreeSoon && !isCongested(now, *searcher, terms)) {
+            room = Room::Soon;
+        }
+    }
+    return room;
 }
 
 bool SearcherPool::hasRoom(TimePoint now,
                            const TrackedSearcher &searcher,
-                           const BackendTerms &terms,
-                           double mostRounds) const
+                           const BackendTerms &backend,
+                           const CallTerms &terms) const
+{
+    const bool isInTheWay = terms.isHedge && searcher.isFull(now);
+    return !isCongested(now, searcher, terms) && !isInTheWay && searcher.hasTurn(now)
+        && searcher.openCalls() < callLimit(searcher, backend) && mayCallCold(now, searcher, backend);
+}
+
+bool SearcherPool::isCongested(TimePoint now, const TrackedSearcher &searcher, const CallTerms &terms)
+{
+    const double expected = searcher.expectedRounds(now) * toMilliseconds(terms.typical);
+    return searcher.openCalls() > 0 && expected > toMilliseconds(terms.longestWait);
+}
+
+// Time between two calls of this process at a searcher where calls queue: its part of what the searcher bears.
+Duration SearcherPool::turn(const TrackedSearcher &searcher, const CallTerms &terms) const
 {
-    const bool isCongested = searcher.openCalls() > 0 && searcher.expectedRounds(now) > mostRounds;
-    return !isCongested && searcher.openCalls() < callLimit(searcher, terms) && mayCallCold(now, searcher, terms);
+    const double slots = std::max<double>(1, searcher.entry().slots);
+    return shareOf(terms.typical, searcher.serviceRounds() * static_cast<double>(named_) / (slots * fullShare));
 }
 
 bool SearcherPool::isServing(TimePoint now, const BackendPool &backend) const
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -29,6 +29,8 @@
 constexpr double busySlotCost = 0.4;
 /// Time in which a load report loses its meaning, in milliseconds.
 constexpr double loadFadeMs = 60;
+/// Time for which a searcher counts as full after a load report with a call waiting for each slot.
+constexpr Duration fullTime = std::chrono::milliseconds(500);
 /// Factor by which a cold searcher is slower.
 constexpr double coldSlowness = 1.6;
 /// First and longest time for which a searcher is left alone after failures in a row.
@@ -112,12 +114,13 @@
     }
     const OpenCall call = *found;
     calls_.erase(found);
+    const Duration elapsed = now - call.startedAt;
     if (load) {
-        const double others = static_cast<double>(load->running + load->waiting) - static_cast<double>(calls_.size());
-        othersCalls_ = std::max(0.0, others);
-        loadAt_ = now;
+        addLoad(now, *load);
+    }
+    if (load && end == CallEnd::Answered) {
+        addServiceTime(ratio(elapsed, call.typical), *load);
     }
-    const Duration elapsed = now - call.startedAt;
     switch (end) {
     case CallEnd::Answered:
         onGood(now, elapsed, call.typical);
@@ -134,6 +137,29 @@
     }
 }
 
+void TrackedSearcher::addLoad(TimePoint now, const LoadReport &load)
+{
+    const double others = static_cast<double>(load.running + load.waiting) - static_cast<double>(calls_.size());
+    othersCalls_ = std::max(0.0, others);
+    loadAt_ = now;
+    const bool isQueueing = load.waiting >= std::max(load.slots, 1U);
+    fullUntil_ = isQueueing ? now + fullTime : now;
+}
+
+// The calls that are waiting now are about as many as those that were when this one arrived.
+void TrackedSearcher::addServiceTime(double rounds, const LoadReport &load)
+{
+    const double slots = std::max<double>(1, load.slots);
+    const double sample = std::min(mostSlowness, rounds * slots / (slots + static_cast<double>(load.waiting)));
+    serviceRounds_ += (sample - serviceRounds_) * slownessWeight;
+}
+
+void TrackedSearcher::takeTurn(TimePoint now, Duration turn) noexcept
+{
+    // A turn that was not used is kept, but no more than one.
+    nextTurnAt_ = std::max(nextTurnAt_, now - turn) + turn;
+}
+
 void TrackedSearcher::onGood(TimePoint now, Duration elapsed, Duration typical)
 {
     failuresInRow_ = 0;
--- a/libs/placement/tests/load_test.cpp
+++ b/libs/placement/tests/load_test.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t searcherCount = 4;
 constexpr std::size_t vmCount = 4;
 /// Calls a second that all searchers together can run.
-constexpr double capacity = searcherCount * FakeSearcher::slots / 0.0075;
+constexpr double capacity = searcherCount * FakeSearcher::usualSlots / 0.0075;
 
 /// What callers got.
 struct Outcome {
@@ -51,7 +51,7 @@
             entry.instance = std::to_string(number);
             entry.backend = "desk";
             entry.failureDomain = "a";
-            entry.slots = FakeSearcher::slots;
+            entry.slots = FakeSearcher::usualSlots;
             for (const std::unique_ptr<SearcherPool> &pool : pools_) {
                 pool->put(time.now(), entry);
             }
--- a/libs/placement/tests/searcherpool_test.cpp
+++ b/libs/placement/tests/searcherpool_test.cpp
@@ -243,3 +243,105 @@
     BOOST_TEST(!world.pool.find("s1")->isBlocked(world.now));
     BOOST_TEST(world.desk().searchers().size() == 3U);
 }
+
+namespace
+{
+
+constexpr CallTerms callTerms{typical, 20ms};
+
+/// Makes a call that ends after \p elapsed with a report of \p waiting calls.
+void callWithLoad(World &world, const std::string &instance, Duration elapsed, std::uint32_t waiting)
+{
+    const std::shared_ptr<TrackedSearcher> searcher = world.pool.find(instance);
+    const std::uint64_t number = searcher->begin(world.now, typical);
+    world.now += elapsed;
+    searcher->end(world.now, number, CallEnd::Answered, LoadReport{2, waiting, 2});
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(searcherAtWhichCallsQueueIsCalledByTurns)
+{
+    World world;
+    world.pool.setFleet({"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6"});
+    world.pool.remove("s2");
+    world.pool.remove("s3");
+    const auto room = [&world] { return world.pool.room(world.now, world.desk(), callTerms, false); };
+    callWithLoad(world, "s1", 2 * typical, 2);
+    // One turn was saved up.
+    for (int turn = 0; turn < 2; ++turn) {
+        BOOST_TEST((room() == Room::Now));
+        BOOST_TEST(world.pool.choose(world.now, world.desk(), {}, callTerms).searcher);
+    }
+    // Both are taken: six VMs share two slots of a searcher whose calls take the usual time.
+    BOOST_TEST((room() == Room::None));
+    BOOST_TEST(!world.pool.choose(world.now, world.desk(), {}, callTerms).searcher);
+    world.now += 3 * typical;
+    BOOST_TEST((room() == Room::Now));
+}
+
+BOOST_AUTO_TEST_CASE(searcherThatKeepsUpIsCalledFreely)
+{
+    constexpr CallTerms callTerms{typical, 50ms};
+    World world;
+    world.pool.remove("s2");
+    world.pool.remove("s3");
+    callWithLoad(world, "s1", typical, 0);
+    for (int count = 0; count < 2; ++count) {
+        const Choice choice = world.pool.choose(world.now, world.desk(), {}, callTerms);
+        BOOST_REQUIRE(choice.searcher);
+        choice.searcher->begin(world.now, typical);
+    }
+    // It has as many calls as this VM may have there, but will be free soon.
+    BOOST_TEST((world.pool.room(world.now, world.desk(), callTerms, false) == Room::Soon));
+}
+
+BOOST_AUTO_TEST_CASE(waitingCallsGoBeforeNewRequests)
+{
+    World world;
+    BOOST_TEST((world.pool.room(world.now, world.desk(), callTerms, true) == Room::Soon));
+    for (const char *instance : {"s1", "s2", "s3"}) {
+        callWithLoad(world, instance, 2 * typical, 2);
+    }
+    BOOST_TEST((world.pool.room(world.now, world.desk(), callTerms, true) == Room::None));
+}
+
+BOOST_AUTO_TEST_CASE(slowSearcherTakesACallerWhoIsAlone)
+{
+    World world;
+    world.pool.remove("s2");
+    world.pool.remove("s3");
+    for (int count = 0; count < 10; ++count) {
+        world.call("s1", 8 * typical, CallEnd::Answered);
+    }
+    BOOST_TEST((world.pool.room(world.now, world.desk(), callTerms, false) == Room::Now));
+    world.pool.find("s1")->begin(world.now, typical);
+    BOOST_TEST((world.pool.room(world.now, world.desk(), callTerms, false) == Room::None));
+}
+
+BOOST_AUTO_TEST_CASE(turnsAreSharedAmongTheVmsThatAreNamedNow)
+{
+    World world;
+    world.pool.setFleet({"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6"}, 2);
+    world.pool.remove("s2");
+    world.pool.remove("s3");
+    callWithLoad(world, "s1", 2 * typical, 2);
+    for (int turn = 0; turn < 2; ++turn) {
+        BOOST_TEST(world.pool.choose(world.now, world.desk(), {}, callTerms).searcher);
+    }
+    BOOST_TEST(!world.pool.choose(world.now, world.desk(), {}, callTerms).searcher);
+    world.now += typical;
+    BOOST_TEST(world.pool.choose(world.now, world.desk(), {}, callTerms).searcher);
+}
+
+BOOST_AUTO_TEST_CASE(hedgesGoToNoSearcherThatIsFull)
+{
+    constexpr CallTerms hedge{typical, 50ms, true};
+    World world;
+    BOOST_TEST(world.pool.choose(world.now, world.desk(), {}, hedge).searcher);
+    for (const char *instance : {"s1", "s2", "s3"}) {
+        callWithLoad(world, instance, 2 * typical, 2);
+    }
+    BOOST_TEST(!world.pool.choose(world.now, world.desk(), {}, hedge).searcher);
+    BOOST_TEST(world.pool.choose(world.now, world.desk(), {}, callTerms).searcher);
+}
--- a/libs/placement/tests/virtualload.h
+++ b/libs/placement/tests/virtualload.h
@@ -40,12 +40,22 @@
 class FakeSearcher
 {
 public:
-    static constexpr std::uint32_t slots = 2;
+    static constexpr std::uint32_t usualSlots = 2;
 
-    FakeSearcher(VirtualTime &time, Random &random) : time_(time), random_(random) { }
+    FakeSearcher(VirtualTime &time, Random &random, std::uint32_t slots = usualSlots)
+        : time_(time), random_(random), slots_(slots)
+    {
+    }
 
     void setSlowness(double slowness) { slowness_ = slowness; }
-    LoadReport load() const { return {running_, static_cast<std::uint32_t>(queue_.size()), slots}; }
+    LoadReport load() const { return {running_, static_cast<std::uint32_t>(queue_.size()), slots_}; }
+
+    /// Starts no calls until \p end.
+    void pauseUntil(TimePoint end)
+    {
+        pausedUntil_ = end;
+        time_.at(end, [this] { startNext(); });
+    }
 
     /// Runs a call, whose time is exponential with mean \p meanWork, and calls \p done at its end.
     void submit(Duration meanWork, std::function<void()> done)
@@ -62,7 +72,7 @@
 
     void startNext()
     {
-        if (queue_.empty() || running_ >= slots) {
+        if (queue_.empty() || running_ >= slots_ || time_.now() < pausedUntil_) {
             return;
         }
         ++running_;
@@ -73,11 +83,14 @@
             startNext();
             done();
         });
+        startNext();
     }
 
     VirtualTime &time_;
     Random &random_;
+    std::uint32_t slots_;
     double slowness_ = 1;
+    TimePoint pausedUntil_;
     std::uint32_t running_ = 0;
     std::deque<Call> queue_;
 };
