Few entry VMs are named, the larger ones first; news of the store crosses to a failure domain once

Cause (large site, 295 VMs): 39 VMs were named, by the least connection limit, where 18 are large; a query of 90 parts costs a small one a good part of its target, and each saw its searchers too rarely to know them. Store: 41 of 91 processes took themselves for readers with a part of the members in view at the start, and all others listed the store when the three readers lost it for half a second (91-VM site at 2 s, 33 s, 35 s).

Change: namedVms() names 12, or two a failure domain, larger ones first. At the first start a process is no reader until the members are known. Patience grows with the fleet. In domains of eight or more one member, the relay, passes the feed on; answers carry the age of what they tell, so that processes that follow each other cannot keep it fresh.

--- a/libs/entry/include/entry/feedclient.h
+++ b/libs/entry/include/entry/feedclient.h
@@ -31,6 +31,9 @@
     static constexpr Duration trust() noexcept { return std::chrono::milliseconds(1'600); }
     /// Time that those followed for their changes have before this one is asked for them, too.
     static constexpr Duration catchUpPause() noexcept { return std::chrono::milliseconds(250); }
+    /// Age from which on what is told is too old to be trusted. It bounds how long processes that pass news on to each
+    /// other can take it for fresh.
+    static constexpr Duration longestAge() noexcept { return std::chrono::milliseconds(2'800); }
     /// Pause after a failure.
     static constexpr Duration retryPause() noexcept { return std::chrono::milliseconds(300); }
 
@@ -60,8 +63,14 @@
 
     const Address &peer() const noexcept { return peer_; }
 
-    /// True if the other process has answered lately.
-    bool isHealthy(TimePoint now) const noexcept { return answeredAt_ && now - *answeredAt_ < trust(); }
+    /// True if the other process has answered lately, with what the store had confirmed not long before.
+    bool isHealthy(TimePoint now) const noexcept
+    {
+        return answeredAt_ && now - *answeredAt_ < trust() && age(now) < longestAge();
+    }
+
+    /// Time since the store confirmed what the last answer told.
+    Duration age(TimePoint now) const noexcept { return answeredAt_ ? now - *answeredAt_ + age_ : Duration::max(); }
 
 private:
     void ask();
@@ -85,6 +94,8 @@
     bool isCatchingUp_ = false;
     bool isStopped_ = false;
     std::optional<TimePoint> answeredAt_;
+    /// The age of what the last answer told, when it came.
+    Duration age_{0};
 };
 
 } // namespace sassafrasvane
--- a/libs/entry/include/entry/feedcodec.h
+++ b/libs/entry/include/entry/feedcodec.h
@@ -21,6 +21,16 @@
     std::uint64_t asOf = 0;
     /// True if these are all items that there are.
     bool isFull = false;
+    /// Time since the store itself confirmed asOf to some process.
+    Duration age{0};
+};
+
+/// How far a process knows the store.
+struct FeedSource {
+    /// The revision up to which all items are in force here.
+    std::uint64_t asOf = 0;
+    /// Time since the store confirmed it.
+    Duration age{0};
 };
 
 /// Encodes \p answer as MessagePack.
--- a/libs/entry/include/entry/feedserver.h
+++ b/libs/entry/include/entry/feedserver.h
@@ -5,8 +5,10 @@
 #include "entry/storetask.h"
 #include "http/server.h"
 
+#include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 
 /// \file
 /// Tells other entry processes what the store has published.
@@ -14,15 +16,18 @@
 namespace sassafrasvane
 {
 
-/// Answers questions for changes, at once if there are some, else when they come or the wait is over. Only a process
-/// that follows the store itself answers; others refuse, so that nothing is passed on from hand to hand.
+/// Answers questions for changes, at once if there are some, else when they come or the wait is over. A process that
+/// knows nothing fresh refuses.
 class FeedServer
 {
 public:
     /// Questions that may wait.
     static constexpr std::size_t mostWaiting() noexcept { return 500; }
 
-    FeedServer(const PublishedState &state, const StoreTask &store);
+    /// \param source what this process can tell now.
+    FeedServer(const PublishedState &state,
+               const StoreTask &store,
+               std::function<std::optional<FeedSource>(TimePoint now)> source);
 
     /// Takes a question. \return false if the exchange is none.
     bool handle(const std::shared_ptr<http::Exchange> &exchange);
@@ -41,6 +46,7 @@
 
     const PublishedState &state_;
     const StoreTask &store_;
+    std::function<std::optional<FeedSource>(TimePoint now)> source_;
     std::list<Waiting> waiting_;
 };
 
--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -2,6 +2,7 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "entry/namedvms.h"
 #include "fleet/crashspread.h"
 #include "fleet/gossipcodec.h"
 #include "fleet/membership.h"
@@ -13,7 +14,6 @@
 
 #include <array>
 #include <functional>
-#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -84,9 +84,6 @@
     /// Tells the others that this process ends, and ends the exchange.
     void stop();
 
-    /// Sets how many entry VMs are named to callers at most.
-    void setMostNamed(std::size_t count) noexcept { mostNamed_ = count; }
-
     /// Where callers may connect: a part of the members that is spread over the failure domains.
     std::vector<Address> callerAddresses(TimePoint now) const;
 
@@ -94,9 +91,16 @@
     /// one.
     std::set<std::string> fleet(TimePoint now);
 
+    /// How many entry VMs are named to callers now.
+    std::size_t namedCount() const { return namedVms(candidates()).size(); }
+
     /// The members that should follow the store, this process included.
     std::vector<SubsetCandidate> readers(std::size_t count) const;
 
+    /// The member of this process's failure domain that passes news of the store on to the others there; nothing if the
+    /// domain is small.
+    std::optional<DaemonId> relay() const;
+
     DaemonId self() const noexcept { return membership_.self().daemon; }
 
     std::size_t reachable() const noexcept { return membership_.reachableCount(); }
@@ -134,7 +138,6 @@
     std::function<std::vector<CrashEntry>()> knownCrashes_;
     CrashSpread crashSpread_;
     std::map<DaemonId, TimePoint> namedAt_;
-    std::size_t mostNamed_ = std::numeric_limits<std::size_t>::max();
     bool isLeaving_ = false;
 };
 
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -23,7 +23,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <limits>
 #include <optional>
 
 namespace sassafrasvane
@@ -38,9 +37,9 @@
 constexpr unsigned slowTicks = 10;
 /// How long callers keep a list of entry VMs.
 constexpr Duration directoryLifetime = std::chrono::seconds(5);
-/// Connections to a searcher that each entry VM needs which is named to callers, and VMs that are named at least.
-constexpr std::uint32_t connectionsPerNamed = 5;
-constexpr std::size_t leastNamed = 12;
+/// At the first start of all, the members are known once none has appeared for a time, or after the longest time.
+constexpr Duration quietTime = std::chrono::milliseconds(600);
+constexpr Duration longestGathering = std::chrono::milliseconds(2'000);
 /// A tick that is later than this means that the process stood still.
 constexpr Duration pauseBound = std::chrono::milliseconds(1'500);
 /// Share of the VM's memory for responses of searchers, and bytes for those of the store and of other processes.
@@ -89,7 +88,7 @@
         , crashes_(mix(seed_, 3), log_)
         , entry_(context_, protocol_, pool_, dispatcher_, crashes_, state_, log_, mix(seed_, 2))
         , store_(context_, sourceMemory_, protocol_, settings.store, mix(seed_), state_, log_)
-        , feedServer_(state_, store_)
+        , feedServer_(state_, store_, [this](TimePoint now) { return feed_.source(now); })
         , feed_(context_, sourceMemory_, state_, store_, log_, mix(seed_, 1), startPatience())
         , signals_(context_, SIGTERM, SIGINT, SIGHUP)
         , ticker_(context_)
@@ -107,11 +106,12 @@
     void answerControl(const ExchangePtr &exchange);
     void answerMetrics(const ExchangePtr &exchange);
     void onMembers();
+    std::vector<Address> feedPeers(bool &isReader) const;
+    Address controlOf(DaemonId daemon) const;
     Duration startPatience() const noexcept
     {
         return settings_.isFirstStart ? FeedTask::firstStartPatience() : FeedTask::startPatience();
     }
-    void updateNamed(const RouteTable &routes);
     bool isReady() const noexcept { return !stop_.hasBegun() && state_.routes() != nullptr && state_.isComplete(); }
     void waitForSignal();
     void onSignal(int signal);
@@ -146,6 +146,7 @@
     boost::asio::signal_set signals_;
     boost::asio::steady_timer ticker_;
     TimePoint startedAt_ = BootClock::now();
+    TimePoint membersChangedAt_ = startedAt_;
     TimePoint lastTick_ = BootClock::now();
     unsigned ticks_ = 0;
     std::uint64_t unexpectedErrors_ = 0;
@@ -188,10 +189,12 @@
     state_.setOnConfiguration([this](const RouteTable &routes) {
         servers_.setCallerLimits(routes.configuration().callerLimits);
         entry_.onConfiguration(routes);
-        updateNamed(routes);
     });
     state_.setOnSearcherGone([this](const std::string &instance) { dispatcher_.forget(instance); });
-    peers_->setOnMembers([this] { onMembers(); });
+    peers_->setOnMembers([this] {
+        membersChangedAt_ = BootClock::now();
+        onMembers();
+    });
     peers_->setCrashHooks([this](std::span<const CrashEntry> entries) { crashes_.merge(BootClock::now(), entries); },
                           [this] { return crashes_.entries(BootClock::now()); });
     crashes_.setSpread([this](std::span<const CrashEntry> entries) { peers_->spreadCrashes(entries); });
@@ -265,36 +268,45 @@
 void EntryProcess::Implementation::onMembers()
 {
     const TimePoint now = BootClock::now();
-    pool_.setFleet(peers_->fleet(now));
+    pool_.setFleet(peers_->fleet(now), peers_->namedCount());
     // A process that has just started may hear of its peers any moment; until then it asks the seeds.
     const bool isAlone = peers_->reachable() == 1 && now - startedAt_ < startPatience();
-    std::vector<Address> others;
+    // With a part of the members in view, far too many processes would take themselves for readers.
+    const bool isGathering
+        = settings_.isFirstStart && now - startedAt_ < longestGathering && now - membersChangedAt_ < quietTime;
+    std::vector<Address> others = settings_.seeds;
     bool isReader = false;
-    if (isAlone) {
-        others = settings_.seeds;
-    } else {
-        for (const SubsetCandidate &reader : peers_->readers(FeedTask::readers())) {
-            const Address control{peerAddress(reader.daemon).ip, settings_.listeners.control.port};
-            if (reader.daemon == peers_->self()) {
-                isReader = true;
-            } else {
-                // The first one is followed for its changes: a near one, as bytes between failure domains cost.
-                const bool isNear = reader.failureDomain == settings_.failureDomain;
-                others.insert(isNear ? others.begin() : others.end(), control);
-            }
-        }
+    if (!isAlone && !isGathering) {
+        others = feedPeers(isReader);
     }
     std::erase(others, settings_.listeners.control);
-    feed_.setReaders(others, isReader);
+    feed_.setReaders(others, isReader, peers_->reachable());
 }
 
-void EntryProcess::Implementation::updateNamed(const RouteTable &routes)
+// The first one is followed for its changes: a near one, as bytes between failure domains cost.
+std::vector<Address> EntryProcess::Implementation::feedPeers(bool &isReader) const
 {
-    std::uint32_t connections = std::numeric_limits<std::uint32_t>::max();
-    for (const BackendTerms &terms : routes.configuration().backends) {
-        connections = std::min(connections, terms.maxConnections);
+    std::vector<Address> others;
+    bool hasNear = false;
+    for (const SubsetCandidate &reader : peers_->readers(FeedTask::readers())) {
+        if (reader.daemon == peers_->self()) {
+            isReader = true;
+            continue;
+        }
+        const bool isNear = reader.failureDomain == settings_.failureDomain;
+        others.insert(isNear ? others.begin() : others.end(), controlOf(reader.daemon));
+        hasNear = hasNear || isNear;
     }
-    peers_->setMostNamed(std::max<std::size_t>(leastNamed, connections / connectionsPerNamed));
+    const std::optional<DaemonId> relay = isReader || hasNear ? std::nullopt : peers_->relay();
+    if (relay && *relay != peers_->self()) {
+        others.insert(others.begin(), controlOf(*relay));
+    }
+    return others;
+}
+
+Address EntryProcess::Implementation::controlOf(DaemonId daemon) const
+{
+    return {peerAddress(daemon).ip, settings_.listeners.control.port};
 }
 
 void EntryProcess::Implementation::waitForSignal()
--- a/libs/entry/src/feedclient.cpp
+++ b/libs/entry/src/feedclient.cpp
@@ -103,6 +103,7 @@
     }
     const bool hadItems = wantsItems_ || isCatchingUp_;
     answeredAt_ = BootClock::now();
+    age_ = answer.value().age;
     toldRevision_ = answer.value().asOf;
     if (hadItems) {
         hooks_.onAnswer(answer.value());
--- a/libs/entry/src/feedcodec.cpp
+++ b/libs/entry/src/feedcodec.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace sassafrasvane
 {
 
@@ -16,6 +18,8 @@
 constexpr std::string_view revisionPrefix = "/v1/revision?after=";
 /// Longest wait that a question may ask for, in milliseconds.
 constexpr std::uint64_t longestWaitMs = 60'000;
+/// Ages beyond this one say no more, in milliseconds.
+constexpr std::uint64_t longestAgeMs = 3'600'000;
 constexpr std::string_view waitParameter = "&waitMs=";
 
 } // namespace
@@ -27,7 +31,8 @@
         const std::vector<std::uint8_t> value(item.value.begin(), item.value.end());
         items.push_back(Json::array({item.key, item.revision, item.isRemoved, Json::binary(value)}));
     }
-    const Json json = Json::array({answer.asOf, answer.isFull, std::move(items)});
+    const std::int64_t ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(answer.age).count();
+    const Json json = Json::array({answer.asOf, answer.isFull, std::move(items), ageMs});
     const std::vector<std::uint8_t> bytes = Json::to_msgpack(json);
     return {bytes.begin(), bytes.end()};
 }
@@ -39,6 +44,7 @@
         FeedAnswer answer;
         answer.asOf = json.at(0).get<std::uint64_t>();
         answer.isFull = json.at(1).get<bool>();
+        answer.age = std::chrono::milliseconds(std::min(json.at(3).get<std::uint64_t>(), longestAgeMs));
         for (const Json &entry : json.at(2)) {
             StoreItem item;
             item.key = entry.at(0).get<std::string>();
--- a/libs/entry/src/feedserver.cpp
+++ b/libs/entry/src/feedserver.cpp
@@ -12,7 +12,10 @@
 
 } // namespace
 
-FeedServer::FeedServer(const PublishedState &state, const StoreTask &store) : state_(state), store_(store)
+FeedServer::FeedServer(const PublishedState &state,
+                       const StoreTask &store,
+                       std::function<std::optional<FeedSource>(TimePoint now)> source)
+    : state_(state), store_(store), source_(std::move(source))
 {
 }
 
@@ -44,18 +47,20 @@
 
 bool FeedServer::answer(const Waiting &waiting, TimePoint now) const
 {
-    const std::optional<std::uint64_t> asOf = store_.completeAsOf();
-    const bool hasNews = asOf && *asOf > waiting.question.afterRevision;
+    const std::optional<FeedSource> source = source_(now);
+    const bool hasNews = source && source->asOf > waiting.question.afterRevision;
     // A list that is being read is waited for.
-    if (!hasNews && now < waiting.until && (store_.isConnected() || store_.isStarting())) {
+    const bool mayWait = source || store_.isConnected() || store_.isStarting();
+    if (!hasNews && now < waiting.until && mayWait) {
         return false;
     }
-    if (!asOf) {
+    if (!source) {
         waiting.exchange->respond(http::emptyResponse(unavailable));
         return true;
     }
     FeedAnswer answer;
-    answer.asOf = *asOf;
+    answer.asOf = source->asOf;
+    answer.age = source->age;
     if (waiting.question.wantsItems) {
         const std::uint64_t after = waiting.question.afterRevision;
         answer.isFull = after < state_.historyBegin();
--- a/libs/entry/src/feedtask.cpp
+++ b/libs/entry/src/feedtask.cpp
@@ -5,6 +5,33 @@
 namespace sassafrasvane
 {
 
+namespace
+{
+
+constexpr Duration leastPatience = std::chrono::milliseconds(400);
+constexpr Duration mostPatience = std::chrono::milliseconds(1'000);
+constexpr Duration patiencePerProcess = std::chrono::milliseconds(5);
+constexpr Duration leastSpread = std::chrono::milliseconds(500);
+constexpr Duration mostSpread = std::chrono::milliseconds(1'200);
+constexpr Duration spreadPerProcess = std::chrono::milliseconds(10);
+
+Duration grown(Duration least, Duration perProcess, Duration most, std::size_t fleet) noexcept
+{
+    return std::min(most, least + perProcess * static_cast<Duration::rep>(fleet));
+}
+
+} // namespace
+
+Duration FeedTask::patience(std::size_t fleet) noexcept
+{
+    return grown(leastPatience, patiencePerProcess, mostPatience, fleet);
+}
+
+Duration FeedTask::patienceSpread(std::size_t fleet) noexcept
+{
+    return grown(leastSpread, spreadPerProcess, mostSpread, fleet);
+}
+
 FeedTask::FeedTask(boost::asio::io_context &context,
                    http::ResponseMemory &memory,
                    PublishedState &state,
@@ -30,8 +57,9 @@
     }
 }
 
-void FeedTask::setReaders(std::span<const Address> others, bool isReader)
+void FeedTask::setReaders(std::span<const Address> others, bool isReader, std::size_t fleet)
 {
+    fleet_ = fleet;
     others_.assign(others.begin(), others.end());
     isReader_ = isReader;
     store_.setPatient(!isReader);
@@ -48,8 +76,8 @@
     if (isHealthy != wasHealthy_) {
         wasHealthy_ = isHealthy;
         const Duration spread(
-            static_cast<Duration::rep>(random_.below(static_cast<std::uint64_t>(patienceSpread().count()))));
-        storeFrom_ = now + patience() + spread;
+            static_cast<Duration::rep>(random_.below(static_cast<std::uint64_t>(patienceSpread(fleet_).count()))));
+        storeFrom_ = now + patience(fleet_) + spread;
     }
     if (isReader_) {
         follow(true, "reader");
@@ -93,6 +121,18 @@
     return std::max(complete_, store_.completeAsOf().value_or(0));
 }
 
+std::optional<FeedSource> FeedTask::source(TimePoint now) const
+{
+    if (const std::optional<std::uint64_t> asOf = store_.completeAsOf()) {
+        return FeedSource{*asOf, Duration{0}};
+    }
+    const ClientMap::const_iterator main = others_.empty() ? clients_.end() : clients_.find(others_.front());
+    if (isReader_ || complete_ == 0 || main == clients_.end() || !main->second->isHealthy(now)) {
+        return std::nullopt;
+    }
+    return FeedSource{complete_, main->second->age(now)};
+}
+
 bool FeedTask::isAnyHealthy(TimePoint now) const
 {
     return std::any_of(
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -19,9 +19,11 @@
 constexpr Duration syncPeriod = std::chrono::seconds(5);
 constexpr double messagesPerSecond = 40;
 constexpr double messageBurst = 12;
-/// Tell the choice of the named entry VMs from that of the readers.
-constexpr std::uint64_t namedSalt = 1;
+/// Tells the choice of the readers from that of the named entry VMs.
 constexpr std::uint64_t readerSalt = 2;
+constexpr std::uint64_t relaySalt = 3;
+/// Members of a failure domain from which on one of them passes news on to the others.
+constexpr std::size_t leastRelayed = 8;
 
 MemberRecord recordOf(const EntryIdentity &identity, Incarnation incarnation)
 {
@@ -316,7 +318,7 @@
 std::vector<Address> PeerTask::callerAddresses(TimePoint now) const
 {
     const std::vector<SubsetCandidate> alive = candidates();
-    const std::vector<DaemonId> named = spreadSubset(alive, namedSalt, mostNamed_);
+    const std::vector<DaemonId> named = namedVms(alive);
     std::vector<Address> addresses;
     std::vector<Address> lost;
     if (alive.empty() || std::find(named.begin(), named.end(), membership_.self().daemon) != named.end()) {
@@ -339,7 +341,7 @@
 
 std::set<std::string> PeerTask::fleet(TimePoint now)
 {
-    for (const DaemonId daemon : spreadSubset(candidates(), namedSalt, mostNamed_)) {
+    for (const DaemonId daemon : namedVms(candidates())) {
         namedAt_[daemon] = now;
     }
     std::erase_if(namedAt_, [now](const auto &entry) { return now - entry.second >= countedAfterNamed(); });
@@ -361,4 +363,16 @@
     return readers;
 }
 
+std::optional<DaemonId> PeerTask::relay() const
+{
+    std::vector<SubsetCandidate> near = candidates();
+    std::erase_if(near, [this](const SubsetCandidate &candidate) {
+        return candidate.failureDomain != membership_.self().failureDomain;
+    });
+    if (near.size() < leastRelayed) {
+        return std::nullopt;
+    }
+    return spreadSubset(near, relaySalt, 1).front();
+}
+
 } // namespace sassafrasvane
--- a/libs/entry/tests/feedcodec_test.cpp
+++ b/libs/entry/tests/feedcodec_test.cpp
@@ -9,11 +9,13 @@
     FeedAnswer answer;
     answer.asOf = 99;
     answer.isFull = true;
+    answer.age = std::chrono::milliseconds(1'234);
     answer.items = {{"a", std::string("\x00\xff bytes", 8), 7, false}, {"b", "", 8, true}};
     const Result<FeedAnswer> decoded = decodeFeedAnswer(encodeFeedAnswer(answer));
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST(decoded.value().asOf == 99U);
     BOOST_TEST(decoded.value().isFull);
+    BOOST_TEST((decoded.value().age == answer.age));
     BOOST_REQUIRE(decoded.value().items.size() == 2U);
     BOOST_TEST(decoded.value().items[0].value == answer.items[0].value);
     BOOST_TEST(decoded.value().items[1].isRemoved);
@@ -21,7 +23,7 @@
 
 BOOST_AUTO_TEST_CASE(brokenAnswersAreRefused)
 {
-    const std::string whole = encodeFeedAnswer({{{"key", "value", 7, false}}, 9, false});
+    const std::string whole = encodeFeedAnswer({{{"key", "value", 7, false}}, 9, false, Duration{0}});
     for (std::size_t size = 0; size < whole.size(); ++size) {
         BOOST_TEST(decodeFeedAnswer(whole.substr(0, size)).has_error());
     }
--- /dev/null
+++ b/libs/entry/tests/namedvms_test.cpp
@@ -0,0 +1,110 @@
+#include "entry/namedvms.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+using namespace sassafrasvane;
+
+namespace
+{
+
+constexpr std::uint16_t largeRank = 50;
+constexpr std::uint16_t smallRank = 12;
+constexpr std::size_t domainCount = 6;
+
+/// A fleet of 295 VMs in six failure domains, three large ones in each.
+std::vector<SubsetCandidate> largeFleet()
+{
+    std::vector<SubsetCandidate> fleet;
+    for (std::size_t vm = 0; vm < 295; ++vm) {
+        const bool isLarge = vm < 3 * domainCount;
+        fleet.push_back(
+            {DaemonId{vm + 1}, "domain-" + std::to_string(vm % domainCount), isLarge ? largeRank : smallRank});
+    }
+    return fleet;
+}
+
+std::vector<SubsetCandidate> chosen(const std::vector<SubsetCandidate> &fleet)
+{
+    const std::vector<DaemonId> named = namedVms(fleet);
+    std::vector<SubsetCandidate> chosen;
+    std::copy_if(fleet.begin(), fleet.end(), std::back_inserter(chosen), [&named](const SubsetCandidate &candidate) {
+        return std::find(named.begin(), named.end(), candidate.daemon) != named.end();
+    });
+    return chosen;
+}
+
+std::map<std::string, std::size_t> countsByDomain(const std::vector<SubsetCandidate> &vms)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const SubsetCandidate &vm : vms) {
+        ++counts[vm.failureDomain];
+    }
+    return counts;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(namedvms)
+
+BOOST_AUTO_TEST_CASE(fewLargeVmsOfEachDomainAreNamed)
+{
+    const std::vector<SubsetCandidate> named = chosen(largeFleet());
+    BOOST_TEST(named.size() == 12U);
+    for (const SubsetCandidate &vm : named) {
+        BOOST_TEST(vm.rank == largeRank);
+    }
+    for (const auto &[domain, count] : countsByDomain(named)) {
+        BOOST_TEST(count == 2U, domain);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lossOfADomainLeavesTheOthersNamed)
+{
+    std::vector<SubsetCandidate> fleet = largeFleet();
+    const std::vector<SubsetCandidate> before = chosen(fleet);
+    std::erase_if(fleet, [](const SubsetCandidate &vm) { return vm.failureDomain == "domain-0"; });
+    const std::vector<SubsetCandidate> after = chosen(fleet);
+    BOOST_TEST(after.size() == 12U);
+    const std::ptrdiff_t kept = std::count_if(before.begin(), before.end(), [&after](const SubsetCandidate &vm) {
+        return std::any_of(
+            after.begin(), after.end(), [&vm](const SubsetCandidate &other) { return other.daemon == vm.daemon; });
+    });
+    BOOST_TEST(kept == 10);
+}
+
+BOOST_AUTO_TEST_CASE(othersAreNamedWhenAllNamedOnesAreLost)
+{
+    std::vector<SubsetCandidate> fleet = largeFleet();
+    const std::vector<DaemonId> lost = namedVms(fleet);
+    std::erase_if(fleet, [&lost](const SubsetCandidate &vm) {
+        return std::find(lost.begin(), lost.end(), vm.daemon) != lost.end();
+    });
+    const std::vector<SubsetCandidate> after = chosen(fleet);
+    BOOST_TEST(after.size() == 12U);
+    BOOST_TEST(countsByDomain(after).size() == domainCount);
+}
+
+BOOST_AUTO_TEST_CASE(eachOfManyDomainsHasTwo)
+{
+    std::vector<SubsetCandidate> fleet;
+    for (std::size_t vm = 0; vm < 100; ++vm) {
+        fleet.push_back({DaemonId{vm + 1}, "domain-" + std::to_string(vm % 10), smallRank});
+    }
+    for (const auto &[domain, count] : countsByDomain(chosen(fleet))) {
+        BOOST_TEST(count == 2U, domain);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(smallFleetIsNamedWhole)
+{
+    std::vector<SubsetCandidate> fleet = largeFleet();
+    fleet.resize(9);
+    BOOST_TEST(namedVms(fleet).size() == 9U);
+    BOOST_TEST(namedVms({}).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
