--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -335,6 +335,9 @@
         writer.write(whole)
         if self.mode == "doubled":
             writer.write(whole)
+        if self.mode == "doubled-late":
+            # The connection carries another call by then.
+            self.loop.loop.call_later(0.03, lambda: writer.transport.is_closing() or writer.write(whole))
         return True
 
 
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -101,6 +101,19 @@
             status, _, answer = world.entries[0].ask("/fetch/x", "POST", body, f"d{number}")
             self.assertEqual((status, answer), (200, b"reply to " + body))
 
+    def test_late_second_answer_never_reaches_the_next_request_of_its_connection(self):
+        world = self.world()
+        for searcher in world.searchers.values():
+            searcher.mode = "doubled-late"
+            searcher.delay = 0.04
+        for number in range(20):
+            body = f"n{number}".encode()
+            status, _, answer = world.entries[0].ask("/fetch/x", "POST", body, f"l{number}")
+            self.assertEqual((status, answer), (200, b"reply to " + body))
+            status, headers, _ = world.entries[0].ask("/board/x", request_id=f"q{number}")
+            proofs = headers["X-Sassafrasvane-Part-Stamps"].split(", ")
+            self.assertEqual({proof.split(".")[2] for proof in proofs}, {f"q{number}"})
+
     def test_caller_that_leaves_ends_the_searchers_work(self):
         world = self.world()
         for name in ("i-desk-0", "i-desk-1"):
@@ -321,6 +334,51 @@
         self.assertEqual(entry.process.wait(GRACE), 0)
         self.assertEqual(len(entry.lines("process_stopped")), 1)
 
+    def test_planned_stop_under_load_answers_all_that_was_accepted(self):
+        world = self.world(entries=2)
+        entry = world.entries[1]
+        for name in ("i-desk-0", "i-desk-1"):
+            world.searchers[name].delay = 0.1
+        connections = []
+
+        def send(number):
+            connection = entry.connect()
+            headers = {"Host": "search.example", "X-Sassafrasvane-Request-Id": f"s{number}"}
+            connection.request("GET", "/fetch/x", headers=headers)
+            connections.append(connection)
+
+        for number in range(30):
+            send(number)
+        entry.process.send_signal(signal.SIGTERM)
+        for number in range(30, 60):
+            send(number)
+        answers = [connection.getresponse() for connection in connections]
+        for answer in answers:
+            self.assertIn(answer.status, (200, 503))
+            self.assertEqual(len(answer.read()), int(answer.headers["Content-Length"]))
+        for number, answer in enumerate(answers):
+            if answer.status == 503:
+                self.assertEqual(world.ran(f"s{number}"), [])
+        self.assertEqual(entry.process.wait(GRACE), 0)
+
+    def test_restarted_process_does_not_use_what_was_withdrawn(self):
+        world = self.world(entries=4)
+        entry = world.entries[2]
+        entry.stop()
+        world.searchers["i-desk-0"].unregister()
+        world.configure(2, 3)
+        known = lambda: all(each.lines("configuration_in_force")[-1]["version"] == 2 for each in world.entries if each is not entry)
+        world.wait(known, IN_FORCE, "the change is not in force")
+        # It learns from the other processes alone.
+        world.store.refusing = True
+        entry.start()
+        world.wait(entry.is_ready, 5, "the restarted process is not ready")
+        before = len(world.searchers["i-desk-0"].ran)
+        for number in range(10):
+            self.assertEqual(entry.ask("/fetch/x", request_id=f"w{number}")[0], 200)
+            self.assertNotIn("i-3", entry.ask("/board/x", request_id=f"v{number}")[1]["X-Sassafrasvane-Part-Stamps"])
+        self.assertEqual(len(world.searchers["i-desk-0"].ran), before)
+
     def test_settings_that_cannot_be_read_keep_the_former_ones(self):
         world = self.world()
         entry = world.entries[0]
