Named VMs open their connections to searchers before callers come

Change: a named VM opens a connection to each searcher that has none, 20 at a time. A searcher that cannot be connected to counts as unreachable, as with calls. entry_test has a test.

--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -91,6 +91,9 @@
     /// one.
     std::set<std::string> fleet(TimePoint now);
 
+    /// True if this process is named to callers.
+    bool isNamed() const;
+
     /// How many entry VMs are named to callers now.
     std::size_t namedCount() const { return namedVms(candidates()).size(); }
 
--- a/libs/entry/include/entry/searcherlinks.h
+++ b/libs/entry/include/entry/searcherlinks.h
@@ -63,6 +63,9 @@
     /// Closes all idle connections to \p instance.
     void forget(const std::string &instance);
 
+    /// True if a connection to \p searcher is open or being opened.
+    bool hasConnection(const TrackedSearcher &searcher) const;
+
     std::size_t openConnections() const noexcept { return open_; }
     std::uint64_t openedConnections() const noexcept { return opened_; }
 
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -17,6 +17,9 @@
 constexpr Duration freshTime = std::chrono::milliseconds(500);
 constexpr Duration anyIdleTime = std::chrono::hours(1);
 
+/// Connections that are prepared at a time: opening them must not keep requests waiting.
+constexpr std::size_t mostPrepared = 20;
+
 /// Longest time that is spent on finding out why a connection was lost.
 constexpr Duration crashCheckTime = std::chrono::milliseconds(50);
 
@@ -276,6 +279,24 @@
     }
 }
 
+void Dispatcher::prepareConnections(TimePoint now)
+{
+    std::size_t left = mostPrepared;
+    for (const std::shared_ptr<TrackedSearcher> &searcher : pool_.available(now)) {
+        if (links_.hasConnection(*searcher)) {
+            continue;
+        }
+        checks_.check(now, searcher, SearcherLinks::connectTimeout(), [searcher](LinkState state) {
+            if (state != LinkState::Open) {
+                searcher->onUnreachable(BootClock::now());
+            }
+        });
+        if (--left == 0) {
+            return;
+        }
+    }
+}
+
 void Dispatcher::onTick(TimePoint now)
 {
     std::vector<CallPtr> expired;
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -35,6 +35,8 @@
 constexpr Duration tickPeriod = std::chrono::milliseconds(50);
 /// Ticks between two rounds of the slower housekeeping.
 constexpr unsigned slowTicks = 10;
+/// Ticks between two rounds of preparing connections.
+constexpr unsigned connectionTicks = 3;
 /// How long callers keep a list of entry VMs.
 constexpr Duration directoryLifetime = std::chrono::seconds(5);
 /// At the first start of all, the members are known once none has appeared for a time, or after the longest time.
@@ -149,6 +151,8 @@
     TimePoint membersChangedAt_ = startedAt_;
     TimePoint lastTick_ = BootClock::now();
     unsigned ticks_ = 0;
+    /// True if callers are sent here.
+    bool isNamed_ = false;
     std::uint64_t unexpectedErrors_ = 0;
     PlannedStop stop_;
 };
@@ -269,6 +273,7 @@
 {
     const TimePoint now = BootClock::now();
     pool_.setFleet(peers_->fleet(now), peers_->namedCount());
+    isNamed_ = peers_->isNamed();
     // A process that has just started may hear of its peers any moment; until then it asks the seeds.
     const bool isAlone = peers_->reachable() == 1 && now - startedAt_ < startPatience();
     // With a part of the members in view, far too many processes would take themselves for readers.
@@ -414,7 +419,11 @@
     feed_.onTick(now);
     feedServer_.onTick(now);
     peers_->onTick(now);
-    if (++ticks_ % slowTicks == 0) {
+    ++ticks_;
+    if (isNamed_ && ticks_ % connectionTicks == 0) {
+        dispatcher_.prepareConnections(now);
+    }
+    if (ticks_ % slowTicks == 0) {
         onSlowTick(now);
     }
     if (stop_.hasBegun()) {
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -339,6 +339,12 @@
     return addresses;
 }
 
+bool PeerTask::isNamed() const
+{
+    const std::vector<DaemonId> named = namedVms(candidates());
+    return std::find(named.begin(), named.end(), membership_.self().daemon) != named.end();
+}
+
 std::set<std::string> PeerTask::fleet(TimePoint now)
 {
     for (const DaemonId daemon : namedVms(candidates())) {
--- a/libs/entry/src/searcherlinks.cpp
+++ b/libs/entry/src/searcherlinks.cpp
@@ -80,6 +80,12 @@
     --open_;
 }
 
+bool SearcherLinks::hasConnection(const TrackedSearcher &searcher) const
+{
+    const std::unordered_map<std::string, Links>::const_iterator links = links_.find(keyOf(searcher));
+    return links != links_.end() && links->second.open > 0;
+}
+
 void SearcherLinks::drop(const std::string &instance, const http::ClientConnection *connection)
 {
     Links &links = links_[instance];
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -140,6 +140,9 @@
     /// The unreachable searchers that are due for another attempt to reach them.
     std::vector<std::shared_ptr<TrackedSearcher>> unreachable(TimePoint now) const;
 
+    /// The searchers that calls may be sent to now.
+    std::vector<std::shared_ptr<TrackedSearcher>> available(TimePoint now) const;
+
     /// Connections that this process may have to \p searcher.
     std::size_t connectionLimit(const TrackedSearcher &searcher) const;
 
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -61,7 +61,7 @@
     /// Notes that a connection to an unreachable searcher has opened.
     void onReachable(TimePoint now);
 
-    /// Notes that a connection to an unreachable searcher could not be opened.
+    /// Notes that no connection to the searcher could be opened.
     void onUnreachable(TimePoint now);
 
     /// When the searcher may be tried again.
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -246,6 +246,17 @@
     return due;
 }
 
+std::vector<std::shared_ptr<TrackedSearcher>> SearcherPool::available(TimePoint now) const
+{
+    std::vector<std::shared_ptr<TrackedSearcher>> available;
+    for (const auto &[instance, searcher] : searchers_) {
+        if (isUsable(*searcher) && isAvailable(now, *searcher)) {
+            available.push_back(searcher);
+        }
+    }
+    return available;
+}
+
 bool SearcherPool::mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms) const
 {
     if (!searcher.isCold(now) || terms.coldCallsPerSecond <= 0) {
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -207,6 +207,7 @@
 
 void TrackedSearcher::onUnreachable(TimePoint now)
 {
+    isUnreachable_ = true;
     ++failuresInRow_;
     leaveAlone(now, failuresInRow_, longestCheckPause);
 }
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -268,6 +268,12 @@
                 world.wait(served, 5, "sound searchers are not used again")
                 self.assertEqual(entry.lines("unexpected_error"), [])
 
+    def test_connections_are_open_before_the_first_request(self):
+        world = self.world()
+        connected = lambda: all(searcher.writers for searcher in world.searchers.values())
+        world.wait(connected, 3, "searchers without a connection")
+        self.assertTrue(all(not searcher.ran for searcher in world.searchers.values()))
+
     def test_searcher_that_answers_without_end_is_replaced(self):
         for kind in standin.ENDLESS:
             with self.subTest(kind=kind):
