A change reaches failure domains without a reader, also when processes are lost: test on 32 processes

The feed's relay serves in domains of eight processes or more; entry_test plays four such domains, of which one has no reader of the store, then kills six processes and changes the configuration at once: in force everywhere within its time.

--- a/libs/entry/include/entry/dispatcher.h
+++ b/libs/entry/include/entry/dispatcher.h
@@ -89,8 +89,8 @@
     /// Ends calls whose time is over and closes stale connections. To be called several times a second.
     void onTick(TimePoint now);
 
-    /// Opens connections to searchers that have none, so that callers need not wait for them. Bounded for each call; to be
-    /// called several times a second.
+    /// Opens connections to searchers that have none, so that callers need not wait for them. Bounded for each call; to
+    /// be called several times a second.
     void prepareConnections(TimePoint now);
 
     /// Closes the idle connections to a searcher that is registered no more.
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -218,7 +218,7 @@
 struct ClientWorld {
     boost::asio::io_context context;
     tcp::acceptor acceptor{context, {boost::asio::ip::address_v4::loopback(), 0}};
-    http::ResponseMemory memory{64 * 1'024 * 1'024};
+    http::ResponseMemory memory{67'108'864};
     std::shared_ptr<http::ClientConnection> connection;
     tcp::socket peer{context};
     std::vector<http::CallResult> results;
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -158,6 +158,20 @@
         current = lambda: all(entry.lines("configuration_in_force")[-1]["version"] == 9 for entry in alive)
         world.wait(current, IN_FORCE, "a change is not in force after the loss of processes")
 
+    def test_changes_reach_failure_domains_without_a_reader_of_the_store(self):
+        # Three processes read the store; of four failure domains with eight processes each, one has none of them.
+        world = self.world(entries=32, shards=2)
+
+        def in_force(version, entries):
+            return all(entry.lines("configuration_in_force")[-1]["version"] == version for entry in entries)
+
+        world.configure(2, 2)
+        world.wait(lambda: in_force(2, world.entries), IN_FORCE, "a change is not in force everywhere")
+        for entry in world.entries[:6]:
+            entry.stop()
+        world.configure(3, 2)
+        world.wait(lambda: in_force(3, world.entries[6:]), IN_FORCE, "a change after a loss is not in force everywhere")
+
     def test_process_is_ready_only_when_it_knows_all_searchers(self):
         world = self.world()
         entry = world.entries[0]
