A searcher is full when its queue takes a good part of the time that calls have

Cause: with a call waiting for each slot as the sign, searchers of two slots and short calls counted as full for a wait of a tenth of the target.

Ruled out: the naming of VMs (small fleets are named whole) and the feed (no relay there).

Change: the wait by load report and measured time of a call, against the longest wait of the route's calls.

--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -164,6 +164,7 @@
                  const BackendTerms &backend,
                  const CallTerms &terms) const;
     static bool isCongested(TimePoint now, const TrackedSearcher &searcher, const CallTerms &terms);
+    static bool isFull(TimePoint now, const TrackedSearcher &searcher, const CallTerms &terms);
     Duration turn(const TrackedSearcher &searcher, const CallTerms &terms) const;
     bool mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms) const;
     std::size_t connectionLimit(const BackendTerms &terms) const;
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -79,11 +79,12 @@
     /// True if an open call has taken much longer than usual: the searcher may be standing still.
     bool isOverdue(TimePoint now) const noexcept;
 
-    /// True if calls were queueing there when the searcher last told its load, unless that was long ago.
-    bool isFull(TimePoint now) const noexcept { return now < fullUntil_; }
+    /// Time that a call waits there for a slot, in multiples of the usual time, as the searcher last told its load; 0
+    /// if that was long ago.
+    double queueRounds(TimePoint now) const noexcept { return now < queueKnownUntil_ ? queueRounds_ : 0; }
 
-    /// False if the searcher is full and this process has had its part of what the searcher bears for now.
-    bool hasTurn(TimePoint now) const noexcept { return !isFull(now) || now >= nextTurnAt_; }
+    /// True if this process has not had its part of what the searcher bears for now.
+    bool hasTurn(TimePoint now) const noexcept { return now >= nextTurnAt_; }
 
     /// Notes that this process has taken its turn. \param turn time until the next one.
     void takeTurn(TimePoint now, Duration turn) noexcept;
@@ -116,7 +117,7 @@
     void onBad(TimePoint now, const OpenCall &call, CallEnd end);
     void leaveAlone(TimePoint now, std::uint32_t doublings, Duration longest);
     void addLoad(TimePoint now, const LoadReport &load);
-    void addServiceTime(double rounds, const LoadReport &load);
+    void addServiceTime(double rounds, const LoadReport &load) noexcept;
     void addSlowness(TimePoint now, double sample);
     void addFailure(TimePoint now, double sample);
     double failureShare(TimePoint now) const noexcept;
@@ -139,7 +140,8 @@
     /// Calls of other processes that the searcher had when it last told its load.
     double othersCalls_ = 0;
     TimePoint loadAt_;
-    TimePoint fullUntil_;
+    double queueRounds_ = 0;
+    TimePoint queueKnownUntil_;
     TimePoint nextTurnAt_;
     double serviceRounds_ = 1;
 };
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -23,6 +23,8 @@
 /// Calls that a searcher at which calls queue is given, in multiples of what it bears: the entry VMs do not all use
 /// their parts at all times.
 constexpr double fullShare = 1.25;
+/// Share of the longest wait of a call from which on a searcher's queue counts as full.
+constexpr double fullWaitShare = 0.35;
 /// Share of a cold searcher's rate that its holder uses; two VMs may take themselves for the holder for a short time.
 constexpr double coldShare = 0.45;
 /// Range of the random factor that keeps entry VMs from choosing alike.
@@ -185,7 +187,7 @@
             return Room::Now;
         }
         const bool hasTurnSoon = searcher->hasTurn(now + terms.longestWait);
-        const bool isFreeSoon = !searcher->isFull(now) || (hasTurnSoon && !isWaitedFor);
+        const bool isFreeSoon = !isFull(now, *searcher, terms) || (hasTurnSoon && !isWaitedFor);
         if (isFreeSoon && !isCongested(now, *searcher, terms)) {
             room = Room::Soon;
         }
@@ -198,8 +200,8 @@
                            const BackendTerms &backend,
                            const CallTerms &terms) const
 {
-    const bool isInTheWay = terms.isHedge && searcher.isFull(now);
-    return !isCongested(now, searcher, terms) && !isInTheWay && searcher.hasTurn(now)
+    const bool mayQueue = searcher.hasTurn(now) && !terms.isHedge;
+    return !isCongested(now, searcher, terms) && (mayQueue || !isFull(now, searcher, terms))
         && searcher.openCalls() < callLimit(searcher, backend) && mayCallCold(now, searcher, backend);
 }
 
@@ -209,6 +211,13 @@
     return searcher.openCalls() > 0 && expected > toMilliseconds(terms.longestWait);
 }
 
+// Calls queue there for a good part of the time that they have.
+bool SearcherPool::isFull(TimePoint now, const TrackedSearcher &searcher, const CallTerms &terms)
+{
+    const double wait = searcher.queueRounds(now) * toMilliseconds(terms.typical);
+    return wait > fullWaitShare * toMilliseconds(terms.longestWait);
+}
+
 // Time between two calls of this process at a searcher where calls queue: its part of what the searcher bears.
 Duration SearcherPool::turn(const TrackedSearcher &searcher, const CallTerms &terms) const
 {
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -29,8 +29,8 @@
 constexpr double busySlotCost = 0.4;
 /// Time in which a load report loses its meaning, in milliseconds.
 constexpr double loadFadeMs = 60;
-/// Time for which a searcher counts as full after a load report with a call waiting for each slot.
-constexpr Duration fullTime = std::chrono::milliseconds(500);
+/// Time for which a searcher's queue counts after the searcher has told of it.
+constexpr Duration queueMemory = std::chrono::milliseconds(500);
 /// Factor by which a cold searcher is slower.
 constexpr double coldSlowness = 1.6;
 /// First and longest time for which a searcher is left alone after failures in a row.
@@ -115,12 +115,12 @@
     const OpenCall call = *found;
     calls_.erase(found);
     const Duration elapsed = now - call.startedAt;
-    if (load) {
-        addLoad(now, *load);
-    }
     if (load && end == CallEnd::Answered) {
         addServiceTime(ratio(elapsed, call.typical), *load);
     }
+    if (load) {
+        addLoad(now, *load);
+    }
     switch (end) {
     case CallEnd::Answered:
         onGood(now, elapsed, call.typical);
@@ -142,12 +142,13 @@
     const double others = static_cast<double>(load.running + load.waiting) - static_cast<double>(calls_.size());
     othersCalls_ = std::max(0.0, others);
     loadAt_ = now;
-    const bool isQueueing = load.waiting >= std::max(load.slots, 1U);
-    fullUntil_ = isQueueing ? now + fullTime : now;
+    const double slots = std::max<double>(1, load.slots);
+    queueRounds_ = static_cast<double>(load.waiting) / slots * serviceRounds_;
+    queueKnownUntil_ = now + queueMemory;
 }
 
 // The calls that are waiting now are about as many as those that were when this one arrived.
-void TrackedSearcher::addServiceTime(double rounds, const LoadReport &load)
+void TrackedSearcher::addServiceTime(double rounds, const LoadReport &load) noexcept
 {
     const double slots = std::max<double>(1, load.slots);
     const double sample = std::min(mostSlowness, rounds * slots / (slots + static_cast<double>(load.waiting)));
