A connection that has ended, or on which something unread lies, carries no call

It looked like a request that had crashed two searchers and was barred.

Ruled out: the test, which stops the searchers and then asks; evidence of calls that were really open.

Change: before an idle connection carries a call, the socket is looked at: an end, a reset, or bytes that nobody asked for (a late second answer) rule it out. http_test shows it without a turn of the loop.

--- a/libs/entry/src/searcherlinks.cpp
+++ b/libs/entry/src/searcherlinks.cpp
@@ -39,7 +39,7 @@
         const Idle idle = links.idle.back();
         links.idle.pop_back();
         idle.connection->setOnLost(nullptr);
-        const bool isFresh = idle.connection->isOpen() && now < idle.expiresAt && now - idle.since <= longestIdle;
+        const bool isFresh = now < idle.expiresAt && now - idle.since <= longestIdle && idle.connection->isQuiet();
         if (isFresh) {
             return {idle.connection, false};
         }
--- a/libs/http/include/http/clientconnection.h
+++ b/libs/http/include/http/clientconnection.h
@@ -79,6 +79,10 @@
 
     /// True while the connection is open.
     virtual bool isOpen() const noexcept = 0;
+
+    /// True if the connection may carry a call: it is open, and the server has neither closed it nor sent anything that
+    /// has not been read yet. A call on a connection that has ended would look as if it had reached the server.
+    virtual bool isQuiet() noexcept = 0;
 };
 
 } // namespace sassafrasvane::http
--- a/libs/http/src/clientconnection.cpp
+++ b/libs/http/src/clientconnection.cpp
@@ -7,6 +7,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+
 namespace sassafrasvane::http
 {
 
@@ -31,6 +35,7 @@
     void setOnLost(std::function<void()> hook) override { onLost_ = std::move(hook); }
     void close() override;
     bool isOpen() const noexcept override { return socket_.is_open(); }
+    bool isQuiet() noexcept override;
 
 private:
     std::shared_ptr<TcpClientConnection> self()
@@ -176,6 +181,16 @@
     finish(std::move(result));
 }
 
+bool TcpClientConnection::isQuiet() noexcept
+{
+    if (!socket_.is_open()) {
+        return false;
+    }
+    char next = 0;
+    const ssize_t size = ::recv(socket_.native_handle(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void TcpClientConnection::finish(CallResult result)
 {
     const std::shared_ptr<TcpClientConnection> alive = self();
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -343,6 +343,22 @@
     BOOST_TEST((world.result().failure == Errc::BadMessage));
 }
 
+BOOST_AUTO_TEST_CASE(endOfAnIdleConnectionIsSeenBeforeItIsRead)
+{
+    ClientWorld closed;
+    BOOST_TEST(closed.connection->isQuiet());
+    closed.peer.close();
+    BOOST_TEST(!closed.connection->isQuiet());
+    ClientWorld reset;
+    reset.peer.set_option(boost::asio::socket_base::linger(true, 0));
+    reset.peer.close();
+    BOOST_TEST(!reset.connection->isQuiet());
+    // A second copy of an answer.
+    ClientWorld spoken;
+    spoken.answer("HTTP/1.1 200 OK\r\n");
+    BOOST_TEST(!spoken.connection->isQuiet());
+}
+
 BOOST_AUTO_TEST_CASE(idleConnectionThatIsClosedIsTold)
 {
     ClientWorld world;
