--- a/libs/control/src/messagesjson.cpp
+++ b/libs/control/src/messagesjson.cpp
@@ -1,5 +1,6 @@
 #include "messagesjson.h"
 
+#include "base/jsonnumber.h"
 #include "jsonfields.h"
 
 namespace sassafrasvane
@@ -86,14 +87,14 @@
     Span span;
     json.at("name").get_to(span.name);
     span.context = detail::valueOrThrow(TraceContext::parse(json.at("context").get_ref<const std::string &>()));
-    span.parent.value = json.at("parent").get<std::uint64_t>();
+    span.parent.value = wholeNumber(json.at("parent"));
     json.at("startMicros").get_to(span.startMicros);
     json.at("endMicros").get_to(span.endMicros);
     for (const Json &attribute : json.at("attributes")) {
         span.attributes.push_back(readAttribute(attribute));
     }
-    const int status = json.at("status").get<int>();
-    if (status < 0 || status > static_cast<int>(SpanStatus::Error)) {
+    const std::uint64_t status = wholeNumber(json.at("status"));
+    if (status > static_cast<std::uint64_t>(SpanStatus::Error)) {
         throw std::invalid_argument("unknown span status");
     }
     span.status = static_cast<SpanStatus>(status);
--- a/libs/control/src/statusjson.cpp
+++ b/libs/control/src/statusjson.cpp
@@ -1,3 +1,4 @@
+#include "base/jsonnumber.h"
 #include "jsonfields.h"
 #include "messagesjson.h"
 
@@ -16,7 +17,7 @@
 
 PublishedStatus readPublished(const Json &json)
 {
-    return {ConfigVersion{json.at("version").get<std::uint64_t>()}, json.at("ageSeconds").get<double>()};
+    return {ConfigVersion{wholeNumber(json.at("version"))}, json.at("ageSeconds").get<double>()};
 }
 
 Json peerJson(const PeerStatus &peer)
@@ -46,7 +47,7 @@
 SearcherStatus readSearcher(const Json &json)
 {
     SearcherStatus searcher;
-    searcher.id = SearcherId{json.at("id").get<std::uint32_t>()};
+    searcher.id = SearcherId{wholeNumber<std::uint32_t>(json.at("id"))};
     searcher.address = detail::addressAt(json, "address");
     json.at("backEnd").get_to(searcher.backEnd);
     json.at("failureDomain").get_to(searcher.failureDomain);
@@ -91,7 +92,7 @@
         // Names of errors begin at 1.
         for (int i = 1; i <= static_cast<int>(Errc::Internal); ++i) {
             if (refusal.at("reason") == name(static_cast<Errc>(i))) {
-                refusals.push_back({static_cast<Errc>(i), refusal.at("count").get<std::uint64_t>()});
+                refusals.push_back({static_cast<Errc>(i), wholeNumber(refusal.at("count"))});
             }
         }
     }
@@ -196,7 +197,7 @@
 void from_json(const nlohmann::json &json, DaemonStatus &status)
 {
     status.id = detail::addressAt(json, "id");
-    status.incarnation.value = json.at("incarnation").get<std::uint64_t>();
+    status.incarnation.value = wholeNumber(json.at("incarnation"));
     json.at("program").get_to(status.program);
     json.at("failureDomain").get_to(status.failureDomain);
     json.at("region").get_to(status.region);
--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -40,6 +40,16 @@
     std::string key;
 };
 
+/// The entry VMs that callers are sent to, as one process sees them.
+struct NamedMembers {
+    /// How many are named now.
+    std::size_t count = 0;
+    /// True if the process itself is one of them.
+    bool hasSelf = false;
+    /// Names of those among which limits are divided: named now or lately, and the process itself.
+    std::set<std::string> sharers;
+};
+
 /// Runs the membership exchange on a UDP socket.
 class PeerTask
 {
@@ -87,15 +97,8 @@
     /// Where callers may connect: a part of the members that is spread over the failure domains.
     std::vector<Address> callerAddresses(TimePoint now) const;
 
-    /// Names of the entry VMs among which limits are divided: those that are or lately were named to callers, and this
-    /// one.
-    std::set<std::string> fleet(TimePoint now);
-
-    /// True if this process is named to callers.
-    bool isNamed() const;
-
-    /// How many entry VMs are named to callers now.
-    std::size_t namedCount() const { return namedVms(candidates()).size(); }
+    /// The entry VMs that are named to callers now, and those that lately were.
+    NamedMembers named(TimePoint now);
 
     /// The members that should follow the store, this process included.
     std::vector<SubsetCandidate> readers(std::size_t count) const;
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -71,6 +71,14 @@
     return {settings.listeners.control.ip, settings.peerPort};
 }
 
+/// Where a process learns what the store holds.
+struct FeedPeers {
+    /// Processes to ask for changes, best one first.
+    std::vector<Address> others;
+    /// True if this process follows the store itself.
+    bool isReader = false;
+};
+
 } // namespace
 
 class EntryProcess::Implementation
@@ -108,7 +116,7 @@
     void answerControl(const ExchangePtr &exchange);
     void answerMetrics(const ExchangePtr &exchange);
     void onMembers();
-    std::vector<Address> feedPeers(bool &isReader) const;
+    FeedPeers feedPeers() const;
     Address controlOf(DaemonId daemon) const;
     Duration startPatience() const noexcept
     {
@@ -153,7 +161,6 @@
     unsigned ticks_ = 0;
     /// True if callers are sent here.
     bool isNamed_ = false;
-    std::uint64_t unexpectedErrors_ = 0;
     PlannedStop stop_;
 };
 
@@ -220,8 +227,7 @@
         try {
             context_.run();
         } catch (const std::exception &exception) {
-            ++unexpectedErrors_;
-            log_.line(EventRank::Important, "unexpected_error").text("detail", exception.what());
+            log_.unexpectedError(exception);
         }
     }
 }
@@ -248,16 +254,8 @@
 
 void EntryProcess::Implementation::answerMetrics(const ExchangePtr &exchange)
 {
-    const detail::MetricsSources sources{entry_,
-                                         dispatcher_,
-                                         crashes_,
-                                         state_,
-                                         store_,
-                                         *peers_,
-                                         servers_.callers(),
-                                         log_,
-                                         searcherMemory_,
-                                         unexpectedErrors_};
+    const detail::MetricsSources sources{
+        entry_, dispatcher_, crashes_, state_, store_, *peers_, servers_.callers(), log_, searcherMemory_};
     exchange->respond(http::textResponse(200, "text/plain; version=0.0.4", detail::metricsText(sources)));
 }
 
@@ -272,41 +270,38 @@
 void EntryProcess::Implementation::onMembers()
 {
     const TimePoint now = BootClock::now();
-    pool_.setFleet(peers_->fleet(now), peers_->namedCount());
-    isNamed_ = peers_->isNamed();
+    const NamedMembers named = peers_->named(now);
+    pool_.setFleet(named.sharers, named.count);
+    isNamed_ = named.hasSelf;
     // A process that has just started may hear of its peers any moment; until then it asks the seeds.
     const bool isAlone = peers_->reachable() == 1 && now - startedAt_ < startPatience();
     // With a part of the members in view, far too many processes would take themselves for readers.
     const bool isGathering
         = settings_.isFirstStart && now - startedAt_ < longestGathering && now - membersChangedAt_ < quietTime;
-    std::vector<Address> others = settings_.seeds;
-    bool isReader = false;
-    if (!isAlone && !isGathering) {
-        others = feedPeers(isReader);
-    }
-    std::erase(others, settings_.listeners.control);
-    feed_.setReaders(others, isReader, peers_->reachable());
+    FeedPeers feed = isAlone || isGathering ? FeedPeers{settings_.seeds, false} : feedPeers();
+    std::erase(feed.others, settings_.listeners.control);
+    feed_.setReaders(feed.others, feed.isReader, peers_->reachable());
 }
 
 // The first one is followed for its changes: a near one, as bytes between failure domains cost.
-std::vector<Address> EntryProcess::Implementation::feedPeers(bool &isReader) const
+FeedPeers EntryProcess::Implementation::feedPeers() const
 {
-    std::vector<Address> others;
+    FeedPeers peers;
     bool hasNear = false;
     for (const SubsetCandidate &reader : peers_->readers(FeedTask::readers())) {
         if (reader.daemon == peers_->self()) {
-            isReader = true;
+            peers.isReader = true;
             continue;
         }
         const bool isNear = reader.failureDomain == settings_.failureDomain;
-        others.insert(isNear ? others.begin() : others.end(), controlOf(reader.daemon));
+        peers.others.insert(isNear ? peers.others.begin() : peers.others.end(), controlOf(reader.daemon));
         hasNear = hasNear || isNear;
     }
-    const std::optional<DaemonId> relay = isReader || hasNear ? std::nullopt : peers_->relay();
+    const std::optional<DaemonId> relay = peers.isReader || hasNear ? std::nullopt : peers_->relay();
     if (relay && *relay != peers_->self()) {
-        others.insert(others.begin(), controlOf(*relay));
+        peers.others.insert(peers.others.begin(), controlOf(*relay));
     }
-    return others;
+    return peers;
 }
 
 Address EntryProcess::Implementation::controlOf(DaemonId daemon) const
--- a/libs/entry/src/feedcodec.cpp
+++ b/libs/entry/src/feedcodec.cpp
@@ -1,5 +1,6 @@
 #include "entry/feedcodec.h"
 
+#include "base/jsonnumber.h"
 #include "base/number.h"
 
 #include <nlohmann/json.hpp>
@@ -42,13 +43,13 @@
     try {
         const Json json = Json::from_msgpack(bytes);
         FeedAnswer answer;
-        answer.asOf = json.at(0).get<std::uint64_t>();
+        answer.asOf = wholeNumber(json.at(0));
         answer.isFull = json.at(1).get<bool>();
-        answer.age = std::chrono::milliseconds(std::min(json.at(3).get<std::uint64_t>(), longestAgeMs));
+        answer.age = std::chrono::milliseconds(std::min(wholeNumber(json.at(3)), longestAgeMs));
         for (const Json &entry : json.at(2)) {
             StoreItem item;
             item.key = entry.at(0).get<std::string>();
-            item.revision = entry.at(1).get<std::uint64_t>();
+            item.revision = wholeNumber(entry.at(1));
             item.isRemoved = entry.at(2).get<bool>();
             const Json::binary_t &value = entry.at(3).get_binary();
             item.value.assign(value.begin(), value.end());
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -57,7 +57,7 @@
     add(text, "log_lines_dropped_total", "counter", sources.log.droppedLines());
     add(text, "response_bytes_held", "gauge", sources.responses.used());
     add(text, "responses_without_memory_total", "counter", sources.responses.refusals());
-    add(text, "unexpected_errors_total", "counter", sources.unexpectedErrors);
+    add(text, "unexpected_errors_total", "counter", sources.log.unexpectedErrors());
     return text;
 }
 
--- a/libs/entry/src/metricstext.h
+++ b/libs/entry/src/metricstext.h
@@ -27,7 +27,6 @@
     const http::Server &callers;
     const EventLog &log;
     const http::ResponseMemory &responses;
-    std::uint64_t unexpectedErrors = 0;
 };
 
 /// All series.
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -161,7 +161,7 @@
     try {
         takeDatagram(bytes);
     } catch (const std::exception &exception) {
-        log_.line(EventRank::Important, "unexpected_error").text("detail", exception.what());
+        log_.unexpectedError(exception);
     }
 }
 
@@ -339,23 +339,22 @@
     return addresses;
 }
 
-bool PeerTask::isNamed() const
+NamedMembers PeerTask::named(TimePoint now)
 {
-    const std::vector<DaemonId> named = namedVms(candidates());
-    return std::find(named.begin(), named.end(), membership_.self().daemon) != named.end();
-}
-
-std::set<std::string> PeerTask::fleet(TimePoint now)
-{
-    for (const DaemonId daemon : namedVms(candidates())) {
+    const DaemonId self = membership_.self().daemon;
+    const std::vector<DaemonId> chosen = namedVms(candidates());
+    for (const DaemonId daemon : chosen) {
         namedAt_[daemon] = now;
     }
     std::erase_if(namedAt_, [now](const auto &entry) { return now - entry.second >= countedAfterNamed(); });
-    std::set<std::string> fleet{peerAddress(membership_.self().daemon).toString()};
+    NamedMembers named;
+    named.count = chosen.size();
+    named.hasSelf = std::find(chosen.begin(), chosen.end(), self) != chosen.end();
+    named.sharers.insert(peerAddress(self).toString());
     for (const auto &[daemon, at] : namedAt_) {
-        fleet.insert(peerAddress(daemon).toString());
+        named.sharers.insert(peerAddress(daemon).toString());
     }
-    return fleet;
+    return named;
 }
 
 std::vector<SubsetCandidate> PeerTask::readers(std::size_t count) const
--- a/libs/entry/src/storetask.cpp
+++ b/libs/entry/src/storetask.cpp
@@ -159,6 +159,7 @@
         take(call, *result.response);
     } catch (const std::exception &exception) {
         // The calls to the store must go on.
+        log_.unexpectedError(exception);
         refuse(Error{Errc::Internal, Step::Configuration, store_.toString(), exception.what()});
     }
 }
--- a/libs/entry/tests/feedcodec_test.cpp
+++ b/libs/entry/tests/feedcodec_test.cpp
@@ -30,6 +30,20 @@
     BOOST_TEST(decodeFeedAnswer("\x93\x01\x02\x03").has_error());
 }
 
+// A revision that is read as another number would let the feed pass over every change up to it.
+BOOST_AUTO_TEST_CASE(numbersThatAreNotWholeAreRefused)
+{
+    const std::string whole = encodeFeedAnswer({{}, 9, false, Duration{0}});
+    const std::string afterRevision = whole.substr(2);
+    BOOST_REQUIRE(decodeFeedAnswer(whole).has_value());
+    const std::string minusOne = "\xff";
+    const std::string float32 = std::string("\xca\xca\xff\xff\xff", 5);
+    const std::string float64 = std::string("\xcb\x7e\x37\xe4\x3c\x88\x00\x75\x9c", 9);
+    for (const std::string &revision : {minusOne, float32, float64}) {
+        BOOST_TEST(decodeFeedAnswer(whole.substr(0, 1) + revision + afterRevision).has_error());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(questionsSurviveTheirEncoding)
 {
     for (const bool wantsItems : {true, false}) {
--- a/libs/observe/include/observe/eventlog.h
+++ b/libs/observe/include/observe/eventlog.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -76,12 +77,18 @@
     /// Begins a line about \p event, a stable name such as "request_answered".
     EventLine line(EventRank rank, std::string_view event);
 
+    /// Tells and counts an exception that ended what a handler was working on.
+    void unexpectedError(const std::exception &exception);
+
     /// Writes what the descriptor takes at once.
     void flush();
 
     /// Lines dropped since the start.
     std::uint64_t droppedLines() const noexcept { return droppedLines_; }
 
+    /// Calls of unexpectedError() since the start.
+    std::uint64_t unexpectedErrors() const noexcept { return unexpectedErrors_; }
+
 private:
     friend class EventLine;
     struct Writer;
@@ -98,6 +105,7 @@
     TimePoint refilledAt_;
     std::uint64_t droppedLines_ = 0;
     std::uint64_t reportedLines_ = 0;
+    std::uint64_t unexpectedErrors_ = 0;
 };
 
 } // namespace sassafrasvane
--- a/libs/observe/src/eventlog.cpp
+++ b/libs/observe/src/eventlog.cpp
@@ -133,6 +133,12 @@
     flush();
 }
 
+void EventLog::unexpectedError(const std::exception &exception)
+{
+    ++unexpectedErrors_;
+    line(EventRank::Important, "unexpected_error").text("detail", exception.what());
+}
+
 EventLine EventLog::line(EventRank rank, std::string_view event)
 {
     if (!admits(rank)) {
--- a/libs/observe/tests/eventlog_test.cpp
+++ b/libs/observe/tests/eventlog_test.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,19 @@
     BOOST_TEST(line["peer"] == "10.0.0.1:80");
 }
 
+BOOST_AUTO_TEST_CASE(unexpectedErrorsAreToldAndCounted)
+{
+    Pipe pipe;
+    EventLog log(pipe.writeEnd(), "vm-1");
+    log.unexpectedError(std::runtime_error("out of range"));
+    log.flush();
+    const std::vector<nlohmann::json> lines = pipe.lines();
+    BOOST_REQUIRE(lines.size() == 1U);
+    BOOST_TEST(lines[0]["event"] == "unexpected_error");
+    BOOST_TEST(lines[0]["detail"] == "out of range");
+    BOOST_TEST(log.unexpectedErrors() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(routineLinesAreDroppedFirstAndCounted)
 {
     Pipe pipe;
--- a/libs/wire/src/backendapi.cpp
+++ b/libs/wire/src/backendapi.cpp
@@ -1,7 +1,11 @@
 #include "wire/backendapi.h"
 
+#include "base/jsonnumber.h"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace sassafrasvane
 {
 
@@ -22,17 +26,33 @@
     return answer;
 }
 
+/// The whole number at \p name; 0 if there is none.
+template<std::unsigned_integral Whole = std::uint64_t>
+Whole wholeAt(const json &document, const char *name)
+{
+    if (!document.is_object()) {
+        throw std::invalid_argument("not an object");
+    }
+    return document.contains(name) ? wholeNumber<Whole>(document.at(name)) : Whole{0};
+}
+
+int readLoad(const json &load)
+{
+    const std::uint64_t calls
+        = std::uint64_t{wholeAt<std::uint32_t>(load, "running")} + wholeAt<std::uint32_t>(load, "waiting");
+    return static_cast<int>(std::min<std::uint64_t>(calls, std::numeric_limits<int>::max()));
+}
+
 Hit readHit(const json &document)
 {
-    return {document.at("key").get<std::uint64_t>(),
-            document.at("score").get<double>(),
-            document.at("body").get<std::string>()};
+    return {
+        wholeNumber(document.at("key")), document.at("score").get<double>(), document.at("body").get<std::string>()};
 }
 
 PartResult readPart(const json &document)
 {
     PartResult part;
-    part.part = PartId{document.at("part").get<std::uint32_t>()};
+    part.part = PartId{wholeNumber<std::uint32_t>(document.at("part"))};
     for (const json &hit : document.at("hits")) {
         part.hits.push_back(readHit(hit));
     }
@@ -43,8 +63,8 @@
 {
     BackEndAnswer answer;
     answer.outcome = CallOutcome::Answered;
-    answer.incarnation = Incarnation{document.value("incarnation", std::uint64_t{0})};
-    answer.version = IndexVersion{document.value("index", std::uint64_t{0})};
+    answer.incarnation = Incarnation{wholeAt(document, "incarnation")};
+    answer.version = IndexVersion{wholeAt(document, "index")};
     if (document.contains("parts")) {
         for (const json &part : document.at("parts")) {
             answer.parts.push_back(readPart(part));
@@ -54,8 +74,7 @@
         answer.result = document.at("result").dump(-1, ' ', false, json::error_handler_t::replace);
     }
     if (document.contains("load")) {
-        const json &load = document.at("load");
-        answer.reportedLoad = load.value("running", 0) + load.value("waiting", 0);
+        answer.reportedLoad = readLoad(document.at("load"));
     }
     return answer;
 }
@@ -65,7 +84,7 @@
     BackEndAnswer answer;
     answer.outcome = status == statusConflict ? CallOutcome::WrongVersion : CallOutcome::Refused;
     answer.error = status == statusConflict ? Errc::WrongVersion : Errc::Refused;
-    answer.incarnation = Incarnation{document.value("incarnation", std::uint64_t{0})};
+    answer.incarnation = Incarnation{wholeAt(document, "incarnation")};
     answer.saysCold = document.value("refused", std::string()) == "cold";
     return answer;
 }
@@ -109,7 +128,7 @@
         if (httpStatus == statusTimeout && document.value("cancelled", false)) {
             return failed(Errc::Cancelled);
         }
-    } catch (const json::exception &) {
+    } catch (const std::exception &) {
         return failed(Errc::BadMessage);
     }
     return failed(Errc::BadMessage);
--- a/libs/wire/tests/httpapi_test.cpp
+++ b/libs/wire/tests/httpapi_test.cpp
@@ -58,7 +58,15 @@
     BOOST_TEST(cold.saysCold);
     BOOST_TEST((readBackEndAnswer(409, R"({"refused": "version"})").outcome == CallOutcome::WrongVersion));
     BOOST_TEST((readBackEndAnswer(504, R"({"cancelled": true})").error == Errc::Cancelled));
-    for (const char *text : {"", "[]", "{\"parts\": 3}", "{\"index\": \"x\"}", "{\"parts\": [{}]}"}) {
+    for (const char *text : {"",
+                             "[]",
+                             "{\"parts\": 3}",
+                             "{\"index\": \"x\"}",
+                             "{\"parts\": [{}]}",
+                             "{\"index\": -1}",
+                             "{\"incarnation\": 1.5}",
+                             "{\"parts\": [{\"part\": 4294967297, \"hits\": []}]}",
+                             "{\"load\": {\"running\": 1e300}}"}) {
         BOOST_TEST((readBackEndAnswer(200, text).outcome == CallOutcome::Failed), text);
     }
     BOOST_TEST((readBackEndAnswer(500, "{}").outcome == CallOutcome::Failed));
