Parts of short shards are left out where the answer can do without them

Cause: a query started on all its parts. Of two shards that are short of searchers it took a turn of each, although its answer may leave one out, so that together they carried what one of them bears; and parts that could do without waited in line before calls of queries that needed them. Change: Room tells turns from room (Turn, NextTurn); Gather leaves out parts without a turn that the answer can spare, and calls one when another part is late or lost. request_ended tells left_out beside missing.

--- a/libs/entry/src/requestend.cpp
+++ b/libs/entry/src/requestend.cpp
@@ -148,7 +148,8 @@
         .milliseconds("hedge_after_ms", gatherTerms_.hedgeDelay)
         .count("configuration", table_->version());
     if (gather_.answeredParts() < parts_.size()) {
-        line.text("missing", backendsWhere([this](std::size_t part) { return !gather_.isAnswered(part); }));
+        line.text("missing", backendsWhere([this](std::size_t part) { return !gather_.isAnswered(part); }))
+            .count("left_out", gather_.leftOutParts());
     }
     if (end == GatherEnd::Unserved) {
         line.text("without_room", backendsWhere([this](std::size_t part) { return room(part) == Room::None; }));
--- a/libs/entry/tests/overload_test.cpp
+++ b/libs/entry/tests/overload_test.cpp
@@ -125,6 +125,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(queriesShareTheShardsThatAreShort)
+{
+    // An answer may leave out either of the two short shards, so together they bear more than one of them does.
+    constexpr double load = 2;
+    for (const double slowness : {1.0, 2.0}) {
+        const Outcome outcome = playShortShards(Policy::Ours, slowness, load);
+        BOOST_TEST(outcome.share(outcome.inTime) > 1 / load);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(callersOfVerySlowShardsAreRefusedAtOnceOrServed)
 {
     // A call takes most of the latency target there, so that hardly any may wait.
--- a/libs/gather/include/gather/gather.h
+++ b/libs/gather/include/gather/gather.h
@@ -78,9 +78,11 @@
 ///
 /// Nothing is sent until the parts that an answer needs have room, most of them now and the rest soon: a query must not
 /// hold searchers of some shards while it waits for others, and one that cannot start can be refused as not run. Then
-/// every part is sent at once. A late part is hedged and a failed one retried, on other searchers and within
-/// maxAttempts. The request ends as soon as its outcome cannot improve in time: when every part is answered or lost,
-/// when leastParts can no longer be reached, at the target if leastParts are there, or at the deadline.
+/// every part is sent at once, but for those that an answer can do without and whose searchers have no turn left for
+/// this process: they are sent only if others are late or lost. A late part is hedged and a failed one retried, on
+/// other searchers and within maxAttempts. The request ends as soon as its outcome cannot improve in time: when every
+/// part is answered or lost, when leastParts can no longer be reached, at the target if leastParts are there, or at the
+/// deadline.
 ///
 /// \code
 /// Gather gather(terms, hooks);
@@ -122,6 +124,8 @@
     /// True if some call is on its way.
     bool hasOpenCalls() const noexcept;
     std::size_t answeredParts() const noexcept { return answered_; }
+    /// Parts that were not sent, as their searchers were full and the answer could do without them.
+    std::size_t leftOutParts() const noexcept { return leftOut_; }
     bool isAnswered(std::size_t part) const { return parts_[part].state == State::Answered; }
     /// True if some call may have run.
     bool mayHaveRun() const noexcept { return mayHaveRun_; }
@@ -129,6 +133,7 @@
 private:
     enum class State {
         Idle,
+        LeftOut,
         Waiting,
         Running,
         Answered,
@@ -137,6 +142,7 @@
 
     struct Part {
         State state = State::Idle;
+        Room room = Room::None;
         std::uint32_t openCalls = 0;
         /// Calls that may have run or may still run.
         std::uint32_t attempts = 0;
@@ -145,6 +151,10 @@
     };
 
     void place(TimePoint now, std::size_t part, CallPurpose purpose);
+    void leaveOutFull(std::size_t others);
+    void callLeftOut(TimePoint now);
+    void callLeftOut(TimePoint now, std::size_t part);
+    void callOneLeftOut(TimePoint now);
     void lose(std::size_t part);
     void check(TimePoint now);
     void hedgeLate(TimePoint now);
@@ -156,6 +166,8 @@
     std::vector<Part> parts_;
     std::size_t answered_ = 0;
     std::size_t lost_ = 0;
+    /// Parts that are called only if others are lost.
+    std::size_t leftOut_ = 0;
     std::size_t sent_ = 0;
     bool mayHaveRun_ = false;
     bool isFinished_ = false;
--- a/libs/gather/src/gather.cpp
+++ b/libs/gather/src/gather.cpp
@@ -33,26 +33,78 @@
 
 bool Gather::start(TimePoint now)
 {
-    std::size_t roomy = 0;
-    std::size_t soon = 0;
+    std::array<std::size_t, roomCount> counts{};
     for (std::size_t part = 0; part < parts_.size(); ++part) {
-        const Room room = hooks_.room(part);
-        roomy += room == Room::Now ? 1 : 0;
-        soon += room == Room::Soon ? 1 : 0;
+        parts_[part].room = hooks_.room(part);
+        ++counts.at(static_cast<std::size_t>(parts_[part].room));
     }
-    const bool isEnoughNow = static_cast<double>(roomy) >= startShare * static_cast<double>(terms_.leastParts);
-    if (!isEnoughNow || roomy + soon < terms_.leastParts) {
+    const auto count = [&counts](Room room) { return counts.at(static_cast<std::size_t>(room)); };
+    const std::size_t atOnce = count(Room::Now) + count(Room::Turn);
+    const std::size_t possible = parts_.size() - count(Room::None);
+    const bool isEnoughAtOnce = static_cast<double>(atOnce) >= startShare * static_cast<double>(terms_.leastParts);
+    if (!isEnoughAtOnce || possible < terms_.leastParts) {
         return false;
     }
     isStarting_ = true;
+    leaveOutFull(possible - count(Room::NextTurn));
     for (std::size_t part = 0; part < parts_.size(); ++part) {
-        place(now, part, CallPurpose::First);
+        if (parts_[part].state == State::Idle) {
+            place(now, part, CallPurpose::First);
+        }
     }
     isStarting_ = false;
     check(now);
     return true;
 }
 
+// Back ends at which calls queue are short of searchers: the parts that an answer can do without are left to queries
+// that need them.
+void Gather::leaveOutFull(std::size_t others)
+{
+    std::size_t needed = terms_.leastParts - std::min(others, terms_.leastParts);
+    for (Part &part : parts_) {
+        if (part.room < Room::NextTurn) {
+            continue;
+        }
+        if (part.room == Room::NextTurn && needed > 0) {
+            --needed;
+        } else {
+            part.state = State::LeftOut;
+            ++leftOut_;
+        }
+    }
+}
+
+void Gather::callLeftOut(TimePoint now)
+{
+    for (std::size_t part = 0; part < parts_.size() && leftOut_ > 0; ++part) {
+        if (parts_.size() - lost_ - leftOut_ >= terms_.leastParts) {
+            return;
+        }
+        if (parts_[part].state == State::LeftOut) {
+            callLeftOut(now, part);
+        }
+    }
+}
+
+void Gather::callLeftOut(TimePoint now, std::size_t part)
+{
+    parts_[part].state = State::Idle;
+    --leftOut_;
+    place(now, part, CallPurpose::First);
+}
+
+// In place of a late part.
+void Gather::callOneLeftOut(TimePoint now)
+{
+    for (std::size_t part = 0; part < parts_.size() && leftOut_ > 0; ++part) {
+        if (parts_[part].state == State::LeftOut && hooks_.room(part) <= Room::Turn) {
+            callLeftOut(now, part);
+            return;
+        }
+    }
+}
+
 void Gather::refuse()
 {
     if (!isFinished_ && sent_ == 0) {
@@ -160,7 +212,8 @@
     if (isFinished_ || isStarting_) {
         return;
     }
-    const std::size_t possible = parts_.size() - lost_;
+    callLeftOut(now);
+    const std::size_t possible = parts_.size() - lost_ - leftOut_;
     if (possible < terms_.leastParts) {
         finish(mayHaveRun_ || hasOpenCalls() ? GatherEnd::Failed : GatherEnd::Unserved);
         return;
@@ -205,6 +258,7 @@
         if (mayHedge(state) && now >= state.sentAt + terms_.hedgeDelay) {
             state.isHedged = true;
             place(now, part, CallPurpose::Hedge);
+            callOneLeftOut(now);
         }
     }
 }
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -159,6 +159,11 @@
 
     bool isUsable(const TrackedSearcher &searcher) const;
     static bool isAvailable(TimePoint now, const TrackedSearcher &searcher);
+    Room roomAt(TimePoint now,
+                const TrackedSearcher &searcher,
+                const BackendTerms &backend,
+                const CallTerms &terms,
+                bool isWaitedFor) const;
     bool hasRoom(TimePoint now,
                  const TrackedSearcher &searcher,
                  const BackendTerms &backend,
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -183,18 +183,31 @@
         if (!isUsable(*searcher) || !isAvailable(now, *searcher)) {
             continue;
         }
-        if (!isWaitedFor && hasRoom(now, *searcher, backend.terms_, terms)) {
-            return Room::Now;
-        }
-        const bool hasTurnSoon = searcher->hasTurn(now + terms.longestWait);
-        const bool isFreeSoon = !isFull(now, *searcher, terms) || (hasTurnSoon && !isWaitedFor);
-        if (isFreeSoon && !isCongested(now, *searcher, terms)) {
-            room = Room::Soon;
-        }
+        room = std::min(room, roomAt(now, *searcher, backend.terms_, terms, isWaitedFor));
     }
     return room;
 }
 
+Room SearcherPool::roomAt(TimePoint now,
+                          const TrackedSearcher &searcher,
+                          const BackendTerms &backend,
+                          const CallTerms &terms,
+                          bool isWaitedFor) const
+{
+    const bool isSearcherFull = isFull(now, searcher, terms);
+    if (!isWaitedFor && hasRoom(now, searcher, backend, terms)) {
+        return isSearcherFull ? Room::Turn : Room::Now;
+    }
+    if (isCongested(now, searcher, terms)) {
+        return Room::None;
+    }
+    if (!isSearcherFull) {
+        return Room::Soon;
+    }
+    const bool hasTurnSoon = !isWaitedFor && searcher.hasTurn(now + terms.longestWait);
+    return hasTurnSoon ? Room::NextTurn : Room::None;
+}
+
 bool SearcherPool::hasRoom(TimePoint now,
                            const TrackedSearcher &searcher,
                            const BackendTerms &backend,
