--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -341,6 +341,8 @@
 
 NamedMembers PeerTask::named(TimePoint now)
 {
+    // Reports of deaths that are not confirmed yet come without a change of the members.
+    members_ = membership_.members();
     const DaemonId self = membership_.self().daemon;
     const std::vector<DaemonId> chosen = namedVms(candidates());
     for (const DaemonId daemon : chosen) {
--- a/libs/fleet/include/fleet/membership.h
+++ b/libs/fleet/include/fleet/membership.h
@@ -51,10 +51,14 @@
     /// True if the published list says that it is leaving.
     bool isPublishedLeaving = false;
 
+    /// True if another member has called it dead, which a probe of this member's own must confirm first.
+    bool isAccused = false;
+
     /// True if new work may be given to it.
     bool takesWork() const noexcept
     {
-        return record.state == MemberState::Alive && record.phase == MemberPhase::Serving && !isPublishedLeaving;
+        return !isAccused && record.state == MemberState::Alive && record.phase == MemberPhase::Serving
+            && !isPublishedLeaving;
     }
 };
 
@@ -162,6 +166,7 @@
     Membership();
     Error refuse(Errc reason, const GossipMessage &message, const char *detail);
     void takeRecords(TimePoint now, const GossipMessage &message, MembershipActions &actions);
+    void tellLosses(TimePoint now, std::size_t changesBefore, MembershipActions &actions);
     void answer(TimePoint now, const GossipMessage &message, MembershipActions &actions);
 
     std::unique_ptr<detail::MemberTable> table_;
--- a/libs/fleet/src/membership.cpp
+++ b/libs/fleet/src/membership.cpp
@@ -4,6 +4,7 @@
 #include "prober.h"
 
 #include <algorithm>
+#include <span>
 #include <tuple>
 
 namespace sassafrasvane
@@ -96,6 +97,19 @@
     if (isUrgent) {
         prober_->notify(now, actions);
     }
+    tellLosses(now, changesBefore, actions);
+}
+
+// Callers are sent to a lost member until the others know: probes alone spread the loss of many too slowly.
+void Membership::tellLosses(TimePoint now, std::size_t changesBefore, MembershipActions &actions)
+{
+    const std::span<const MemberChange> changes = std::span(actions.changes).subspan(changesBefore);
+    const bool hasLoss = std::any_of(changes.begin(), changes.end(), [](const MemberChange &change) {
+        return change.state == MemberState::Suspect;
+    });
+    if (hasLoss) {
+        prober_->tellLosses(now, actions);
+    }
 }
 
 void Membership::answer(TimePoint now, const GossipMessage &message, MembershipActions &actions)
@@ -124,7 +138,9 @@
 void Membership::onTimer(TimePoint now, MembershipActions &actions)
 {
     prober_->noticePause(now);
+    const std::size_t changesBefore = actions.changes.size();
     prober_->onTimer(now, actions);
+    tellLosses(now, changesBefore, actions);
     actions.wakeAt = prober_->nextTimer();
 }
 
--- a/libs/fleet/src/membertable.cpp
+++ b/libs/fleet/src/membertable.cpp
@@ -21,6 +21,8 @@
 /// Multiplies the logarithm of the fleet's size to give the periods that a suspicion lasts, and the transmissions of
 /// each change (SWIM, section 4.1).
 constexpr double logarithmFactor = 4;
+/// A loss is passed on this many times as often: members that miss it go on sending callers there.
+constexpr std::uint32_t lossTransmissions = 2;
 
 constexpr Duration forgetPeriod = std::chrono::minutes(1);
 
@@ -117,7 +119,12 @@
         return;
     }
     entry.accusers.push_back(accuser);
-    passOn(entry.record.daemon);
+    // One that still waits to be passed on keeps its place, so that it does not hold back first news of other losses.
+    const bool isWaiting = std::any_of(
+        rumors_.begin(), rumors_.end(), [&entry](const Rumor &rumor) { return rumor.member == entry.record.daemon; });
+    if (!isWaiting) {
+        passOn(entry.record.daemon);
+    }
 }
 
 void MemberTable::suspect(TimePoint now, DaemonId member, MembershipActions &actions)
@@ -267,6 +274,32 @@
     rumors_.push_back({member, 0});
 }
 
+bool MemberTable::isLoss(const Rumor &rumor) const
+{
+    const MemberRecord *record = find(rumor.member);
+    return record != nullptr && (record->state == MemberState::Suspect || record->state == MemberState::Dead);
+}
+
+void MemberTable::takeLeastSent(std::vector<Rumor>::iterator begin,
+                                std::vector<Rumor>::iterator end,
+                                std::size_t count,
+                                DaemonId receiver,
+                                std::vector<MemberRecord> &records)
+{
+    const std::vector<Rumor>::iterator last = begin + static_cast<std::ptrdiff_t>(count);
+    // Members that learnt the same changes pass them on in different orders, so that fewer are sent twice.
+    const auto rank
+        = [this](const Rumor &rumor) { return std::pair(rumor.sent, mix(self_.daemon.value, rumor.member.value)); };
+    std::partial_sort(
+        begin, last, end, [&rank](const Rumor &first, const Rumor &second) { return rank(first) < rank(second); });
+    for (std::vector<Rumor>::iterator rumor = begin; rumor != last; ++rumor) {
+        ++rumor->sent;
+        if (const MemberRecord *record = find(rumor->member); record != nullptr && rumor->member != receiver) {
+            records.push_back(*record);
+        }
+    }
+}
+
 std::vector<MemberRecord> MemberTable::takeRumors(DaemonId receiver)
 {
     std::vector<MemberRecord> records;
@@ -280,25 +313,19 @@
         }
     }
     const std::size_t room = std::min(maxRecordsPerMessage - records.size(), rumors_.size());
-    const auto end = rumors_.begin() + static_cast<std::ptrdiff_t>(room);
-    // Refutations and new members first: hundreds of suspicions after a partition must not hold them back.
-    const auto rank = [this](const Rumor &rumor) {
-        const MemberRecord *record = find(rumor.member);
-        const bool isBad
-            = record != nullptr && (record->state == MemberState::Suspect || record->state == MemberState::Dead);
-        return std::pair(isBad, rumor.sent);
-    };
-    std::partial_sort(rumors_.begin(), end, rumors_.end(), [&rank](const Rumor &first, const Rumor &second) {
-        return rank(first) < rank(second);
-    });
-    for (auto rumor = rumors_.begin(); rumor != end; ++rumor) {
-        ++rumor->sent;
-        if (const MemberRecord *record = find(rumor->member); record != nullptr && rumor->member != receiver) {
-            records.push_back(*record);
-        }
-    }
+    const std::vector<Rumor>::iterator losses
+        = std::partition(rumors_.begin(), rumors_.end(), [this](const Rumor &rumor) { return !isLoss(rumor); });
+    // Hundreds of suspicions after a partition must not hold refutations and new members back, nor must hundreds of new
+    // members hold back what is known of losses: both have at least half of the room if they need it.
+    const std::size_t lossCount = static_cast<std::size_t>(rumors_.end() - losses);
+    const std::size_t otherCount = rumors_.size() - lossCount;
+    const std::size_t others = std::min(otherCount, std::max((room + 1) / 2, room - std::min(room, lossCount)));
+    takeLeastSent(rumors_.begin(), losses, others, receiver, records);
+    takeLeastSent(losses, rumors_.end(), room - others, receiver, records);
     const std::uint32_t limit = transmissions();
-    std::erase_if(rumors_, [limit](const Rumor &rumor) { return rumor.sent >= limit; });
+    std::erase_if(rumors_, [this, limit](const Rumor &rumor) {
+        return rumor.sent >= (isLoss(rumor) ? lossTransmissions * limit : limit);
+    });
     return records;
 }
 
@@ -365,7 +392,7 @@
     std::vector<Member> members;
     for (const auto &[daemon, entry] : entries_) {
         if (entry.isKnown) {
-            members.push_back({entry.record, entry.since, entry.isPublishedLeaving});
+            members.push_back({entry.record, entry.since, entry.isPublishedLeaving, entry.accusation.has_value()});
         }
     }
     std::sort(members.begin(), members.end(), [](const Member &first, const Member &second) {
--- a/libs/fleet/src/membertable.h
+++ b/libs/fleet/src/membertable.h
@@ -94,6 +94,12 @@
     void addAccuser(Entry &entry, DaemonId accuser);
     void toggleDigest(const MemberRecord &record) noexcept;
     void passOn(DaemonId member);
+    bool isLoss(const Rumor &rumor) const;
+    void takeLeastSent(std::vector<Rumor>::iterator begin,
+                       std::vector<Rumor>::iterator end,
+                       std::size_t count,
+                       DaemonId receiver,
+                       std::vector<MemberRecord> &records);
     Duration suspicionTimeout(const Entry &entry) const noexcept;
     std::uint32_t transmissions() const noexcept;
 
--- a/libs/fleet/src/prober.cpp
+++ b/libs/fleet/src/prober.cpp
@@ -27,6 +27,8 @@
 
 /// Tokens left for probes and acks by messages that can wait.
 constexpr double probeReserve = 2;
+/// The same by messages about losses, of which hundreds may come at once.
+constexpr double lossReserve = 4;
 
 } // namespace
 
@@ -52,7 +54,12 @@
 bool Prober::send(TimePoint now, GossipMessage message, MembershipActions &actions)
 {
     const bool canWait = message.kind == GossipKind::SyncRequest || message.kind == GossipKind::SyncRecords;
-    if (!budget_.take(now, canWait ? probeReserve : 0)) {
+    return send(now, std::move(message), canWait ? probeReserve : 0, actions);
+}
+
+bool Prober::send(TimePoint now, GossipMessage message, double reserve, MembershipActions &actions)
+{
+    if (!budget_.take(now, reserve)) {
         return false;
     }
     message.sender = table_.self();
@@ -306,6 +313,13 @@
     }
 }
 
+void Prober::tellLosses(TimePoint now, MembershipActions &actions)
+{
+    for (const DaemonId peer : randomPeers(limits_.eagerPeers)) {
+        send(now, message(GossipKind::Notify, peer), lossReserve, actions);
+    }
+}
+
 void Prober::inform(TimePoint now, DaemonId receiver, MembershipActions &actions)
 {
     GossipMessage notice = message(GossipKind::Notify, receiver);
--- a/libs/fleet/src/prober.h
+++ b/libs/fleet/src/prober.h
@@ -51,6 +51,9 @@
     /// Sends the changes that wait to a few random members at once.
     void notify(TimePoint now, MembershipActions &actions);
 
+    /// The same for losses, as far as the budget leaves room for probes and acks.
+    void tellLosses(TimePoint now, MembershipActions &actions);
+
     /// Sends the own record to \p receiver, who holds an outdated one.
     void inform(TimePoint now, DaemonId receiver, MembershipActions &actions);
 
@@ -74,6 +77,7 @@
 
     GossipMessage message(GossipKind kind, DaemonId receiver) const;
     bool send(TimePoint now, GossipMessage message, MembershipActions &actions);
+    bool send(TimePoint now, GossipMessage message, double reserve, MembershipActions &actions);
     void startProbe(TimePoint now, DaemonId target, bool isLost, MembershipActions &actions);
     void startRound(TimePoint now, MembershipActions &actions);
     void probeIndirectly(TimePoint now, std::uint64_t number, Probe &probe, MembershipActions &actions);
--- a/libs/fleet/tests/fakefleet.h
+++ b/libs/fleet/tests/fakefleet.h
@@ -84,6 +84,8 @@
 public:
     /// \param count daemons, spread over two regions with \p domains failure domains each.
     FakeFleet(std::size_t count, std::uint64_t seed, std::size_t domains = 4);
+    /// Sets the limits of daemons that start from now on.
+    void setLimits(const MembershipLimits &limits) { limits_ = limits; }
 
     /// \param clockError how far the wall clock, which gives the incarnation, goes wrong.
     void start(std::size_t number, Duration clockError = Duration(0));
@@ -157,6 +159,7 @@
 
     Random random_;
     FakeNetwork network_;
+    MembershipLimits limits_;
     TimePoint now_{std::chrono::hours(1)};
     std::uint64_t lastEvent_ = 0;
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
