Read-through: one loop, one copy of limits and of the members where there were two

Gather called parts that were left out through three functions with two loops, and counted possible parts twice; Prober::notify() and tellLosses() were the same loop; SearcherPool:: unreachable() and available() too; massloss_test repeated the limits of PeerTask, so that it would go on testing old ones; PeerTask copied and sorted all members twice for each change, hundreds of times after a mass loss; the example of ClientConnection named a parameter that is gone, and a comment of Gather one of two reasons. Looked at and left: the pair of shapes in gather_test (different cases that both end in a loop over parts); namedVms() at each directory question (about 20 a second, and a cached answer would have to follow leave()). Change: Gather::callLeftOut(now, leastRoom) and possibleParts(); Prober:: notify(now, reserve, actions); SearcherPool::usableWhere(); PeerTask::membershipLimits(), used by massloss_test, which moves to libs/entry/tests with its assertions; PeerTask::refresh() in the slow housekeeping alone. Behaviour is the same.

--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -60,6 +60,9 @@
     /// that is cut off.
     static constexpr Duration namedAfterMassLoss() noexcept { return std::chrono::seconds(3); }
 
+    /// Limits of the membership exchange among entry processes.
+    static MembershipLimits membershipLimits() noexcept;
+
     /// \return the task, or Errc::Unavailable if the address cannot be bound.
     static Result<std::unique_ptr<PeerTask>> create(boost::asio::io_context &context,
                                                     const EntryIdentity &identity,
@@ -97,6 +100,10 @@
     /// Where callers may connect: a part of the members that is spread over the failure domains.
     std::vector<Address> callerAddresses(TimePoint now) const;
 
+    /// Takes over what the members have said of each other since their last change, as reports of deaths that are not
+    /// confirmed yet. To be called a few times a second.
+    void refresh();
+
     /// The entry VMs that are named to callers now, and those that lately were.
     NamedMembers named(TimePoint now);
 
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -431,6 +431,7 @@
 {
     servers_.closeExpired(now);
     crashes_.onTick(now);
+    peers_->refresh();
     onMembers();
     if (settingsFile_.hasChanged()) {
         reload("file");
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -37,7 +37,15 @@
     return record;
 }
 
-MembershipLimits limits()
+const char *stateName(const MemberChange &change)
+{
+    const bool isLeaving = change.state == MemberState::Alive && change.phase == MemberPhase::Leaving;
+    return isLeaving ? "leaving" : name(change.state);
+}
+
+} // namespace
+
+MembershipLimits PeerTask::membershipLimits() noexcept
 {
     MembershipLimits limits;
     limits.period = probePeriod;
@@ -48,14 +56,6 @@
     return limits;
 }
 
-const char *stateName(const MemberChange &change)
-{
-    const bool isLeaving = change.state == MemberState::Alive && change.phase == MemberPhase::Leaving;
-    return isLeaving ? "leaving" : name(change.state);
-}
-
-} // namespace
-
 Result<std::unique_ptr<PeerTask>> PeerTask::create(boost::asio::io_context &context,
                                                    const EntryIdentity &identity,
                                                    EventLog &log)
@@ -90,7 +90,7 @@
     , membership_(Membership::Builder()
                       .self(recordOf(identity, incarnation))
                       .seed(mix(daemonId(identity.peer).value, incarnation.value))
-                      .limits(limits())
+                      .limits(membershipLimits())
                       .build(BootClock::now()))
     , socket_(context)
     , timer_(context)
@@ -199,7 +199,7 @@
         send(out.to, out.message);
     }
     if (!actions.changes.empty()) {
-        members_ = membership_.members();
+        refresh();
         logChanges(actions.changes);
         welcome(actions.changes);
         if (onMembers_) {
@@ -339,10 +339,13 @@
     return addresses;
 }
 
-NamedMembers PeerTask::named(TimePoint now)
+void PeerTask::refresh()
 {
-    // Reports of deaths that are not confirmed yet come without a change of the members.
     members_ = membership_.members();
+}
+
+NamedMembers PeerTask::named(TimePoint now)
+{
     const DaemonId self = membership_.self().daemon;
     const std::vector<DaemonId> chosen = namedVms(candidates());
     for (const DaemonId daemon : chosen) {
--- a/libs/fleet/tests/massloss_test.cpp
+++ b/libs/entry/tests/massloss_test.cpp
@@ -1,3 +1,4 @@
+#include "entry/peertask.h"
 #include "fakefleet.h"
 
 #include <boost/test/unit_test.hpp>
@@ -26,17 +27,6 @@
 /// Time in which all members agree.
 constexpr Duration longestDisagreement = 30s;
 
-MembershipLimits entryLimits()
-{
-    MembershipLimits limits;
-    limits.period = 400ms;
-    limits.directTimeout = 150ms;
-    limits.syncPeriod = 5s;
-    limits.messagesPerSecond = 40;
-    limits.messageBurst = 12;
-    return limits;
-}
-
 /// Share of the running daemons' views of \p lost members in which these take no work.
 double noticedShare(FakeFleet &fleet, std::size_t lost)
 {
@@ -60,7 +50,7 @@
 BOOST_AUTO_TEST_CASE(lossOfAFailureDomainIsKnownToAllSoon)
 {
     FakeFleet fleet(memberCount, 7);
-    fleet.setLimits(entryLimits());
+    fleet.setLimits(PeerTask::membershipLimits());
     fleet.publishVms();
     fleet.startAll();
     fleet.run(15s);
--- a/libs/fleet/src/prober.cpp
+++ b/libs/fleet/src/prober.cpp
@@ -308,15 +308,18 @@
 
 void Prober::notify(TimePoint now, MembershipActions &actions)
 {
-    for (const DaemonId peer : randomPeers(limits_.eagerPeers)) {
-        send(now, message(GossipKind::Notify, peer), actions);
-    }
+    notify(now, 0, actions);
 }
 
 void Prober::tellLosses(TimePoint now, MembershipActions &actions)
+{
+    notify(now, lossReserve, actions);
+}
+
+void Prober::notify(TimePoint now, double reserve, MembershipActions &actions)
 {
     for (const DaemonId peer : randomPeers(limits_.eagerPeers)) {
-        send(now, message(GossipKind::Notify, peer), lossReserve, actions);
+        send(now, message(GossipKind::Notify, peer), reserve, actions);
     }
 }
 
--- a/libs/fleet/src/prober.h
+++ b/libs/fleet/src/prober.h
@@ -78,6 +78,7 @@
     GossipMessage message(GossipKind kind, DaemonId receiver) const;
     bool send(TimePoint now, GossipMessage message, MembershipActions &actions);
     bool send(TimePoint now, GossipMessage message, double reserve, MembershipActions &actions);
+    void notify(TimePoint now, double reserve, MembershipActions &actions);
     void startProbe(TimePoint now, DaemonId target, bool isLost, MembershipActions &actions);
     void startRound(TimePoint now, MembershipActions &actions);
     void probeIndirectly(TimePoint now, std::uint64_t number, Probe &probe, MembershipActions &actions);
--- a/libs/gather/include/gather/gather.h
+++ b/libs/gather/include/gather/gather.h
@@ -152,9 +152,8 @@
 
     void place(TimePoint now, std::size_t part, CallPurpose purpose);
     void leaveOutFull(std::size_t others);
-    void callLeftOut(TimePoint now);
-    void callLeftOut(TimePoint now, std::size_t part);
-    void callOneLeftOut(TimePoint now);
+    void callLeftOut(TimePoint now, Room leastRoom);
+    std::size_t possibleParts() const noexcept;
     void lose(std::size_t part);
     void check(TimePoint now);
     void hedgeLate(TimePoint now);
@@ -166,7 +165,7 @@
     std::vector<Part> parts_;
     std::size_t answered_ = 0;
     std::size_t lost_ = 0;
-    /// Parts that are called only if others are lost.
+    /// Parts that are called only if others are late or lost.
     std::size_t leftOut_ = 0;
     std::size_t sent_ = 0;
     bool mayHaveRun_ = false;
--- a/libs/gather/src/gather.cpp
+++ b/libs/gather/src/gather.cpp
@@ -75,34 +75,22 @@
     }
 }
 
-void Gather::callLeftOut(TimePoint now)
+// Calls a part that was left out in place of another one, if some has at least this room.
+void Gather::callLeftOut(TimePoint now, Room leastRoom)
 {
     for (std::size_t part = 0; part < parts_.size() && leftOut_ > 0; ++part) {
-        if (parts_.size() - lost_ - leftOut_ >= terms_.leastParts) {
+        if (parts_[part].state == State::LeftOut && hooks_.room(part) <= leastRoom) {
+            parts_[part].state = State::Idle;
+            --leftOut_;
+            place(now, part, CallPurpose::First);
             return;
         }
-        if (parts_[part].state == State::LeftOut) {
-            callLeftOut(now, part);
-        }
     }
 }
 
-void Gather::callLeftOut(TimePoint now, std::size_t part)
-{
-    parts_[part].state = State::Idle;
-    --leftOut_;
-    place(now, part, CallPurpose::First);
-}
-
-// In place of a late part.
-void Gather::callOneLeftOut(TimePoint now)
+std::size_t Gather::possibleParts() const noexcept
 {
-    for (std::size_t part = 0; part < parts_.size() && leftOut_ > 0; ++part) {
-        if (parts_[part].state == State::LeftOut && hooks_.room(part) <= Room::Turn) {
-            callLeftOut(now, part);
-            return;
-        }
-    }
+    return parts_.size() - lost_ - leftOut_;
 }
 
 void Gather::refuse()
@@ -212,13 +200,14 @@
     if (isFinished_ || isStarting_) {
         return;
     }
-    callLeftOut(now);
-    const std::size_t possible = parts_.size() - lost_ - leftOut_;
-    if (possible < terms_.leastParts) {
+    while (possibleParts() < terms_.leastParts && leftOut_ > 0) {
+        callLeftOut(now, Room::None);
+    }
+    if (possibleParts() < terms_.leastParts) {
         finish(mayHaveRun_ || hasOpenCalls() ? GatherEnd::Failed : GatherEnd::Unserved);
         return;
     }
-    const bool isComplete = answered_ == possible;
+    const bool isComplete = answered_ == possibleParts();
     const bool isEnough = answered_ >= terms_.leastParts && now >= terms_.targetAt;
     if (isComplete || isEnough) {
         finish(GatherEnd::Answered);
@@ -258,7 +247,7 @@
         if (mayHedge(state) && now >= state.sentAt + terms_.hedgeDelay) {
             state.isHedged = true;
             place(now, part, CallPurpose::Hedge);
-            callOneLeftOut(now);
+            callLeftOut(now, Room::Turn);
         }
     }
 }
--- a/libs/http/include/http/clientconnection.h
+++ b/libs/http/include/http/clientconnection.h
@@ -43,7 +43,7 @@
 /// \code
 /// std::shared_ptr<ClientConnection> connection = ClientConnection::create(context, address, memory);
 /// connection->open([](const std::error_code &error) { ... });
-/// connection->call(request, terms, filter, [](CallResult result) { ... });
+/// connection->call(request, bodyLimit, filter, [](CallResult result) { ... });
 /// \endcode
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -8,6 +8,7 @@
 #include "placement/trackedsearcher.h"
 #include "routing/configuration.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -158,6 +159,8 @@
     };
 
     bool isUsable(const TrackedSearcher &searcher) const;
+    std::vector<std::shared_ptr<TrackedSearcher>> usableWhere(
+        const std::function<bool(const TrackedSearcher &searcher)> &isListed) const;
     static bool isAvailable(TimePoint now, const TrackedSearcher &searcher);
     Room roomAt(TimePoint now,
                 const TrackedSearcher &searcher,
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -259,24 +259,25 @@
 
 std::vector<std::shared_ptr<TrackedSearcher>> SearcherPool::unreachable(TimePoint now) const
 {
-    std::vector<std::shared_ptr<TrackedSearcher>> due;
-    for (const auto &[instance, searcher] : searchers_) {
-        if (searcher->isUnreachable() && !searcher->isBlocked(now) && isUsable(*searcher)) {
-            due.push_back(searcher);
-        }
-    }
-    return due;
+    return usableWhere(
+        [now](const TrackedSearcher &searcher) { return searcher.isUnreachable() && !searcher.isBlocked(now); });
 }
 
 std::vector<std::shared_ptr<TrackedSearcher>> SearcherPool::available(TimePoint now) const
 {
-    std::vector<std::shared_ptr<TrackedSearcher>> available;
+    return usableWhere([now](const TrackedSearcher &searcher) { return isAvailable(now, searcher); });
+}
+
+std::vector<std::shared_ptr<TrackedSearcher>> SearcherPool::usableWhere(
+    const std::function<bool(const TrackedSearcher &searcher)> &isListed) const
+{
+    std::vector<std::shared_ptr<TrackedSearcher>> found;
     for (const auto &[instance, searcher] : searchers_) {
-        if (isUsable(*searcher) && isAvailable(now, *searcher)) {
-            available.push_back(searcher);
+        if (isUsable(*searcher) && isListed(*searcher)) {
+            found.push_back(searcher);
         }
     }
-    return available;
+    return found;
 }
 
 bool SearcherPool::mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendTerms &terms) const
