--- a/review/common/world.py
+++ b/review/common/world.py
@@ -141,6 +141,34 @@
     def __init__(self, world, instance, service, zone, host, records):
         super().__init__(world.loop, world.store, instance, service, host, free_port(host), zone=zone, records=records)
         self.world = world
+        # Seconds after which an idle connection is closed, which the answers state; None to keep it.
+        self.idle_timeout = None
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                request = await asyncio.wait_for(standin.read_request(reader), self.idle_timeout)
+                if request is None or not await self.handle(request, reader, writer):
+                    break
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, asyncio.TimeoutError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def answer(self, request_id, request_body, writer):
+        if self.idle_timeout is None:
+            return super().answer(request_id, request_body, writer)
+        headers = {
+            "X-Sassafrasvane-Request-Id": request_id,
+            "X-Sassafrasvane-Server-Stamp": f"stamp.{self.instance}.{request_id}",
+            "X-Sassafrasvane-Server-Load": "1,0,2",
+            "Keep-Alive": f"timeout={self.idle_timeout}",
+        }
+        writer.write(standin.response(200, headers, b"".join(self.records) or b"booked"))
+        return True
 
     async def handle(self, request, reader, writer):
         before = len(self.ran)
@@ -249,6 +277,8 @@
         # For each request id: when it was sent, and the status or the failure.
         self.sent = {}
         self.answers = {}
+        # Requests that were not the first on their connection.
+        self.on_kept = set()
 
     def run(self):
         connection = None
@@ -260,6 +290,8 @@
             self.sent[request_id] = time.monotonic()
             self.world.record.line(f"sent {request_id} {method} {target} to {self.machine.name}")
             try:
+                if connection:
+                    self.on_kept.add(request_id)
                 connection = connection or self.machine.connect()
                 headers = {
                     "Host": HOST,
@@ -396,11 +428,11 @@
         shutil.rmtree(self.directory, ignore_errors=True)
 
 
-def main(folder, zones, case):
+def main(folder, zones, case, shards=4):
     """Runs case(world); it returns the list of breaches of the rule. Returns the exit code of run.sh."""
     world = None
     try:
-        world = World(folder, zones)
+        world = World(folder, zones, shards)
         breaches = case(world)
     except CannotRun as error:
         print(f"could not run: {error}")
