--- a/review/common/world.py
+++ b/review/common/world.py
@@ -32,6 +32,8 @@
 DRAIN = 3.0
 EVACUATE = 5.0
 GRACE = 6
+# How long the store keeps its history, in seconds.
+HISTORY = 20.0
 
 HOST = "search.example"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -83,6 +85,14 @@
         self.server = await asyncio.start_server(self._serve, self.host, 0)
         return self.server.sockets[0].getsockname()[1]
 
+    def silence_open_connections(self):
+        """Nothing comes back any more on the connections that are open now; new ones work."""
+        self.loop.call(self._silence_open_connections)
+
+    def _silence_open_connections(self):
+        for connection in self.connections:
+            connection.is_dead = True
+
     def set_mode(self, mode):
         """pass: as usual; silent: no answer comes back any more; reset: connections are reset."""
         self.loop.call(self._set_mode, mode)
@@ -135,6 +145,24 @@
             pass
 
 
+class Store(standin.Store):
+    """The project's stand-in, which discards its history as the platform's store does."""
+
+    def __init__(self, loop, host, port):
+        super().__init__(loop, host, port)
+        self.recorded_at = []
+
+    def _record(self, key, raw):
+        super()._record(key, raw)
+        self.recorded_at.append(time.monotonic())
+
+    async def watch(self, after, wait):
+        while self.recorded_at and self.recorded_at[0] < time.monotonic() - HISTORY:
+            self.recorded_at.pop(0)
+            self.history.pop(0)
+        return await super().watch(after, wait)
+
+
 class Searcher(standin.Searcher):
     """The project's stand-in, on an address of its own, that tells when it began to run a request."""
 
@@ -337,7 +365,7 @@
         for name in ("front", "ready", "directory", "control", "peers", "metrics"):
             self.ports[name] = self._free_port_on_all(len(zones))
         self.searchers = {}
-        self.store = standin.Store(self.loop, f"{self.net}.200", free_port(f"{self.net}.200"))
+        self.store = Store(self.loop, f"{self.net}.200", free_port(f"{self.net}.200"))
         self.store.start()
         for shard in range(shards):
             records = [standin.record(100 * shard + number) for number in range(5)]
