--- a/review/common/world.py
+++ b/review/common/world.py
@@ -458,12 +458,13 @@
 
 def main(folder, zones, case, shards=4):
     """Runs case(world); it returns the list of breaches of the rule. Returns the exit code of run.sh."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     world = None
     try:
         world = World(folder, zones, shards)
         breaches = case(world)
-    except CannotRun as error:
-        print(f"could not run: {error}")
+    except Exception as error:  # Whatever stops the case, the rule was not judged.
+        print(f"could not run: {error!r}")
         return 2
     finally:
         if world:
