--- a/libs/entry/include/entry/feedserver.h
+++ b/libs/entry/include/entry/feedserver.h
@@ -16,6 +16,10 @@
 namespace sassafrasvane
 {
 
+/// The response to \p request: the items that changed after the requested revision, or a snapshot if \p state doesn't
+/// know all removals since then. \param confirmed the revision up to which \p state is complete.
+FeedResponse feedResponse(const PublishedState &state, const ConfirmedRevision &confirmed, const FeedRequest &request);
+
 /// Answers feed requests by long polling: at once if there are changes, otherwise when changes arrive or the wait time
 /// is over. Responds with status 503 if this process has no fresh data.
 class FeedServer
--- a/libs/entry/include/entry/publishedstate.h
+++ b/libs/entry/include/entry/publishedstate.h
@@ -52,6 +52,10 @@
     /// Applies items in the order in which they were read.
     void apply(TimePoint now, const std::vector<StoreItem> &items);
 
+    /// Applies a snapshot of the store and removes the items that are missing from it.
+    /// \param revision the store's revision up to which the snapshot is complete.
+    void applySnapshot(TimePoint now, const std::vector<StoreItem> &items, std::uint64_t revision);
+
     /// Starts a list; onListComplete() removes the items that are missing from it.
     void beginList();
 
--- a/libs/entry/src/feedserver.cpp
+++ b/libs/entry/src/feedserver.cpp
@@ -12,6 +12,18 @@
 
 } // namespace
 
+FeedResponse feedResponse(const PublishedState &state, const ConfirmedRevision &confirmed, const FeedRequest &request)
+{
+    FeedResponse response;
+    response.revision = confirmed.revision;
+    response.age = confirmed.age;
+    if (request.wantsItems) {
+        response.isSnapshot = request.afterRevision < state.historyBegin();
+        response.items = response.isSnapshot ? state.items() : state.changesAfter(request.afterRevision);
+    }
+    return response;
+}
+
 FeedServer::FeedServer(const PublishedState &state,
                        const StoreTask &store,
                        std::function<std::optional<ConfirmedRevision>(TimePoint now)> confirmedRevision)
@@ -58,14 +70,7 @@
         waiting.exchange->respond(http::emptyResponse(unavailable));
         return true;
     }
-    FeedResponse response;
-    response.revision = confirmed->revision;
-    response.age = confirmed->age;
-    if (waiting.request.wantsItems) {
-        const std::uint64_t after = waiting.request.afterRevision;
-        response.isSnapshot = after < state_.historyBegin();
-        response.items = response.isSnapshot ? state_.items() : state_.changesAfter(after);
-    }
+    const FeedResponse response = feedResponse(state_, *confirmed, waiting.request);
     waiting.exchange->respond(http::textResponse(ok, "application/x-msgpack", encodeFeedResponse(response)));
     return true;
 }
--- a/libs/entry/src/feedtask.cpp
+++ b/libs/entry/src/feedtask.cpp
@@ -164,11 +164,9 @@
     }
     lastContactAt_ = now;
     if (response.isSnapshot) {
-        state_.beginList();
-    }
-    state_.apply(now, response.items);
-    if (response.isSnapshot) {
-        state_.onListComplete(now, response.revision);
+        state_.applySnapshot(now, response.items, response.revision);
+    } else {
+        state_.apply(now, response.items);
     }
     completeRevision_ = std::max(completeRevision_, response.revision);
     store_.setCompleteRevision(completeRevision_);
--- a/libs/entry/src/publishedstate.cpp
+++ b/libs/entry/src/publishedstate.cpp
@@ -146,6 +146,13 @@
     }
 }
 
+void PublishedState::applySnapshot(TimePoint now, const std::vector<StoreItem> &items, std::uint64_t revision)
+{
+    beginList();
+    apply(now, items);
+    onListComplete(now, revision);
+}
+
 void PublishedState::beginList()
 {
     listedKeys_.clear();
--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -13,6 +13,7 @@
 sys.path.insert(0, str(ROOT / "standins" / "platform"))
 
 import standin  # noqa: E402
+from proxy import Proxy  # noqa: E402
 
 # Seconds that a process has for its planned stop.
 GRACE = 6
@@ -31,7 +32,9 @@
         self.host = f"127.0.0.{10 + index}"
         self.name = f"vm-{index}"
         self.world = world
-        self.store_address = world.store.address
+        # The way to the store, which a test may harm.
+        self.store_link = Proxy(world.loop, "127.0.0.1", free_port("127.0.0.1"), world.store.address)
+        self.store_link.start()
         self.seeds = [f"127.0.0.10:{world.ports['control']}"]
         self.log = open(world.directory / f"{self.name}.log", "ab")
         self.process = None
@@ -46,7 +49,7 @@
             "peerPort": ports["peers"],
             "metricsPort": ports["metrics"],
             "seeds": self.seeds,
-            "store": self.store_address,
+            "store": self.store_link.address,
             "memoryMb": 260,
             "fileDescriptors": 4100,
             "bounds": {"stopGraceS": GRACE, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 56, "coldFactor": 1.5}
@@ -94,6 +97,16 @@
         except OSError:
             return False
 
+    def reads_store(self):
+        """True if the process follows the store itself, and not other processes."""
+        sources = self.lines("source_changed")
+        return bool(sources) and sources[-1]["source"] == "store"
+
+    def version(self):
+        """The version of the configuration in force; None without one."""
+        versions = [line["version"] for line in self.lines("configuration_in_force")]
+        return versions[-1] if versions else None
+
     def lines(self, event):
         self.log.flush()
         text = (self.world.directory / f"{self.name}.log").read_text()
--- a/tests/soak/soakworld.py
+++ b/tests/soak/soakworld.py
@@ -83,7 +83,7 @@
 
 
 class SoakEntry(Entry):
-    """An entry process with a link of its own to the store."""
+    """An entry process whose disturbances are noted."""
 
     def __init__(self, world, index):
         super().__init__(world, index)
@@ -92,10 +92,6 @@
         # Times in which the process was ended, and in which a planned stop was under way.
         self.ended = Disturbances()
         self.stopping = Disturbances()
-        port = free_port("127.0.0.1")
-        self.store_link = Proxy(world.loop, "127.0.0.1", port, world.store.address)
-        self.store_link.start()
-        self.store_address = self.store_link.address
 
     def start(self):
         super().start()
