--- a/libs/entry/include/entry/feedtask.h
+++ b/libs/entry/include/entry/feedtask.h
@@ -56,8 +56,9 @@
     /// \param processCount number of known entry processes.
     void setPeers(std::span<const Address> peers, bool isReader, std::size_t processCount);
 
-    /// The revision that this process can serve to peers: the store's if it reads the store, otherwise that of the peer
-    /// it polls for items. A reader doesn't relay data of peers. \return nothing if the data is not fresh.
+    /// The revision that this process can serve to peers, confirmed by the store if it reads the store, otherwise by
+    /// the peer that it polls for items. A reader doesn't relay data of peers. \return nothing if the data is not
+    /// fresh.
     std::optional<ConfirmedRevision> confirmedRevision(TimePoint now) const;
 
     /// Switches between the store and the peers if due. Must be called several times a second.
@@ -66,7 +67,6 @@
 private:
     void updateClients();
     void applyResponse(const FeedResponse &response);
-    std::uint64_t completeRevision() const;
     bool hasHealthyPeer(TimePoint now) const;
     void setFollowingStore(bool isFollowing, const char *reason);
 
@@ -81,8 +81,6 @@
     std::size_t processCount_ = 1;
     using ClientMap = std::map<Address, std::shared_ptr<FeedClient>>;
     ClientMap clients_;
-    /// The revision up to which all items from peers are applied; 0 until all items were applied once.
-    std::uint64_t completeRevision_ = 0;
     bool isFollowingStore_ = false;
     /// When the store or a peer last responded.
     TimePoint lastContactAt_;
--- a/libs/entry/include/entry/publishedstate.h
+++ b/libs/entry/include/entry/publishedstate.h
@@ -8,6 +8,7 @@
 #include "placement/searcherpool.h"
 #include "routing/routetable.h"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <set>
@@ -24,8 +25,9 @@
 /// Applies the store's items to the routes, the searcher pool and the failure domains, and logs each change.
 ///
 /// The configuration version never decreases. An item is applied once per revision, so that lists and changes may
-/// overlap. A searcher whose registration cannot be parsed is not used; a configuration that cannot be parsed leaves
-/// the previous one in force. Other items are not affected.
+/// overlap, and nothing that an item or a list of an earlier revision says undoes a later change. A searcher whose
+/// registration cannot be parsed is not used; a configuration that cannot be parsed leaves the previous one in force.
+/// Other items are not affected.
 ///
 /// \code
 /// state.apply(now, items);
@@ -49,20 +51,29 @@
         onSearcherRemoved_ = std::move(hook);
     }
 
-    /// Applies items in the order in which they were read.
+    /// Applies changed items in the order in which they were read.
     void apply(TimePoint now, const std::vector<StoreItem> &items);
 
-    /// Applies a snapshot of the store and removes the items that are missing from it.
-    /// \param revision the store's revision up to which the snapshot is complete.
+    /// Applies a snapshot of the store and removes the items that are missing from it. Items that have changed after
+    /// \p revision stay. \param revision the store's revision up to which the snapshot is complete.
     void applySnapshot(TimePoint now, const std::vector<StoreItem> &items, std::uint64_t revision);
 
     /// Starts a list; onListComplete() removes the items that are missing from it.
     void beginList();
 
-    /// Ends a list and removes the items that are missing from it. \param revision the store's revision when the list
-    /// began.
+    /// Ends a list and removes the items that are missing from it, as applySnapshot() does. \param revision the store's
+    /// revision when the list began.
     void onListComplete(TimePoint now, std::uint64_t revision);
 
+    /// Notes that all changes up to \p revision are applied.
+    void setCompleteRevision(std::uint64_t revision) noexcept
+    {
+        completeRevision_ = std::max(completeRevision_, revision);
+    }
+
+    /// The revision up to which all changes are applied; 0 before the first list or snapshot. It never decreases.
+    std::uint64_t completeRevision() const noexcept { return completeRevision_; }
+
     /// Called when the store responds again after an outage.
     void onStoreReturned(TimePoint now);
 
@@ -97,6 +108,7 @@
     };
 
     bool isOutdated(const StoreItem &item) const;
+    std::vector<StoreItem> itemsMissingFromList(std::uint64_t revision) const;
     void applyItem(TimePoint now, const StoreItem &item);
     void remove(TimePoint now, const StoreItem &item);
     void applyConfiguration(RoutingConfiguration configuration);
@@ -115,6 +127,7 @@
     /// Recent removals by key.
     std::unordered_map<std::string, Removal> removals_;
     std::uint64_t historyBegin_ = 1;
+    std::uint64_t completeRevision_ = 0;
     std::set<std::string> listedKeys_;
     bool isComplete_ = false;
     std::uint64_t revision_ = 0;
--- a/libs/entry/include/entry/storetask.h
+++ b/libs/entry/include/entry/storetask.h
@@ -41,15 +41,11 @@
     /// Sets whether failed calls are retried after long delays only.
     void setSlowRetry(bool isSlow) noexcept { follower_.setSlowRetry(isSlow); }
 
-    /// Notes that all items up to \p revision are applied; has an effect only while paused.
-    void setCompleteRevision(std::uint64_t revision) noexcept { follower_.adoptRevision(revision); }
-
-    /// The revision up to which this process has read all items from the store itself; nothing if it is paused or not
-    /// connected to the store.
-    std::optional<std::uint64_t> completeRevision() const noexcept
-    {
-        return isConnected() ? follower_.completeAsOf() : std::nullopt;
-    }
+    /// Continues from \p revision, up to which all changes are applied; has an effect only while paused.
+    void adoptRevision(std::uint64_t revision) noexcept { follower_.adoptRevision(revision); }
+
+    /// True if the store responds and this process has read all its items.
+    bool isUpToDate() const noexcept { return isConnected() && follower_.completeAsOf().has_value(); }
 
     /// Aborts the open call: after a pause of the process its connection may be dead.
     void reconnect();
--- a/libs/entry/src/feedtask.cpp
+++ b/libs/entry/src/feedtask.cpp
@@ -107,7 +107,7 @@
         if (!followsPeers || clients_.contains(peer)) {
             continue;
         }
-        const FeedClient::Hooks hooks{[this] { return completeRevision(); },
+        const FeedClient::Hooks hooks{[this] { return state_.completeRevision(); },
                                       [this](const FeedResponse &response) { applyResponse(response); }};
         const std::shared_ptr<FeedClient> client
             = std::make_shared<FeedClient>(context_, memory_, peer, peer == *primary, hooks);
@@ -116,21 +116,17 @@
     }
 }
 
-std::uint64_t FeedTask::completeRevision() const
-{
-    return std::max(completeRevision_, store_.completeRevision().value_or(0));
-}
-
 std::optional<ConfirmedRevision> FeedTask::confirmedRevision(TimePoint now) const
 {
-    if (const std::optional<std::uint64_t> revision = store_.completeRevision()) {
-        return ConfirmedRevision{*revision, Duration{0}};
+    const std::uint64_t revision = state_.completeRevision();
+    if (store_.isUpToDate()) {
+        return ConfirmedRevision{revision, Duration{0}};
     }
     const ClientMap::const_iterator primary = peers_.empty() ? clients_.end() : clients_.find(peers_.front());
-    if (isReader_ || completeRevision_ == 0 || primary == clients_.end() || !primary->second->isHealthy(now)) {
+    if (isReader_ || revision == 0 || primary == clients_.end() || !primary->second->isHealthy(now)) {
         return std::nullopt;
     }
-    return ConfirmedRevision{completeRevision_, primary->second->age(now)};
+    return ConfirmedRevision{revision, primary->second->age(now)};
 }
 
 bool FeedTask::hasHealthyPeer(TimePoint now) const
@@ -168,8 +164,8 @@
     } else {
         state_.apply(now, response.items);
     }
-    completeRevision_ = std::max(completeRevision_, response.revision);
-    store_.setCompleteRevision(completeRevision_);
+    state_.setCompleteRevision(response.revision);
+    store_.adoptRevision(state_.completeRevision());
 }
 
 } // namespace sassafrasvane
--- a/libs/entry/src/publishedstate.cpp
+++ b/libs/entry/src/publishedstate.cpp
@@ -25,8 +25,11 @@
     if (known != items_.end()) {
         return known->second.revision >= item.revision;
     }
+    // All changes up to completeRevision_ are applied, so an unknown item of such a revision has been removed since.
+    // Not every removal is kept.
     const std::unordered_map<std::string, Removal>::const_iterator removed = removals_.find(item.key);
-    return removed != removals_.end() && removed->second.revision >= item.revision;
+    return item.revision <= completeRevision_
+        || (removed != removals_.end() && removed->second.revision >= item.revision);
 }
 
 void PublishedState::applyItem(TimePoint now, const StoreItem &item)
@@ -148,9 +151,15 @@
 
 void PublishedState::applySnapshot(TimePoint now, const std::vector<StoreItem> &items, std::uint64_t revision)
 {
+    log_.line(EventRank::Important, "snapshot_received")
+        .count("revision", revision)
+        .count("complete", completeRevision_)
+        .count("items", items.size())
+        .count("items_before", items_.size());
     beginList();
     apply(now, items);
     onListComplete(now, revision);
+    setCompleteRevision(revision);
 }
 
 void PublishedState::beginList()
@@ -161,17 +170,28 @@
 void PublishedState::onListComplete(TimePoint now, std::uint64_t revision)
 {
     isComplete_ = true;
+    std::vector<StoreItem> missing = itemsMissingFromList(revision);
+    for (StoreItem &item : missing) {
+        item.revision = revision;
+        remove(now, item);
+    }
+    updateDomainsOut();
+}
+
+// A list says nothing of items that have changed after its revision, and one that is older than the applied changes
+// says nothing new.
+std::vector<StoreItem> PublishedState::itemsMissingFromList(std::uint64_t revision) const
+{
     std::vector<StoreItem> missing;
+    if (revision < completeRevision_) {
+        return missing;
+    }
     for (const auto &[key, item] : items_) {
-        if (!listedKeys_.contains(key)) {
+        if (item.revision <= revision && !listedKeys_.contains(key)) {
             missing.push_back(item);
         }
     }
-    for (StoreItem &item : missing) {
-        item.revision = std::max(item.revision, revision);
-        remove(now, item);
-    }
-    updateDomainsOut();
+    return missing;
 }
 
 void PublishedState::onStoreReturned(TimePoint now)
--- a/libs/entry/src/storetask.cpp
+++ b/libs/entry/src/storetask.cpp
@@ -78,6 +78,7 @@
     if (actions.isListComplete) {
         state_.onListComplete(now, follower_.completeAsOf().value_or(0));
     }
+    state_.setCompleteRevision(follower_.completeAsOf().value_or(0));
     if (actions.call) {
         startCall(*actions.call);
     }
--- a/libs/entry/tests/publishedstate_test.cpp
+++ b/libs/entry/tests/publishedstate_test.cpp
@@ -1,5 +1,7 @@
 #include "entry/publishedstate.h"
 
+#include "entry/feedserver.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <fcntl.h>
@@ -130,6 +132,40 @@
     BOOST_TEST(!fixture.isServing());
 }
 
+// Guards against a reader that loses the store and takes over the older snapshot of a peer.
+BOOST_AUTO_TEST_CASE(itemsNewerThanASnapshotStay)
+{
+    StateFixture fixture;
+    fixture.put("s/1", "1", 20);
+    fixture.put("d/a", "{}", 21);
+    fixture.put("s/2", "1", 22);
+    fixture.state.applySnapshot(fixture.now, {{"s/1", "1", 20, false}}, 20);
+    BOOST_TEST(!fixture.isServing());
+    BOOST_TEST((fixture.pool.find("2") != nullptr));
+    // The snapshot has left nothing behind that keeps an item from being applied.
+    fixture.put("d/a", "{}", 21);
+    BOOST_TEST(!fixture.isServing());
+    fixture.remove("d/a", 23);
+    BOOST_TEST(fixture.isServing());
+}
+
+// Guards against an older snapshot that removes or restores items after the removals of its time are no longer kept.
+BOOST_AUTO_TEST_CASE(snapshotOlderThanTheAppliedChangesChangesNothing)
+{
+    StateFixture fixture;
+    fixture.state.applySnapshot(fixture.now, {{"s/1", "1", 20, false}, {"s/2", "1", 21, false}}, 25);
+    fixture.remove("s/2", 30);
+    fixture.put("s/3", "1", 31);
+    fixture.state.setCompleteRevision(31);
+    fixture.now += PublishedState::removalRetention();
+    fixture.state.onTick(fixture.now);
+    fixture.state.applySnapshot(fixture.now, {{"s/2", "1", 21, false}}, 25);
+    BOOST_TEST((fixture.pool.find("1") != nullptr));
+    BOOST_TEST(!fixture.pool.find("2"));
+    BOOST_TEST((fixture.pool.find("3") != nullptr));
+    BOOST_TEST(fixture.state.completeRevision() == 31U);
+}
+
 BOOST_AUTO_TEST_CASE(changesAreToldWithRemovals)
 {
     StateFixture fixture;
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -14,6 +14,7 @@
 import unittest
 
 from entryworld import GRACE, World, standin
+from proxy import Harm
 
 BUILD = None
 # Longest time that a change may take to be in force, in seconds; the promise is 3.
@@ -328,6 +329,28 @@
         current = lambda: all(entry.lines("configuration_in_force")[-1]["version"] == 12 for entry in world.entries)
         world.wait(current, 6, "the change made meanwhile is not in force")
 
+    def test_evacuation_stays_in_force_where_a_peer_has_missed_it(self):
+        # Guards against a reader of the store that loses it, takes over an older snapshot of a peer and forgets what is newer.
+        world = self.world(entries=2)
+        silent, reader = world.entries
+        world.wait(lambda: silent.reads_store() and reader.reads_store(), 5, "not both processes read the store")
+        # After a change both have just asked for the next one, so that the silence goes unnoticed for two seconds.
+        world.configure(2, 4)
+        world.wait(lambda: all(entry.version() == 2 for entry in world.entries), IN_FORCE, "a change is not in force")
+        time.sleep(0.3)
+        silent.store_link.set_harm(Harm.SILENT)
+        world.store.put("op/evacuate/a", {"zone": "a"})
+        world.wait(lambda: reader.lines("failure_domains_out"), 1, "the evacuation is not known")
+        reader.store_link.set_harm(Harm.RESET)
+        time.sleep(2.5)
+        for entry in world.entries:
+            entry.store_link.set_harm(Harm.NONE)
+        world.wait(lambda: silent.lines("failure_domains_out"), IN_FORCE, "the evacuation is not known everywhere")
+        time.sleep(0.5)
+        for number, entry in enumerate(world.entries):
+            self.assertEqual(entry.ask("/fetch/x", request_id=f"e{number}")[0], 503)
+            self.assertEqual(world.ran(f"e{number}"), [])
+
     def test_directory_names_the_processes_that_serve(self):
         world = self.world(entries=3)
 
