Feed: a process that lists the store knows no removals from before its list

Requests went to a searcher that had left, for as long as it served (20 s instead of 3), from all processes that had no disruption; its last requests were lost.

Cause: a restarted reader lists the store and knows no removal from before, but its history still began at revision 1. The same held after a list because of lost history (410).

--- a/libs/entry/src/publishedstate.cpp
+++ b/libs/entry/src/publishedstate.cpp
@@ -176,6 +176,10 @@
         remove(now, item);
     }
     updateDomainsOut();
+    // What was removed between the applied changes and the list is known only of the items that this process had.
+    if (revision > completeRevision_) {
+        historyBegin_ = std::max(historyBegin_, revision);
+    }
 }
 
 // A list says nothing of items that have changed after its revision, and one that is older than the applied changes
--- a/libs/entry/tests/publishedstate_test.cpp
+++ b/libs/entry/tests/publishedstate_test.cpp
@@ -185,3 +185,23 @@
     fixture.state.onTick(fixture.now);
     BOOST_TEST(fixture.state.historyBegin() == 30U);
 }
+
+// Guards against readers that were restarted and answer followers as if they knew the removals before their list.
+BOOST_AUTO_TEST_CASE(followerLearnsWhatWasRemovedBeforeItsReaderListed)
+{
+    StateFixture follower;
+    follower.state.applySnapshot(follower.now, {{"s/1", "1", 20, false}, {"s/2", "1", 21, false}}, 21);
+    // "s/1" is removed at revision 22; the reader starts and lists the store after that.
+    StateFixture reader;
+    reader.state.applySnapshot(reader.now, {{"s/2", "1", 21, false}}, 22);
+    FeedRequest request;
+    request.afterRevision = 21;
+    const FeedResponse response = feedResponse(reader.state, {22, 0s}, request);
+    if (response.isSnapshot) {
+        follower.state.applySnapshot(follower.now, response.items, response.revision);
+    } else {
+        follower.state.apply(follower.now, response.items);
+    }
+    BOOST_TEST(!follower.pool.find("1"));
+    BOOST_TEST((follower.pool.find("2") != nullptr));
+}
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -351,6 +351,24 @@
             self.assertEqual(entry.ask("/fetch/x", request_id=f"e{number}")[0], 503)
             self.assertEqual(world.ran(f"e{number}"), [])
 
+    def test_removal_reaches_processes_whose_readers_were_restarted(self):
+        # Guards against restarted readers whose list lacks earlier removals and who answer followers as if they knew them.
+        world = self.world(entries=5)
+        world.wait(lambda: sum(entry.reads_store() for entry in world.entries) == 3, 5, "not three processes read the store")
+        readers = [entry for entry in world.entries if entry.reads_store()]
+        followers = [entry for entry in world.entries if not entry.reads_store()]
+        for entry in readers:
+            entry.stop()
+        world.searchers["i-desk-0"].unregister()
+        for entry in readers:
+            entry.start()
+        removed = lambda: all(entry.lines("searcher_changed")[-1]["change"] == "removed" for entry in followers)
+        world.wait(removed, IN_FORCE, "a removal is not known everywhere")
+        before = len(world.searchers["i-desk-0"].ran)
+        for number in range(10):
+            self.assertEqual(followers[number % 2].ask("/fetch/x", request_id=f"f{number}")[0], 200)
+        self.assertEqual(len(world.searchers["i-desk-0"].ran), before)
+
     def test_directory_names_the_processes_that_serve(self):
         world = self.world(entries=3)
 
