Feed: a list of the store has its own keys, whatever a peer says meanwhile

A process that starts lists the store in pages and asks its peers at the same time.

Tests: snapshotBetweenThePagesOfAListRemovesNothingOfTheList failed before (with the former calls); itemThatAPeerReportsBetweenThePagesIsGoneIfTheListLacksIt and listThatStartsOverForgetsTheKeysOfTheFirstAttempt need the new ones. The former tests keep their checks with the new signature.

--- a/libs/catalog/include/catalog/storefollower.h
+++ b/libs/catalog/include/catalog/storefollower.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,8 +80,11 @@
     std::optional<TimePoint> wakeAt;
     /// Items to apply, in order.
     std::vector<StoreItem> items;
-    /// True if a full listing has ended: items that were not reported since it began no longer exist.
+    /// True if a full listing has ended: items whose keys are not in listedKeys no longer exist, unless they have
+    /// changed after the listing's first page.
     bool isListComplete = false;
+    /// All keys of the listing that has ended.
+    std::set<std::string> listedKeys;
     /// True if the store answered for the first time, or after an outage in which entries may have expired.
     bool hasStoreReturned = false;
 };
@@ -165,6 +169,8 @@
     /// Position of the listing: the prefix being read and the last key read under it.
     std::size_t prefixIndex_ = 0;
     std::string lastKey_;
+    /// The keys that the listing has reported so far.
+    std::set<std::string> listedKeys_;
     /// Revision from which to watch; 0 until the first page of a listing is read.
     std::uint64_t revision_ = 0;
     bool isCallOpen_ = false;
--- a/libs/catalog/src/storefollower.cpp
+++ b/libs/catalog/src/storefollower.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace sassafrasvane
 {
@@ -31,10 +32,14 @@
         ++prefixIndex_;
         lastKey_.clear();
     }
+    for (const StoreItem &item : page.items) {
+        listedKeys_.insert(item.key);
+    }
     actions.items = std::move(page.items);
     if (prefixIndex_ == prefixes_.size()) {
         isListing_ = false;
         actions.isListComplete = true;
+        actions.listedKeys = std::exchange(listedKeys_, {});
     }
     schedule(now, actions);
 }
@@ -133,6 +138,7 @@
     isListing_ = true;
     prefixIndex_ = 0;
     lastKey_.clear();
+    listedKeys_.clear();
     revision_ = 0;
 }
 
--- a/libs/catalog/tests/storefollower_test.cpp
+++ b/libs/catalog/tests/storefollower_test.cpp
@@ -62,11 +62,27 @@
     BOOST_TEST(call.afterKey == "");
     fixture.answerPage({}, false, 15);
     BOOST_TEST(fixture.actions.isListComplete);
+    BOOST_TEST((fixture.actions.listedKeys == std::set<std::string>{"a/1", "a/2"}));
     call = fixture.nextCall();
     BOOST_TEST((call.kind == StoreCall::Kind::Watch));
     BOOST_TEST(call.afterRevision == 10U);
 }
 
+BOOST_AUTO_TEST_CASE(listThatStartsOverForgetsTheKeysOfTheFirstAttempt)
+{
+    FollowerFixture fixture;
+    fixture.nextCall();
+    fixture.answerPage({{"a/1", "x", 3, false}}, true, 10);
+    fixture.nextCall();
+    fixture.follower.onFailure(fixture.now, StoreFailure::Refused, fixture.actions);
+    BOOST_TEST(fixture.nextCall().afterKey == "");
+    fixture.answerPage({{"a/2", "x", 4, false}}, false, 12);
+    fixture.nextCall();
+    fixture.answerPage({}, false, 13);
+    BOOST_TEST(fixture.actions.isListComplete);
+    BOOST_TEST((fixture.actions.listedKeys == std::set<std::string>{"a/2"}));
+}
+
 BOOST_AUTO_TEST_CASE(pageThatDoesNotAdvanceEndsItsPrefix)
 {
     FollowerFixture fixture;
--- a/libs/entry/include/entry/publishedstate.h
+++ b/libs/entry/include/entry/publishedstate.h
@@ -31,7 +31,7 @@
 ///
 /// \code
 /// state.apply(now, items);
-/// state.onListComplete(now, revision);
+/// state.onListComplete(now, listedKeys, revision);
 /// const std::shared_ptr<const RouteTable> routes = state.routes();
 /// \endcode
 class PublishedState
@@ -58,12 +58,9 @@
     /// \p revision stay. \param revision the store's revision up to which the snapshot is complete.
     void applySnapshot(TimePoint now, const std::vector<StoreItem> &items, std::uint64_t revision);
 
-    /// Starts a list; onListComplete() removes the items that are missing from it.
-    void beginList();
-
-    /// Ends a list and removes the items that are missing from it, as applySnapshot() does. \param revision the store's
-    /// revision when the list began.
-    void onListComplete(TimePoint now, std::uint64_t revision);
+    /// Ends a list whose pages were applied: removes the items that are missing from it, as applySnapshot() does.
+    /// \param listedKeys all keys of the list. \param revision the store's revision when the list began.
+    void onListComplete(TimePoint now, const std::set<std::string> &listedKeys, std::uint64_t revision);
 
     /// Notes that all changes up to \p revision are applied.
     void setCompleteRevision(std::uint64_t revision) noexcept
@@ -108,7 +105,7 @@
     };
 
     bool isOutdated(const StoreItem &item) const;
-    std::vector<StoreItem> itemsMissingFromList(std::uint64_t revision) const;
+    std::vector<StoreItem> itemsMissingFrom(const std::set<std::string> &listedKeys, std::uint64_t revision) const;
     void applyItem(TimePoint now, const StoreItem &item);
     void remove(TimePoint now, const StoreItem &item);
     void applyConfiguration(RoutingConfiguration configuration);
@@ -128,7 +125,6 @@
     std::unordered_map<std::string, Removal> removals_;
     std::uint64_t historyBegin_ = 1;
     std::uint64_t completeRevision_ = 0;
-    std::set<std::string> listedKeys_;
     bool isComplete_ = false;
     std::uint64_t revision_ = 0;
     std::function<void(const RouteTable &routes)> onConfiguration_;
--- a/libs/entry/src/publishedstate.cpp
+++ b/libs/entry/src/publishedstate.cpp
@@ -13,7 +13,6 @@
 void PublishedState::apply(TimePoint now, const std::vector<StoreItem> &items)
 {
     for (const StoreItem &item : items) {
-        listedKeys_.insert(item.key);
         applyItem(now, item);
     }
     updateDomainsOut();
@@ -156,21 +155,18 @@
         .count("complete", completeRevision_)
         .count("items", items.size())
         .count("items_before", items_.size());
-    beginList();
+    std::set<std::string> listedKeys;
+    for (const StoreItem &item : items) {
+        listedKeys.insert(item.key);
+    }
     apply(now, items);
-    onListComplete(now, revision);
-    setCompleteRevision(revision);
+    onListComplete(now, listedKeys, revision);
 }
 
-void PublishedState::beginList()
-{
-    listedKeys_.clear();
-}
-
-void PublishedState::onListComplete(TimePoint now, std::uint64_t revision)
+void PublishedState::onListComplete(TimePoint now, const std::set<std::string> &listedKeys, std::uint64_t revision)
 {
     isComplete_ = true;
-    std::vector<StoreItem> missing = itemsMissingFromList(revision);
+    std::vector<StoreItem> missing = itemsMissingFrom(listedKeys, revision);
     for (StoreItem &item : missing) {
         item.revision = revision;
         remove(now, item);
@@ -180,18 +176,20 @@
     if (revision > completeRevision_) {
         historyBegin_ = std::max(historyBegin_, revision);
     }
+    setCompleteRevision(revision);
 }
 
 // A list says nothing of items that have changed after its revision, and one that is older than the applied changes
 // says nothing new.
-std::vector<StoreItem> PublishedState::itemsMissingFromList(std::uint64_t revision) const
+std::vector<StoreItem> PublishedState::itemsMissingFrom(const std::set<std::string> &listedKeys,
+                                                        std::uint64_t revision) const
 {
     std::vector<StoreItem> missing;
     if (revision < completeRevision_) {
         return missing;
     }
     for (const auto &[key, item] : items_) {
-        if (item.revision <= revision && !listedKeys_.contains(key)) {
+        if (item.revision <= revision && !listedKeys.contains(key)) {
             missing.push_back(item);
         }
     }
--- a/libs/entry/src/storetask.cpp
+++ b/libs/entry/src/storetask.cpp
@@ -76,7 +76,7 @@
     }
     state_.apply(now, actions.items);
     if (actions.isListComplete) {
-        state_.onListComplete(now, follower_.completeAsOf().value_or(0));
+        state_.onListComplete(now, actions.listedKeys, follower_.completeAsOf().value_or(0));
     }
     state_.setCompleteRevision(follower_.completeAsOf().value_or(0));
     if (actions.call) {
@@ -100,11 +100,6 @@
 void StoreTask::startCall(const StoreCall &call)
 {
     ++calls_;
-    const bool isListBegin
-        = call.kind == StoreCall::Kind::List && call.prefix == protocol_.storePrefixes.front() && call.afterKey.empty();
-    if (isListBegin) {
-        state_.beginList();
-    }
     timeout_.expires_after(call.timeout);
     timeout_.async_wait([this](const boost::system::error_code &error) {
         if (!error && !isPaused_) {
--- a/libs/entry/tests/publishedstate_test.cpp
+++ b/libs/entry/tests/publishedstate_test.cpp
@@ -123,12 +123,10 @@
     StateFixture fixture;
     fixture.put("s/1", "1", 20);
     fixture.put("d/a", "{}", 21);
-    fixture.state.beginList();
     fixture.put("s/1", "1", 20);
-    fixture.state.onListComplete(fixture.now, 30);
+    fixture.state.onListComplete(fixture.now, {"s/1"}, 30);
     BOOST_TEST(fixture.isServing());
-    fixture.state.beginList();
-    fixture.state.onListComplete(fixture.now, 40);
+    fixture.state.onListComplete(fixture.now, {}, 40);
     BOOST_TEST(!fixture.isServing());
 }
 
@@ -178,8 +176,7 @@
     BOOST_TEST(changes[1].key == "s/1");
     BOOST_TEST(changes[1].isRemoved);
     // A removal that was detected only by a list is reported with the list's revision.
-    fixture.state.beginList();
-    fixture.state.onListComplete(fixture.now, 30);
+    fixture.state.onListComplete(fixture.now, {}, 30);
     BOOST_TEST(fixture.state.changesAfter(25).size() == 1U);
     fixture.now += PublishedState::removalRetention();
     fixture.state.onTick(fixture.now);
@@ -205,3 +202,25 @@
     BOOST_TEST(!follower.pool.find("1"));
     BOOST_TEST((follower.pool.find("2") != nullptr));
 }
+
+// Guards against the snapshot of a peer, or changes, that arrive between the pages of a list of the store.
+BOOST_AUTO_TEST_CASE(snapshotBetweenThePagesOfAListRemovesNothingOfTheList)
+{
+    StateFixture fixture;
+    fixture.put("d/a", "{}", 30);
+    fixture.state.applySnapshot(fixture.now, {{"s/1", "1", 20, false}}, 25);
+    fixture.put("s/1", "1", 20);
+    fixture.state.onListComplete(fixture.now, {"d/a", "s/1"}, 30);
+    BOOST_TEST(!fixture.isServing());
+}
+
+// Guards against a change that a peer reports between the pages, of an item that the store has removed since.
+BOOST_AUTO_TEST_CASE(itemThatAPeerReportsBetweenThePagesIsGoneIfTheListLacksIt)
+{
+    StateFixture fixture;
+    fixture.put("s/1", "1", 20);
+    fixture.put("s/2", "1", 21);
+    fixture.state.onListComplete(fixture.now, {"s/1"}, 30);
+    BOOST_TEST((fixture.pool.find("1") != nullptr));
+    BOOST_TEST(!fixture.pool.find("2"));
+}
