Planned stop: every request that was taken gets an answer

Callers of a VM that was being stopped as planned got closed connections without an answer, for requests that had been passed on to searchers late in the grace period, also ones that must not be repeated (reported by other operators; LOST here too).

Cause: the stop closed the listener after half of the grace period, but a request whose first bytes had come before was begun whatever time was left, and whatever was open at the end was dropped with the process.

Change: once the listener is closed, requests whose time limit ends after the last answer are refused as not run at once. 700 ms before the end of the grace period all open requests end as at their deadline; 300 ms are left to write the answers. Gather::expire() is the former end at the deadline.

Why it works: what is begun in the second half has a limit of its own that ends in time, and what is still open from the first half is ended while the process can still write.

--- a/libs/entry/include/entry/counters.h
+++ b/libs/entry/include/entry/counters.h
@@ -26,6 +26,8 @@
     std::uint64_t overloaded = 0;
     /// Requests refused because equal requests crashed searchers.
     std::uint64_t barred = 0;
+    /// Requests refused because the process may have stopped before their time limit.
+    std::uint64_t stopping = 0;
 
     /// Counts a request of \p route that ended with \p end after \p elapsed.
     void record(std::string_view route, GatherEnd end, Duration elapsed)
--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -14,6 +14,7 @@
 #include "routing/weightedsplit.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -57,6 +58,13 @@
     /// Serves one request, or refuses it.
     void handle(const std::shared_ptr<http::Exchange> &exchange);
 
+    /// Refuses further requests, as not run, if their time limit ends after \p lastAnswerAt: this process may not be
+    /// there to answer them.
+    void refuseRequestsEndingAfter(TimePoint lastAnswerAt) noexcept { lastAnswerAt_ = lastAnswerAt; }
+
+    /// Gives all open requests their final answer now, as if their time limit had ended.
+    void endRequests();
+
     /// Called when a new configuration comes into force.
     void onConfiguration(const RouteTable &routes);
 
@@ -89,6 +97,8 @@
     EntryCounters counters_;
     Random random_;
     TimePoint startedAt_ = BootClock::now();
+    /// When this process gives its last answer; nothing unless it is stopping.
+    std::optional<TimePoint> lastAnswerAt_;
     std::unordered_map<std::string, CallTimes> callTimes_;
     std::unordered_map<const detail::RequestTask *, std::shared_ptr<detail::RequestTask>> requests_;
     std::unique_ptr<detail::RequestContext> requestContext_;
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -375,6 +375,10 @@
     case StopStep::StopAccepting:
         httpServers_.callers().stopAccepting();
         httpServers_.callers().closeIdle();
+        entry_.refuseRequestsEndingAfter(stop_.lastAnswerAt());
+        break;
+    case StopStep::EndRequests:
+        entry_.endRequests();
         break;
     case StopStep::CloseIdle:
         httpServers_.callers().closeIdle();
--- a/libs/entry/src/entryserver.cpp
+++ b/libs/entry/src/entryserver.cpp
@@ -78,6 +78,11 @@
         refuse(exchange, metadata, http::emptyResponse(badRequest), "no request id");
         return;
     }
+    if (lastAnswerAt_ && detail::RequestTask::deadlineOf(*exchange, metadata, *route) > *lastAnswerAt_) {
+        ++counters_.stopping;
+        refuse(exchange, metadata, detail::notRunResponse(Duration{0}), "process is stopping");
+        return;
+    }
     const Fingerprint fingerprint = fingerprintOf(request);
     if (requestContext_->crashes.isBarred(BootClock::now(), fingerprint)) {
         ++counters_.barred;
@@ -101,6 +106,18 @@
     task->start();
 }
 
+void EntryServer::endRequests()
+{
+    std::vector<std::shared_ptr<detail::RequestTask>> open;
+    open.reserve(requests_.size());
+    for (const auto &[key, request] : requests_) {
+        open.push_back(request);
+    }
+    for (const std::shared_ptr<detail::RequestTask> &request : open) {
+        request->end();
+    }
+}
+
 void EntryServer::refuse(const std::shared_ptr<http::Exchange> &exchange,
                          const RequestMetadata &metadata,
                          http::Response response,
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -39,6 +39,7 @@
     add(text, "requests_malformed_total", "counter", counters.malformed + server.malformedRequests);
     add(text, "requests_overloaded_total", "counter", counters.overloaded);
     add(text, "requests_barred_total", "counter", counters.barred);
+    add(text, "requests_refused_stopping_total", "counter", counters.stopping);
     add(text, "requests_suspected", "gauge", sources.crashes.suspectCount());
     add(text, "requests_open", "gauge", sources.entry.openRequests());
     add(text, "calls_open", "gauge", sources.dispatcher.openCalls());
--- a/libs/entry/src/plannedstop.cpp
+++ b/libs/entry/src/plannedstop.cpp
@@ -1,5 +1,7 @@
 #include "entry/plannedstop.h"
 
+#include <algorithm>
+
 namespace sassafrasvane
 {
 
@@ -11,6 +13,11 @@
     }
 }
 
+TimePoint PlannedStop::lastAnswerAt() const noexcept
+{
+    return *begunAt_ + std::max(grace_ / 2, grace_ - margin() - answerTime());
+}
+
 StopStep PlannedStop::next(TimePoint now, std::size_t openConnections) noexcept
 {
     if (!begunAt_) {
@@ -27,7 +34,14 @@
         isAccepting_ = false;
         return StopStep::StopAccepting;
     }
-    return openConnections == 0 ? StopStep::End : StopStep::CloseIdle;
+    if (openConnections == 0) {
+        return StopStep::End;
+    }
+    if (!hasEndedRequests_ && now >= lastAnswerAt()) {
+        hasEndedRequests_ = true;
+        return StopStep::EndRequests;
+    }
+    return StopStep::CloseIdle;
 }
 
 } // namespace sassafrasvane
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -45,8 +45,7 @@
     , route_(route)
     , times_(times)
     , parts_(backends.size())
-    , deadline_(exchange_->receivedAt() + std::min(metadata_.timeout.value_or(route.timeLimit), route.timeLimit)
-                - deadlineMargin)
+    , deadline_(deadlineOf(*exchange_, metadata_, route))
     , gatherParameters_(makeGatherParameters())
     , gather_(gatherParameters_, gatherHooks())
     , timer_(shared.context)
@@ -60,6 +59,14 @@
     request_ = std::make_shared<const http::Request>(std::move(request));
 }
 
+TimePoint RequestTask::deadlineOf(const http::Exchange &exchange,
+                                  const RequestMetadata &metadata,
+                                  const RequestRoute &route)
+{
+    const Duration timeLimit = std::min(metadata.timeout.value_or(route.timeLimit), route.timeLimit);
+    return exchange.receivedAt() + timeLimit - deadlineMargin;
+}
+
 GatherParameters RequestTask::makeGatherParameters() const
 {
     const TimePoint receivedAt = exchange_->receivedAt();
@@ -162,6 +169,11 @@
     });
 }
 
+void RequestTask::end()
+{
+    gather_.expire();
+}
+
 void RequestTask::onTimer()
 {
     timerAt_.reset();
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -57,9 +57,17 @@
                 std::vector<BackendPool *> backends,
                 CallTimes &times);
 
+    /// When the time limits of the caller and of \p route end, less the time to answer.
+    static TimePoint deadlineOf(const http::Exchange &exchange,
+                                const RequestMetadata &metadata,
+                                const RequestRoute &route);
+
     /// Sends the calls of the parts, or refuses the request at once if it cannot be served.
     void start();
 
+    /// Answers the caller now, as if the deadline had passed.
+    void end();
+
 private:
     struct Part {
         BackendPool *backend = nullptr;
--- a/libs/gather/include/gather/gather.h
+++ b/libs/gather/include/gather/gather.h
@@ -115,6 +115,9 @@
     /// run, the call does not count towards maxAttempts.
     void onFailed(TimePoint now, std::size_t part, Ran ran);
 
+    /// Ends the request as at its deadline: with the parts that are answered, if they suffice.
+    void expire();
+
     /// Hedges late parts and ends the request at refuseAt, targetAt or the deadline. Must be called at wakeAt().
     void onTimer(TimePoint now);
 
--- a/libs/gather/src/gather.cpp
+++ b/libs/gather/src/gather.cpp
@@ -216,17 +216,25 @@
     }
 }
 
+void Gather::expire()
+{
+    if (isFinished_) {
+        return;
+    }
+    if (answered_ >= parameters_.minParts) {
+        finish(GatherEnd::Answered);
+    } else {
+        finish(sent_ == 0 ? GatherEnd::Unserved : GatherEnd::TimedOut);
+    }
+}
+
 void Gather::onTimer(TimePoint now)
 {
     if (isFinished_) {
         return;
     }
     if (now >= parameters_.deadline) {
-        if (answered_ >= parameters_.minParts) {
-            finish(GatherEnd::Answered);
-        } else {
-            finish(sent_ == 0 ? GatherEnd::Unserved : GatherEnd::TimedOut);
-        }
+        expire();
         return;
     }
     if (sent_ == 0 && now >= parameters_.refuseAt) {
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -4,6 +4,7 @@
 """
 
 import concurrent.futures
+import http.client
 import json
 import os
 import pathlib
@@ -422,6 +423,49 @@
                 self.assertEqual(world.ran(f"s{number}"), [])
         self.assertEqual(entry.process.wait(GRACE), 0)
 
+    def test_planned_stop_answers_requests_that_come_late_in_its_grace_period(self):
+        # Guards against requests that are passed on late in a planned stop and cut without an answer at its end.
+        world = self.world(entries=2)
+        route = {"name": "long", "host": "search.example", "prefix": "/long/", "routeType": "non_idempotent"}
+        route |= {"timeoutMs": 8000, "targetLatencyMs": 400, "priority": 1, "maxAttempts": 2, "service": "desk"}
+        world.configure(2, 4, extra=[route])
+        entry = world.entries[1]
+        world.wait(lambda: entry.version() == 2, IN_FORCE, "the new route is not in force")
+        for name in ("i-desk-0", "i-desk-1"):
+            world.searchers[name].delay = 3.5
+        entry.process.send_signal(signal.SIGTERM)
+        begun = time.monotonic()
+
+        def sleep_until(seconds):
+            time.sleep(max(0, begun + seconds - time.monotonic()))
+
+        def request(prefix, name):
+            head = f"POST /{prefix}/x HTTP/1.1\r\nHost: search.example\r\nX-Sassafrasvane-Request-Id: {name}\r\n"
+            return head.encode() + b"Content-Length: 4\r\n\r\nslot"
+
+        # The listener closes after half of the grace period. Of three requests only a part has arrived by then.
+        late = {"late-1": 3.2, "late-2": 4.2, "late-3": 5.1}
+        sleep_until(2.6)
+        connections = {name: entry.connect_raw() for name in ("whole", *late)}
+        for name in late:
+            connections[name].sendall(request("book", name)[:40])
+        connections["whole"].sendall(request("long", "whole"))
+        for name, at in late.items():
+            sleep_until(at)
+            connections[name].sendall(request("book", name)[40:])
+        statuses = {}
+        for name, connection in connections.items():
+            answer = http.client.HTTPResponse(connection)
+            answer.begin()
+            self.assertEqual(len(answer.read()), int(answer.headers["Content-Length"]), name)
+            statuses[name] = answer.status
+            connection.close()
+        # The route's limit of 2 s ends the first late request in time; the two others could not be answered by the end.
+        self.assertEqual(statuses, {"whole": 504, "late-1": 504, "late-2": 503, "late-3": 503})
+        self.assertEqual(world.ran("late-2") + world.ran("late-3"), [])
+        self.assertEqual(entry.process.wait(GRACE), 0)
+        self.assertLess(time.monotonic() - begun, GRACE)
+
     def test_restarted_process_does_not_use_what_was_withdrawn(self):
         world = self.world(entries=4)
         entry = world.entries[2]
--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -74,6 +74,10 @@
     def connect(self, listener="callers", timeout=10):
         return http.client.HTTPConnection(self.host, self.world.ports[listener], timeout=timeout)
 
+    def connect_raw(self, listener="callers", timeout=10):
+        """A socket, for requests that come in pieces."""
+        return socket.create_connection((self.host, self.world.ports[listener]), timeout)
+
     def ask(self, target, method="GET", body=None, request_id="r", deadline=2000, listener="callers", more=()):
         """Sends one request, with more headers. Returns status, headers and body."""
         connection = self.connect(listener)
@@ -187,5 +191,6 @@
     def close(self):
         for entry in self.entries:
             entry.stop()
+            entry.store_link.stop()
             entry.log.close()
         self.loop.stop()
