--- a/libs/entry/src/publishedstate.cpp
+++ b/libs/entry/src/publishedstate.cpp
@@ -13,7 +13,13 @@
 void PublishedState::apply(TimePoint now, const std::vector<StoreItem> &items)
 {
     for (const StoreItem &item : items) {
-        applyItem(now, item);
+        try {
+            applyItem(now, item);
+        } catch (const std::exception &exception) {
+            // The others must not be lost with it: they are not reported again.
+            log_.line(EventRank::Important, "item_failed").text("key", item.key).count("revision", item.revision);
+            log_.unexpectedError(exception);
+        }
     }
     updateDomainsOut();
 }
--- a/libs/entry/tests/publishedstate_test.cpp
+++ b/libs/entry/tests/publishedstate_test.cpp
@@ -27,6 +27,9 @@
             configuration.version = std::stoull(item.value);
             return configuration;
         }
+        if (item.value == "throws") {
+            throw std::runtime_error("cannot be applied");
+        }
         if (item.key.starts_with("d/")) {
             return DomainOut{item.key.substr(2)};
         }
@@ -108,6 +111,16 @@
     BOOST_TEST((fixture.pool.find("2") != nullptr));
 }
 
+// Guards against one item that keeps the items after it from being applied, or a process from reading on.
+BOOST_AUTO_TEST_CASE(itemThatCannotBeAppliedLeavesTheOthers)
+{
+    StateFixture fixture;
+    fixture.state.apply(fixture.now, {{"s/1", "1", 20, false}, {"s/2", "throws", 21, false}, {"d/a", "{}", 22, false}});
+    BOOST_TEST((fixture.pool.find("1") != nullptr));
+    BOOST_TEST(!fixture.isServing());
+    BOOST_TEST(fixture.log.unexpectedErrors() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(domainsAreTakenOutAndBack)
 {
     StateFixture fixture;
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -370,6 +370,46 @@
             self.assertEqual(followers[number % 2].ask("/fetch/x", request_id=f"f{number}")[0], 200)
         self.assertEqual(len(world.searchers["i-desk-0"].ran), before)
 
+    def test_odd_entries_neither_end_a_process_nor_stop_what_it_follows(self):
+        # Guards against an entry of another writer that ends the processes which read it, or keeps them from reading on.
+        world = self.world(entries=4)
+        deep = 100_000
+        numbers = ["1e400", "1e300", "9.3e18", "4294967296", "18446744073709551615", "18446744073709551616", "-1", "0.5", "null"]
+        ports = ["0", "65536", "99999", "-1", "", "80x", "4294967376", "18446744073709551696"]
+        entry = {"service": "desk", "address": "127.0.0.1:9", "zone": "a", "version": "v1", "slots": 2, "state": "ready"}
+        entry |= {"coldRemainingMs": 0, "sequence": 1, "born": 1}
+        odd = [b"", b"\0" * 100, b"\xff\xfe{", b"[" * deep, b'{"a":' * deep, b"[" * deep + b"]" * deep, b"{}", b"5", b'"x"']
+        odd += [json.dumps(entry)[:-1].encode() + b', "more": ' + b"[" * deep + b"]" * deep + b"}"]
+        for field in ("slots", "coldRemainingMs", "sequence", "born"):
+            odd += [json.dumps(entry | {field: "?"}).replace('"?"', number).encode() for number in numbers]
+        odd += [json.dumps(entry | {"address": f"127.0.0.1:{port}"}).encode() for port in ports]
+        odd += [json.dumps(entry | {field: value}).encode() for field in entry for value in (None, [], {}, "?", "x" * 10_000)]
+        odd += [json.dumps({name: value for name, value in entry.items() if name != field}).encode() for field in entry]
+        for number, value in enumerate(odd):
+            world.store.put(f"servers/odd-{number}", value)
+        for key in ("", "x" * 190, 'a"b\\c', "a\nb", "é", "a/b", "%00", "a b?c=d&e"):
+            world.store.put(f"servers/{key}", b"odd")
+            world.store.put(f"op/{key}", b"odd")
+
+        def check(version):
+            world.configure(version, 4)
+            world.wait(lambda: all(each.version() == version for each in world.entries), IN_FORCE, "a change is not in force")
+            for number, each in enumerate(world.entries):
+                for target in ("/fetch/x", "/board/x", "/book/x"):
+                    self.assertEqual(each.ask(target, request_id=f"{version}-{number}")[0], 200, target)
+
+        check(2)
+        # Processes that list the entries when they start, and whose store has dropped its history.
+        for each in world.entries[:2]:
+            each.stop()
+            each.start()
+        world.store.forget_history()
+        for each in world.entries[:2]:
+            world.wait(each.is_ready, 10, f"{each.name} is not ready")
+        check(3)
+        for each in world.entries:
+            self.assertEqual(each.lines("unexpected_error"), [])
+
     def test_directory_names_the_processes_that_serve(self):
         world = self.world(entries=3)
 
