Tests: answers that end at any byte of their head, on new and kept connections

A report of other operators: a searcher stopped in the middle of its answer's head and closed; callers got a 200 with an empty or short body that was framed as whole. It does not happen here, on either: ResponseReader ends a response with its connection only if all headers were read and none of them tells a length; else it fails, and the call ended without an answer.

responseThatEndsAtAnyByteBeforeItsEndFails cuts answers with a length, in chunks and after an informational one at each byte, read in pieces of 1, 7 and all bytes; responseWithoutLengthNeedsAllItsHeaders those that end with their connection. test_answer_that_ends_early_never_reaches_a_caller_as_a_whole_one does it with real processes for a single record, a query over shards and a booking, over new and kept connections to the searchers, every third answer slowly, all on one kept connection of the caller. Each answer has to be a failure, and one that says it was not run (503) must not have run.

--- a/libs/http/tests/responsereader_test.cpp
+++ b/libs/http/tests/responsereader_test.cpp
@@ -144,3 +144,35 @@
         BOOST_TEST((fixture.reader.state() == State::Failed), text);
     }
 }
+
+// Guards against responses that end in the middle of their headers and are taken for empty or short ones.
+BOOST_AUTO_TEST_CASE(responseThatEndsAtAnyByteBeforeItsEndFails)
+{
+    const std::string informational = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX: y\r\n";
+    for (const std::string &text : {head + "Content-Length: 12\r\n\r\ntwelve bytes",
+                                    head + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\nT: z\r\n\r\n",
+                                    informational + head + "Content-Length: 0\r\n\r\n"}) {
+        for (std::size_t size = 0; size < text.size(); ++size) {
+            for (const std::size_t piece : {std::size_t{1}, std::size_t{7}, text.size()}) {
+                ReaderFixture fixture;
+                fixture.feed(text.substr(0, size), piece);
+                fixture.reader.putEof();
+                BOOST_TEST((fixture.reader.state() == State::Failed), text.substr(0, size));
+            }
+        }
+    }
+}
+
+// A response without a length ends with its connection, but not in its headers.
+BOOST_AUTO_TEST_CASE(responseWithoutLengthNeedsAllItsHeaders)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+    for (std::size_t size = 0; size <= head.size(); ++size) {
+        ReaderFixture fixture;
+        fixture.feed(head.substr(0, size), 5);
+        fixture.reader.putEof();
+        const bool isWhole = size == head.size();
+        BOOST_TEST((fixture.reader.state() == (isWhole ? State::Complete : State::Failed)), head.substr(0, size));
+    }
+}
--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -259,6 +259,9 @@
         self.records = list(records)
         self.delay = 0.0
         self.mode = "ok"
+        # Bytes of each answer that are sent before the connection is closed, in mode "cut", and the time between two pieces.
+        self.cut_bytes = 0
+        self.piece_seconds = 0.0
         self.ran = []
         self.sequence = 0
         self.born = 1_700_000_000_000
@@ -302,8 +305,19 @@
                 return False
         finally:
             run.ended_at = time.monotonic()
+        if self.mode == "cut":
+            await self.cut(self.whole_answer(request_id, request.body)[: self.cut_bytes], writer)
+            return False
         return self.answer(request_id, request.body, writer)
 
+    async def cut(self, first, writer):
+        """Sends the first bytes of an answer, in pieces if they take time."""
+        size = max(1, len(first) // 4) if self.piece_seconds else max(1, len(first))
+        for begin in range(0, len(first), size):
+            writer.write(first[begin : begin + size])
+            await writer.drain()
+            await asyncio.sleep(self.piece_seconds)
+
     def _crash(self):
         for server in (self, *self.crashes_with()):
             server._stop()
@@ -318,17 +332,20 @@
             await asyncio.sleep(0.02)
         return True
 
-    def answer(self, request_id, request_body, writer):
-        """Returns false if the connection ends with the answer."""
-        if self.mode == "lost":
-            return False
+    def whole_answer(self, request_id, request_body):
         headers = {
             "X-Sassafrasvane-Request-Id": request_id,
             "X-Sassafrasvane-Server-Stamp": f"stamp.{self.instance}.{request_id}",
             "X-Sassafrasvane-Server-Load": "1,0,2",
         }
         body = b"".join(self.records) if self.records else b"reply to " + request_body
-        whole = response(500 if self.mode == "error" else 200, headers, body)
+        return response(500 if self.mode == "error" else 200, headers, body)
+
+    def answer(self, request_id, request_body, writer):
+        """Returns false if the connection ends with the answer."""
+        if self.mode == "lost":
+            return False
+        whole = self.whole_answer(request_id, request_body)
         if self.mode == "truncated":
             writer.write(whole[:-1])
             return False
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -116,6 +116,39 @@
             proofs = headers["X-Sassafrasvane-Part-Stamps"].split(", ")
             self.assertEqual({proof.split(".")[2] for proof in proofs}, {f"q{number}"})
 
+    def test_answer_that_ends_early_never_reaches_a_caller_as_a_whole_one(self):
+        # Guards against answers of searchers that close in the middle of their head and are passed on as empty or short.
+        world = self.world()
+        entry = world.entries[0]
+        searchers = list(world.searchers.values())
+        size = len(searchers[0].whole_answer("cut-000", b""))
+        connection = entry.connect()
+        for number, cut in enumerate(range(0, size, 5)):
+            # Half of the calls go over connections that have been used before.
+            for searcher in searchers:
+                searcher.mode = "ok" if number % 2 else "cut"
+            entry.ask("/fetch/x", request_id=f"before-{cut}")
+            entry.ask("/board/x", request_id=f"before-{cut}")
+            for searcher in searchers:
+                searcher.mode = "cut"
+                searcher.cut_bytes = min(cut, len(searcher.whole_answer(f"cut-{cut:03}", b"")) - 1)
+                searcher.piece_seconds = 0.01 if number % 3 == 0 else 0.0
+            target = ("/fetch/x", "/board/x", "/book/x")[number % 3]
+            headers = {"Host": "search.example", "X-Sassafrasvane-Request-Id": f"cut-{cut:03}"}
+            connection.request("POST" if target == "/book/x" else "GET", target, headers=headers)
+            answer = connection.getresponse()
+            self.assertEqual(len(answer.read()), int(answer.headers["Content-Length"]))
+            self.assertIn(answer.status, (502, 503, 504), f"{target}, {cut} bytes")
+            if answer.status == 503:
+                self.assertEqual(world.ran(f"cut-{cut:03}"), [])
+            # Searchers that have cut answers are avoided until a connection to them opens.
+            world.wait(lambda: entry.lines("call_failed"), 1, "no call has failed")
+            time.sleep(0.02)
+        self.assertGreater(sum(len(searcher.ran) for searcher in searchers), size // 10)
+        for searcher in searchers:
+            searcher.mode = "ok"
+        world.wait(lambda: entry.ask("/fetch/x")[0] == 200 and entry.ask("/board/x")[0] == 200, 5, "not served again")
+
     def test_caller_that_leaves_ends_the_searchers_work(self):
         world = self.world()
         for name in ("i-desk-0", "i-desk-1"):
