Entry tests: ports that no outgoing connection can have

Traced from the kept logs: in the failed test two listeners of one process had the same port ("two listeners have the same address"; once more later, "Address already in use"): free_port() asks the system and gives the port back, which may then name it again or give it to an outgoing connection. The test that ended with an error left no lines of its four processes and was over after 60 ms; that fits a connection that the test made to itself, on a loopback address and a port of the same range, but isn't proved.

Ports of listeners now come from below the system's range for outgoing connections, each once.

--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -19,10 +20,25 @@
 GRACE = 6
 
 
+# Below the ports that the system gives to outgoing connections: those may take a port before its listener is opened, or
+# connect to themselves.
+LISTENER_PORTS = range(20_000, 32_000)
+_given_ports = set()
+
+
 def free_port(host):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """A port that was not given before and that nobody uses at this address."""
+    while True:
+        port = random.choice(LISTENER_PORTS)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+        return port
 
 
 class Entry:
