HTTP client: a call that has ended is not kept in memory by its connection

Cause: the filter of a call holds the call, the call holds the connection, and the connection's reader kept the filter, with what had been read of the answer and its memory reservation, until the next call. A closed connection has no next call. An idle one held the former request and call as well.

Change: ResponseReader::end() drops filter, unread answer and reservation; the connection calls it when a call ends in any way and when it is closed. The request is freed once it is written. close() keeps its connection alive to its end, as the filter may hold the last reference.

Why it works: of the ring filter, call, connection the connection's part is cut at the end of the call, which each call has: a result, a failure or close().

--- a/libs/http/include/http/responsereader.h
+++ b/libs/http/include/http/responsereader.h
@@ -62,6 +62,10 @@
     /// Reports that the server has closed the connection without a reset, which ends a response that has no length.
     void putEof();
 
+    /// Ends the call: drops the filter and what was read of a response, and gives its memory back. The state is then
+    /// State::Failed until begin() is called again.
+    void end() noexcept;
+
     State state() const noexcept { return state_; }
 
     /// True if the response allows another call on the connection. Only valid in State::Complete.
--- a/libs/http/src/clientconnection.cpp
+++ b/libs/http/src/clientconnection.cpp
@@ -99,6 +99,7 @@
 {
     isWriting_ = false;
     hasWritten_ = hasWritten_ || size > 0;
+    request_.reset();
     // The server may respond and close before it has read the whole request: a pending read can still deliver the
     // response.
     if (error && !isReadPending_) {
@@ -199,6 +200,8 @@
     const CallHandler handler = std::move(handler_);
     handler_ = nullptr;
     const std::function<void()> onLost = handler ? nullptr : onLost_;
+    // The filter may hold what holds this connection.
+    reader_.end();
     if (!result.isReusable) {
         close();
     }
@@ -211,8 +214,11 @@
 
 void TcpClientConnection::close()
 {
+    // The handlers may hold the last references to this connection.
+    const std::shared_ptr<TcpClientConnection> alive = self();
     handler_ = nullptr;
     onLost_ = nullptr;
+    reader_.end();
     boost::system::error_code ignored;
     socket_.close(ignored);
 }
--- a/libs/http/src/responsereader.cpp
+++ b/libs/http/src/responsereader.cpp
@@ -35,6 +35,14 @@
     beginResponse();
 }
 
+void ResponseReader::end() noexcept
+{
+    state_ = State::Failed;
+    filter_ = nullptr;
+    parser_.reset();
+    lease_ = MemoryLease();
+}
+
 void ResponseReader::beginResponse()
 {
     state_ = State::Reading;
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -387,3 +387,47 @@
         BOOST_TEST(!fixture.connection->isOpen(), length);
     }
 }
+
+// Guards against calls and connections that keep each other alive: what a call holds is freed when the call has ended.
+BOOST_AUTO_TEST_CASE(endedCallHoldsNothing)
+{
+    struct Ending {
+        const char *name;
+        const char *response;
+        bool isClosedByPeer;
+        bool isClosedHere;
+    };
+    const std::vector<Ending> endings{
+        {"whole, kept", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, false},
+        {"whole, closed", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", true, false},
+        {"truncated", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nfour", true, false},
+        {"no response", "", true, false},
+        {"malformed", "this is no response\r\n\r\n", false, false},
+        {"given up", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nfour", false, true}};
+    for (const Ending &ending : endings) {
+        ClientFixture fixture;
+        const std::weak_ptr<http::ClientConnection> connection = fixture.connection;
+        std::shared_ptr<std::shared_ptr<http::ClientConnection>> held
+            = std::make_shared<std::shared_ptr<http::ClientConnection>>(fixture.connection);
+        const std::weak_ptr<std::shared_ptr<http::ClientConnection>> call = held;
+        // As in a real call, the filter holds what holds the connection.
+        fixture.call([held](const http::Response &) { return *held != nullptr; });
+        held.reset();
+        fixture.answer(ending.response);
+        if (ending.isClosedByPeer) {
+            fixture.peer.close();
+        }
+        if (ending.isClosedHere) {
+            fixture.runUntil([&fixture] { return fixture.memory.used() > 0; });
+            fixture.connection->close();
+        } else {
+            fixture.result();
+        }
+        fixture.results.clear();
+        BOOST_TEST(call.expired(), ending.name);
+        BOOST_TEST(fixture.memory.used() == 0U, ending.name);
+        fixture.connection->close();
+        fixture.connection.reset();
+        BOOST_TEST(fixture.runUntil([&connection] { return connection.expired(); }), ending.name);
+    }
+}
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -149,6 +149,38 @@
             searcher.mode = "ok"
         world.wait(lambda: entry.ask("/fetch/x")[0] == 200 and entry.ask("/board/x")[0] == 200, 5, "not served again")
 
+    def test_ended_calls_hold_no_memory(self):
+        # Guards against calls and connections that keep each other in memory, until the process exceeds its limit.
+        world = self.world()
+        entry = world.entries[0]
+        body = b"x" * 200_000
+        desks = [world.searchers[name] for name in ("i-desk-0", "i-desk-1")]
+
+        def send(mode, count):
+            for number in range(count):
+                for searcher in desks:
+                    searcher.mode = mode
+                entry.ask("/fetch/x", "POST", body, f"{mode}-{number}", deadline=300)
+                # Searchers that fail are avoided for a while.
+                if mode != "ok":
+                    for searcher in desks:
+                        searcher.mode = "ok"
+                    world.wait(lambda: entry.ask("/fetch/x", "POST", body, "again")[0] == 200, 3, "not served again")
+                # Closes the connections, as searchers do after their idle timeout.
+                for searcher in desks:
+                    world.loop.call(lambda searcher=searcher: [writer.transport.abort() for writer in list(searcher.writers)])
+                time.sleep(0.01)
+
+        send("ok", 20)
+        before = entry.memory()
+        send("ok", 150)
+        for mode in ("truncated", "lost", "error", "doubled"):
+            send(mode, 8)
+        world.wait(lambda: entry.metric("response_bytes_held") == 0, 3, "memory of answers is still held")
+        self.assertEqual(entry.metric("calls_open"), 0)
+        # Each call has a copy of its request: over 180 calls of 200,000 bytes.
+        self.assertLess(entry.memory() - before, 20)
+
     def test_caller_that_leaves_ends_the_searchers_work(self):
         world = self.world()
         for name in ("i-desk-0", "i-desk-1"):
--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -106,10 +106,18 @@
         finally:
             connection.close()
 
-    def peak_memory(self):
-        """The most memory that the process has had, in MB."""
+    def memory(self, field="VmRSS"):
+        """The memory of the process, in MB."""
         status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
-        return next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM")) / 1024
+        return next(int(line.split()[1]) for line in status.splitlines() if line.startswith(field)) / 1024
+
+    def peak_memory(self):
+        return self.memory("VmHWM")
+
+    def metric(self, name):
+        """The value of a series without labels."""
+        lines = self.ask("/metrics", listener="metrics")[2].decode().splitlines()
+        return next(float(line.split()[1]) for line in lines if line.startswith(f"sassafrasvane_{name} "))
 
     def is_ready(self):
         try:
