Store: an answer that is too large leads to a list in pages, not to the same call again

Cause: an answer could have an eighth of 16 MiB; six versions of a configuration of 290 KB exceed it. The refusal counted as an answer that can't be parsed, and the watch was repeated from the same revision, with the same answer, until the store had dropped its history.

Evidence: logs of the new process test on: 32 `store_call_failed`, all `bad_answer`, until the test gave up.

Change: Errc::TooLarge and StoreFailure::TooLarge tell a refused size from bytes that make no sense. StoreFollower lists anew after a watch that ended with either, at once for the former. An answer of the store or of a peer may have half of what is left of an eighth of the VM's memory; the fixed 8 MiB of a body no longer apply to them.

Why it works: a list comes in pages of at most 1 MB or one item, which always fit, and moves the revision on, so that the refused changes are not asked for again.

--- a/libs/catalog/include/catalog/storefollower.h
+++ b/libs/catalog/include/catalog/storefollower.h
@@ -48,6 +48,7 @@
     Refused,     ///< The store answered with an error status.
     HistoryLost, ///< The watched revision is no longer available.
     BadAnswer,   ///< The answer could not be parsed.
+    TooLarge,    ///< The answer needs more memory than there is for it.
 };
 
 /// Stable lower-case name of \p failure, for log lines.
@@ -92,8 +93,9 @@
 /// Decides which call to the store to make next; does no I/O itself.
 ///
 /// It lists all prefixes, then watches from the revision of the listing's first page. It lists again when the store no
-/// longer has the history since the watched revision. Failed calls are retried with exponential backoff and jitter;
-/// the first lost connection after an answer is retried at once.
+/// longer has the history since the watched revision, and when the answer to a watch is too large or cannot be parsed:
+/// the same watch would be answered in the same way, while a listing comes in pages. Failed calls are retried with
+/// exponential backoff and jitter; the first lost connection after an answer is retried at once.
 ///
 /// \code
 /// StoreFollower follower({"configuration/", "searchers/"}, seed);
--- a/libs/catalog/src/storefollower.cpp
+++ b/libs/catalog/src/storefollower.cpp
@@ -9,7 +9,8 @@
 
 const char *name(StoreFailure failure) noexcept
 {
-    constexpr std::array<const char *, 5> names{"unreachable", "silent", "refused", "history_lost", "bad_answer"};
+    constexpr std::array<const char *, 6> names{
+        "unreachable", "silent", "refused", "history_lost", "bad_answer", "too_large"};
     return names.at(static_cast<std::size_t>(failure));
 }
 
@@ -67,7 +68,8 @@
 void StoreFollower::onFailure(TimePoint now, StoreFailure failure, StoreActions &actions)
 {
     isCallOpen_ = false;
-    if (failure == StoreFailure::HistoryLost) {
+    const bool isWatchTooLarge = failure == StoreFailure::TooLarge && !isListing_;
+    if (failure == StoreFailure::HistoryLost || isWatchTooLarge) {
         onAnswered(now, actions);
         startList();
         schedule(now, actions);
@@ -80,7 +82,7 @@
     // A broken connection alone is no outage: the store may close a watch at any time.
     isOutageAssumed_ = isOutageAssumed_ || failure == StoreFailure::TimedOut || failure == StoreFailure::Refused;
     isConnected_ = false;
-    if (isListing_) {
+    if (isListing_ || failure == StoreFailure::BadAnswer) {
         startList();
     }
     const Duration pause = retryPause_ * (isSlowRetry_ ? slowRetryFactor() : 1);
--- a/libs/catalog/tests/storefollower_test.cpp
+++ b/libs/catalog/tests/storefollower_test.cpp
@@ -121,6 +121,26 @@
     BOOST_TEST(fixture.nextCall().afterRevision == 30U);
 }
 
+// Guards against a watch whose answer cannot be taken and that is repeated until the store drops its history.
+BOOST_AUTO_TEST_CASE(answerToAWatchThatCannotBeTakenMeansANewList)
+{
+    for (const StoreFailure failure : {StoreFailure::TooLarge, StoreFailure::BadAnswer}) {
+        FollowerFixture fixture;
+        fixture.completeList();
+        BOOST_TEST((fixture.nextCall().kind == StoreCall::Kind::Watch));
+        fixture.follower.onFailure(fixture.now, failure, fixture.actions);
+        const TimePoint before = fixture.now;
+        BOOST_TEST((fixture.nextCall().kind == StoreCall::Kind::List), name(failure));
+        // The store has answered: only an answer that makes no sense is a reason to wait.
+        BOOST_TEST((failure == StoreFailure::BadAnswer || fixture.now == before));
+        fixture.answerPage({}, false, 30);
+        BOOST_TEST(!fixture.actions.hasStoreReturned);
+        fixture.nextCall();
+        fixture.answerPage({}, false, 31);
+        BOOST_TEST(fixture.nextCall().afterRevision == 30U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(brokenWatchIsRetriedAtOnceAndIsNoOutage)
 {
     FollowerFixture fixture;
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -174,7 +174,8 @@
 SearcherCallResult Dispatcher::classify(Call &call, http::CallResult result)
 {
     SearcherCallResult outcome;
-    if (!result.response && result.failure == Errc::BadMessage) {
+    const bool isUnusable = result.failure == Errc::BadMessage || result.failure == Errc::TooLarge;
+    if (!result.response && isUnusable) {
         outcome.end = CallEnd::ServerError;
         outcome.ran = Ran::Unknown;
         return outcome;
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -47,8 +47,10 @@
 constexpr Duration maxTickDelay = std::chrono::milliseconds(1'500);
 /// Share of the VM's memory for searchers' responses.
 constexpr double responseMemoryShare = 0.2;
-/// Bytes for responses of the store and of other entry processes.
-constexpr std::size_t feedMemoryBytes = 16'777'216;
+/// Share of the VM's memory for responses of the store and of other entry processes. A single one may have half of what
+/// is left: the changes of some seconds can hold many versions of a large configuration.
+constexpr double feedMemoryShare = 0.125;
+constexpr double maxFeedResponseShare = 0.5;
 /// Authenticates messages between the entry processes of one private network.
 constexpr const char *peerKey = "sassafrasvane-entry-peers";
 
@@ -62,10 +64,10 @@
     return pool;
 }
 
-std::size_t responseBytes(const EntrySettings &settings)
+std::size_t memoryBytes(const EntrySettings &settings, double share)
 {
     constexpr double bytesPerMb = 1'048'576;
-    return static_cast<std::size_t>(static_cast<double>(settings.memoryMb) * bytesPerMb * responseMemoryShare);
+    return static_cast<std::size_t>(static_cast<double>(settings.memoryMb) * bytesPerMb * share);
 }
 
 Address peerAddressOf(const EntrySettings &settings)
@@ -92,8 +94,8 @@
         , protocol_(std::move(protocol))
         , log_(STDOUT_FILENO, settings.vm)
         , seed_(mix(daemonId(peerAddressOf(settings)).value, wallClockMicros()))
-        , searcherMemory_(responseBytes(settings))
-        , feedMemory_(feedMemoryBytes)
+        , searcherMemory_(memoryBytes(settings, responseMemoryShare))
+        , feedMemory_(memoryBytes(settings, feedMemoryShare), maxFeedResponseShare)
         , pool_(peerAddressOf(settings).toString(), settings.failureDomain, poolBounds(settings.bounds), seed_)
         , dispatcher_(context_, searcherMemory_, protocol_, pool_, log_)
         , state_(protocol_, pool_, log_)
--- a/libs/entry/src/storetask.cpp
+++ b/libs/entry/src/storetask.cpp
@@ -7,6 +7,23 @@
 namespace sassafrasvane
 {
 
+namespace
+{
+
+StoreFailure storeFailure(Errc failure) noexcept
+{
+    switch (failure) {
+    case Errc::BadMessage:
+        return StoreFailure::BadAnswer;
+    case Errc::TooLarge:
+        return StoreFailure::TooLarge;
+    default:
+        return StoreFailure::Unreachable;
+    }
+}
+
+} // namespace
+
 StoreTask::StoreTask(boost::asio::io_context &context,
                      http::ResponseMemory &memory,
                      const EntryProtocol &protocol,
@@ -140,7 +157,7 @@
         return;
     }
     if (!result.response) {
-        handleFailure(result.failure == Errc::BadMessage ? StoreFailure::BadAnswer : StoreFailure::Unreachable);
+        handleFailure(storeFailure(result.failure));
         return;
     }
     timeout_.cancel();
@@ -208,7 +225,7 @@
         .text("peer", store_.toString())
         .text("failure", name(failure))
         .flag("first", !isStoreLost_);
-    isStoreLost_ = isStoreLost_ || failure != StoreFailure::HistoryLost;
+    isStoreLost_ = isStoreLost_ || (failure != StoreFailure::HistoryLost && failure != StoreFailure::TooLarge);
     StoreActions actions;
     follower_.onFailure(BootClock::now(), failure, actions);
     performActions(std::move(actions));
--- a/libs/http/include/http/clientconnection.h
+++ b/libs/http/include/http/clientconnection.h
@@ -5,7 +5,9 @@
 #include "base/time.h"
 #include "http/responsereader.h"
 
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 
@@ -67,10 +69,10 @@
     /// \param filter selects the response that belongs to the call; if null, any response is accepted.
     virtual void call(Request request, std::uint64_t bodyLimit, ResponseFilter filter, CallHandler handler) = 0;
 
-    /// Sends \p request with the default limit on the response body and without a filter.
+    /// Sends \p request without a filter; only the available memory limits the response body.
     void call(Request request, CallHandler handler)
     {
-        call(std::move(request), ResponseConstraints().maxBodyBytes, nullptr, std::move(handler));
+        call(std::move(request), std::numeric_limits<std::uint64_t>::max(), nullptr, std::move(handler));
     }
 
     /// Sets the function that is called when the connection is lost while idle.
--- a/libs/http/include/http/responsememory.h
+++ b/libs/http/include/http/responsememory.h
@@ -24,10 +24,16 @@
 {
 public:
     /// \param limit maximum size of all responses together, in bytes.
-    explicit ResponseMemory(std::size_t limit) noexcept : limit_(limit) { }
+    /// \param maxShare the share of the available memory that a single response may have, if it isn't small.
+    explicit ResponseMemory(std::size_t limit, double maxShare = defaultMaxShare()) noexcept
+        : limit_(limit), maxShare_(maxShare)
+    {
+    }
     ResponseMemory(const ResponseMemory &) = delete;
     ResponseMemory &operator=(const ResponseMemory &) = delete;
 
+    static constexpr double defaultMaxShare() noexcept { return 0.125; }
+
     /// Changes the reservation of one response from \p held to \p wanted bytes.
     /// \return false, without a change, if the response may not grow to that size. Shrinking always succeeds.
     bool resize(std::size_t held, std::size_t wanted) noexcept;
@@ -40,6 +46,7 @@
 
 private:
     std::size_t limit_;
+    double maxShare_;
     std::size_t used_ = 0;
     std::size_t refusals_ = 0;
 };
--- a/libs/http/include/http/responsereader.h
+++ b/libs/http/include/http/responsereader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/error.h"
 #include "http/message.h"
 #include "http/responsememory.h"
 
@@ -68,6 +69,10 @@
 
     State state() const noexcept { return state_; }
 
+    /// Why the call failed: Errc::TooLarge if the response exceeds the constraints or the available memory, else
+    /// Errc::BadMessage. Only valid in State::Failed.
+    Errc failure() const noexcept { return failure_; }
+
     /// True if the response allows another call on the connection. Only valid in State::Complete.
     bool isKeptAlive() const { return parser_->keep_alive(); }
 
@@ -92,6 +97,7 @@
     MemoryLease lease_;
     unsigned droppedResponses_ = 0;
     State state_ = State::Failed;
+    Errc failure_ = Errc::BadMessage;
 };
 
 } // namespace sassafrasvane::http
--- a/libs/http/src/clientconnection.cpp
+++ b/libs/http/src/clientconnection.cpp
@@ -162,7 +162,7 @@
         complete();
         break;
     case ResponseReader::State::Failed:
-        fail(Errc::BadMessage);
+        fail(reader_.failure());
         break;
     }
 }
--- a/libs/http/src/responsememory.cpp
+++ b/libs/http/src/responsememory.cpp
@@ -10,8 +10,6 @@
 
 /// Responses up to this size, in bytes, are accepted as long as they fit into the available memory.
 constexpr std::size_t smallResponseBytes = 65'536;
-/// A larger response may have at most the available memory divided by this number.
-constexpr std::size_t freeMemoryDivisor = 8;
 
 } // namespace
 
@@ -19,8 +17,8 @@
 {
     if (wanted > held) {
         const std::size_t available = limit_ - std::min(limit_, used_);
-        const bool isGranted
-            = wanted - held <= available && wanted <= std::max(smallResponseBytes, available / freeMemoryDivisor);
+        const std::size_t largest = static_cast<std::size_t>(static_cast<double>(available) * maxShare_);
+        const bool isGranted = wanted - held <= available && wanted <= std::max(smallResponseBytes, largest);
         if (!isGranted) {
             ++refusals_;
             return false;
--- a/libs/http/src/responsereader.cpp
+++ b/libs/http/src/responsereader.cpp
@@ -32,6 +32,7 @@
     constraints_ = constraints;
     filter_ = std::move(filter);
     droppedResponses_ = 0;
+    failure_ = Errc::BadMessage;
     beginResponse();
 }
 
@@ -82,7 +83,12 @@
     boost::system::error_code error;
     const std::size_t used = parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
     const bool isMalformed = error && error != beast_http::error::need_more;
-    if (isMalformed || !checkConstraints()) {
+    if (error == beast_http::error::body_limit || (!isMalformed && !checkConstraints())) {
+        failure_ = Errc::TooLarge;
+        state_ = State::Failed;
+        return used;
+    }
+    if (isMalformed) {
         state_ = State::Failed;
         return used;
     }
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -383,7 +383,7 @@
         fixture.call();
         fixture.answer("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nbody");
         BOOST_TEST(!fixture.result().response.has_value(), length);
-        BOOST_TEST((fixture.result().failure == Errc::BadMessage), length);
+        BOOST_TEST((fixture.result().failure == Errc::TooLarge), length);
         BOOST_TEST(!fixture.connection->isOpen(), length);
     }
 }
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -417,6 +417,32 @@
             self.assertEqual(entry.ask("/fetch/x", request_id=f"e{number}")[0], 503)
             self.assertEqual(world.ran(f"e{number}"), [])
 
+    def test_many_versions_of_a_large_configuration_are_followed_on_a_small_vm(self):
+        # Guards against an answer of the store that is refused as too large, and asked for again until the history is gone.
+        world = self.world(entries=4, memory_mb=160)
+        routes = []
+        for number in range(1500):
+            route = {"name": f"r-{number}", "host": f"host{number}.example", "prefix": f"/more/{number}/", "routeType": "idempotent"}
+            route |= {"timeoutMs": 800, "targetLatencyMs": 80, "priority": 1, "maxAttempts": 2, "topK": 50, "minShardRatio": 0.75}
+            routes.append(route | {"fanout": [f"shard-{shard}" for shard in range(4)]})
+        version = 1
+        # As much as fits one answer, and more: then the process has to list the store anew.
+        for changes in (12, 60):
+            for entry in world.entries:
+                entry.process.send_signal(signal.SIGSTOP)
+            for _ in range(changes):
+                version += 1
+                world.configure(version, 4, extra=routes)
+            if changes == 60:
+                world.store.put("op/evacuate/a", {"zone": "a"})
+            for entry in world.entries:
+                entry.process.send_signal(signal.SIGCONT)
+            world.wait(lambda: all(entry.version() == version for entry in world.entries), 8, f"{changes} changes are not followed")
+        world.wait(lambda: all(entry.lines("failure_domains_out") for entry in world.entries), 1, "the evacuation is not known")
+        self.assertTrue(any(line["failure"] == "too_large" for entry in world.entries for line in entry.lines("store_call_failed")))
+        for entry in world.entries:
+            self.assertLess(entry.peak_memory(), MOST_MEMORY)
+
     def test_removal_reaches_processes_whose_readers_were_restarted(self):
         # Guards against restarted readers whose list lacks earlier removals and who answer followers as if they knew them.
         world = self.world(entries=5)
--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -66,7 +66,7 @@
             "metricsPort": ports["metrics"],
             "seeds": self.seeds,
             "store": self.store_link.address,
-            "memoryMb": 260,
+            "memoryMb": self.world.memory_mb,
             "fileDescriptors": 4100,
             "bounds": {"stopGraceS": GRACE, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 56, "coldFactor": 1.5}
             | {"coldSlack": 5, "directoryLifetimeS": 5},
@@ -146,8 +146,9 @@
 
     entry_type = Entry
 
-    def __init__(self, build, entries=1, shards=4, replicas=2):
+    def __init__(self, build, entries=1, shards=4, replicas=2, memory_mb=260):
         self.build = build
+        self.memory_mb = memory_mb
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="sassafrasvane-entry-"))
         self.loop = standin.Loop()
         names = ("callers", "readiness", "directory", "control", "peers", "metrics")
