Store: a connection that falls silent is replaced at once and is no outage

Cause: every call that timed out counted as an outage of the store, after which removals are held back for 2.5 s, as registrations may have expired; with the 2 s until the silence is noticed that is longer than a searcher serves on.

Change: an outage is a time without an answer of 2.2 s or more, from the start of the first call that failed. The first call that times out is made again at once on a new connection.

Why it works: a registration is renewed about every 1.2 s and expires after three times as long, so none can expire within 2.4 s of an answer of the store; a single lost answer is noticed after 2.0 s and the next call is answered within milliseconds. Longer silence is an outage as before.

--- a/libs/catalog/include/catalog/storefollower.h
+++ b/libs/catalog/include/catalog/storefollower.h
@@ -95,7 +95,7 @@
 /// It lists all prefixes, then watches from the revision of the listing's first page. It lists again when the store no
 /// longer has the history since the watched revision, and when the answer to a watch is too large or cannot be parsed:
 /// the same watch would be answered in the same way, while a listing comes in pages. Failed calls are retried with
-/// exponential backoff and jitter; the first lost connection after an answer is retried at once.
+/// exponential backoff and jitter; the first connection that is lost or silent after an answer is replaced at once.
 ///
 /// \code
 /// StoreFollower follower({"configuration/", "searchers/"}, seed);
@@ -118,8 +118,9 @@
     static constexpr Duration maxRetryPause() noexcept { return std::chrono::milliseconds(1'000); }
     /// Factor by which slow retry lengthens the backoff.
     static constexpr int slowRetryFactor() noexcept { return 4; }
-    /// Duration of continuous failures from which entries may have expired.
-    static constexpr Duration minOutageTime() noexcept { return std::chrono::milliseconds(1'000); }
+    /// Time since the store last answered from which entries may have expired. Searchers register about every 1.2 s,
+    /// and a registration expires after three times as long. A single lost answer is noticed earlier.
+    static constexpr Duration minOutageTime() noexcept { return std::chrono::milliseconds(2'200); }
 
     /// Follows all keys under \p prefixes. \param seed seeds the jitter of retries.
     StoreFollower(std::vector<std::string> prefixes, std::uint64_t seed);
@@ -182,7 +183,8 @@
     std::optional<TimePoint> dueAt_;
     Duration retryPause_ = initialRetryPause();
     bool isConnected_ = false;
-    /// Time of the first failure since the last answer.
+    TimePoint callStartedAt_;
+    /// Start of the first call that failed since the last answer.
     std::optional<TimePoint> failedSince_;
     /// True if the next answer counts as the store's return, whatever the duration of the failures.
     bool isOutageAssumed_ = true;
--- a/libs/catalog/src/storefollower.cpp
+++ b/libs/catalog/src/storefollower.cpp
@@ -77,17 +77,18 @@
     }
     const bool isFirstFailure = !failedSince_;
     if (isFirstFailure) {
-        failedSince_ = now;
+        failedSince_ = callStartedAt_;
     }
-    // A broken connection alone is no outage: the store may close a watch at any time.
-    isOutageAssumed_ = isOutageAssumed_ || failure == StoreFailure::TimedOut || failure == StoreFailure::Refused;
+    // A connection that breaks or falls silent is no outage as such: the store may serve others all the while.
+    isOutageAssumed_ = isOutageAssumed_ || failure == StoreFailure::Refused;
     isConnected_ = false;
     if (isListing_ || failure == StoreFailure::BadAnswer) {
         startList();
     }
     const Duration pause = retryPause_ * (isSlowRetry_ ? slowRetryFactor() : 1);
     const Duration jitter(static_cast<Duration::rep>(random_.below(static_cast<std::uint64_t>(pause.count()))));
-    const bool isRetriedAtOnce = isFirstFailure && failure == StoreFailure::Unreachable;
+    const bool isConnectionLost = failure == StoreFailure::Unreachable || failure == StoreFailure::TimedOut;
+    const bool isRetriedAtOnce = isFirstFailure && isConnectionLost;
     schedule(isRetriedAtOnce ? now : now + pause / 2 + jitter, actions);
     retryPause_ = std::min(retryPause_ * 2, maxRetryPause());
 }
@@ -103,6 +104,7 @@
     }
     dueAt_.reset();
     isCallOpen_ = true;
+    callStartedAt_ = now;
     actions.call = nextCall();
 }
 
--- a/standins/platform/proxy.py
+++ b/standins/platform/proxy.py
@@ -29,6 +29,12 @@
         self.harm = Harm.NONE
         self.delay_s = 0.0
         self.changed = asyncio.Event()
+        # Ends of connections on which nothing is passed on any more.
+        self.silent = set()
+
+    def silence_open_connections(self):
+        """Nothing comes through any more on the connections that are open now; new ones work."""
+        self.loop.call(lambda: self.silent.update(self.writers))
 
     def set_harm(self, harm, delay_s=0.0):
         def change():
@@ -64,6 +70,7 @@
             to_server.cancel()
             to_client.cancel()
             self.writers -= pair
+            self.silent -= pair
             for end in pair:
                 end.transport.abort()
 
@@ -78,6 +85,8 @@
             if not chunk:
                 writer.close()
                 raise ConnectionResetError
+            if writer in self.silent:
+                continue
             writer.write(chunk)
             await writer.drain()
 
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -417,6 +417,20 @@
             self.assertEqual(entry.ask("/fetch/x", request_id=f"e{number}")[0], 503)
             self.assertEqual(world.ran(f"e{number}"), [])
 
+    def test_removal_takes_effect_in_time_although_open_connections_fell_silent(self):
+        # Guards against a lost connection that counts as an outage of the store, after which removals are held back.
+        world = self.world(entries=5)
+        world.wait(lambda: sum(entry.reads_store() for entry in world.entries) == 3, 5, "not three processes read the store")
+        # After a change all readers have just asked for the next one, so that the silence goes unnoticed for two seconds.
+        world.configure(2, 4)
+        world.wait(lambda: all(entry.version() == 2 for entry in world.entries), IN_FORCE, "a change is not in force")
+        time.sleep(0.3)
+        for entry in world.entries:
+            entry.store_link.silence_open_connections()
+        world.searchers["i-desk-0"].unregister()
+        removed = lambda: all(entry.lines("searcher_changed")[-1]["change"] == "removed" for entry in world.entries)
+        world.wait(removed, IN_FORCE, "a removal is not known everywhere")
+
     def test_many_versions_of_a_large_configuration_are_followed_on_a_small_vm(self):
         # Guards against an answer of the store that is refused as too large, and asked for again until the history is gone.
         world = self.world(entries=4, memory_mb=160)
