--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -21,8 +21,8 @@
 
 
 # Below the ports that the system gives to outgoing connections: those may take a port before its listener is opened, or
-# connect to themselves.
-LISTENER_PORTS = range(20_000, 32_000)
+# connect to themselves. Ports from 20,000 on belong to tests/process and the demo.
+LISTENER_PORTS = range(10_000, 20_000)
 _given_ports = set()
 
 
