Feed: turning from peers to the store is not the store's return from an outage

Processes that lost all readers of the store turned to it within a second, but used a searcher that had left for 2.5 s more, later than 3 s after its removal.

Cause: the first answer of the store to a process counted as its return from an outage, whatever peers had confirmed before; removals are held back after it.

Evidence: logs of the new process test: `source_changed` to the store, `store_regained` with outage true 2 ms later, the removal 2.5 s after that; processes that had read the store before logged outage false.

Change: StoreFollower::resume() is told when the items were last confirmed, and decides by the same time without an answer as after a lost call. If all peers that had served this process say that they have lost the store, an outage is assumed; a restarted peer says nothing of it. The time without contact to peers after which removals are held back becomes the same 2.2 s (1.5 s before).

Why it works: what a peer confirmed less than 2.2 s ago can't have expired for lack of the store.

--- a/libs/catalog/include/catalog/storefollower.h
+++ b/libs/catalog/include/catalog/storefollower.h
@@ -149,7 +149,9 @@
     void pause() noexcept;
 
     /// Continues after pause(): watches from the last or adopted revision, or restarts an incomplete listing.
-    void resume(TimePoint now, StoreActions &actions);
+    /// \param confirmedAt when another source last confirmed the items; nothing if there was none, or if the store may
+    /// have had an outage since. Decides with minOutageTime() whether the next answer is the store's return.
+    void resume(TimePoint now, std::optional<TimePoint> confirmedAt, StoreActions &actions);
 
     /// The revision up to which all items are known; nothing while a listing is incomplete.
     std::optional<std::uint64_t> completeAsOf() const noexcept
@@ -184,7 +186,7 @@
     Duration retryPause_ = initialRetryPause();
     bool isConnected_ = false;
     TimePoint callStartedAt_;
-    /// Start of the first call that failed since the last answer.
+    /// Start of the first call that failed since the last answer, or when another source confirmed the items before.
     std::optional<TimePoint> failedSince_;
     /// True if the next answer counts as the store's return, whatever the duration of the failures.
     bool isOutageAssumed_ = true;
--- a/libs/catalog/src/storefollower.cpp
+++ b/libs/catalog/src/storefollower.cpp
@@ -75,8 +75,8 @@
         schedule(now, actions);
         return;
     }
-    const bool isFirstFailure = !failedSince_;
-    if (isFirstFailure) {
+    const bool isFirstFailure = retryPause_ == initialRetryPause();
+    if (!failedSince_) {
         failedSince_ = callStartedAt_;
     }
     // A connection that breaks or falls silent is no outage as such: the store may serve others all the while.
@@ -125,11 +125,12 @@
     dueAt_.reset();
 }
 
-void StoreFollower::resume(TimePoint now, StoreActions &actions)
+void StoreFollower::resume(TimePoint now, std::optional<TimePoint> confirmedAt, StoreActions &actions)
 {
     isPaused_ = false;
     isCallOpen_ = false;
-    failedSince_.reset();
+    isOutageAssumed_ = !confirmedAt;
+    failedSince_ = confirmedAt;
     retryPause_ = initialRetryPause();
     if (isListing_) {
         startList();
--- a/libs/catalog/tests/storefollower_test.cpp
+++ b/libs/catalog/tests/storefollower_test.cpp
@@ -190,6 +190,29 @@
     }
 }
 
+// Guards against a process that turns from its peers to the store and takes that for the store's return.
+BOOST_AUTO_TEST_CASE(storeIsNotAwayWhileAnotherSourceConfirmsItsItems)
+{
+    for (const Duration silence : {Duration(1s), StoreFollower::minOutageTime()}) {
+        FollowerFixture fixture;
+        fixture.follower.pause();
+        fixture.follower.adoptRevision(40);
+        const TimePoint confirmedAt = fixture.now;
+        fixture.now += silence;
+        fixture.follower.resume(fixture.now, confirmedAt, fixture.actions);
+        BOOST_TEST(fixture.nextCall().afterRevision == 40U);
+        fixture.follower.onChanges(fixture.now, StoreChanges{{}, 41}, fixture.actions);
+        BOOST_TEST(fixture.actions.hasStoreReturned == (silence >= StoreFollower::minOutageTime()));
+    }
+    FollowerFixture unconfirmed;
+    unconfirmed.follower.pause();
+    unconfirmed.follower.adoptRevision(40);
+    unconfirmed.follower.resume(unconfirmed.now, std::nullopt, unconfirmed.actions);
+    unconfirmed.nextCall();
+    unconfirmed.follower.onChanges(unconfirmed.now, StoreChanges{{}, 41}, unconfirmed.actions);
+    BOOST_TEST(unconfirmed.actions.hasStoreReturned);
+}
+
 BOOST_AUTO_TEST_CASE(refusalsAreOutages)
 {
     FollowerFixture fixture;
--- a/libs/entry/include/entry/feedclient.h
+++ b/libs/entry/include/entry/feedclient.h
@@ -69,6 +69,10 @@
         return respondedAt_ && now - *respondedAt_ < maxSilence() && age(now) < maxAge();
     }
 
+    /// True if the peer has served items and has responded since that it has no fresh ones: it has lost the store. A
+    /// peer that was restarted doesn't count.
+    bool hasPeerLostStore() const noexcept { return hasPeerLostStore_; }
+
     /// Time since the store confirmed the last response's revision; Duration::max() without a response.
     Duration age(TimePoint now) const noexcept
     {
@@ -96,6 +100,7 @@
     /// True if the next request asks for items although wantsItems_ is false, because this process is behind the peer.
     bool isCatchingUp_ = false;
     bool isStopped_ = false;
+    bool hasPeerLostStore_ = false;
     std::optional<TimePoint> respondedAt_;
     /// Age of the data of the last response on its arrival.
     Duration ageAtResponse_{0};
--- a/libs/entry/include/entry/feedtask.h
+++ b/libs/entry/include/entry/feedtask.h
@@ -34,8 +34,6 @@
     /// Fallback delay after a start, and after the very first start of the deployment, when no callers wait yet.
     static constexpr Duration startFallbackDelay() noexcept { return std::chrono::milliseconds(150); }
     static constexpr Duration firstStartFallbackDelay() noexcept { return std::chrono::milliseconds(3'000); }
-    /// Time without contact to the store or a peer after which searchers' registrations may have expired.
-    static constexpr Duration outageTime() noexcept { return std::chrono::milliseconds(1'500); }
 
     /// \param memory bounds the memory for the peers' responses. \param startFallbackDelay see startFallbackDelay().
     FeedTask(boost::asio::io_context &context,
@@ -68,6 +66,8 @@
     void updateClients();
     void applyResponse(const FeedResponse &response);
     bool hasHealthyPeer(TimePoint now) const;
+    bool haveAllPeersLostStore() const;
+    std::optional<TimePoint> confirmedAt() const;
     void setFollowingStore(bool isFollowing, const char *reason);
 
     boost::asio::io_context &context_;
@@ -86,6 +86,8 @@
     TimePoint lastContactAt_;
     TimePoint followStoreAt_;
     bool hadHealthyPeer_ = false;
+    /// True if all peers have lost the store since the last response: registrations may have expired.
+    bool isOutageAssumed_ = false;
 };
 
 } // namespace sassafrasvane
--- a/libs/entry/include/entry/storetask.h
+++ b/libs/entry/include/entry/storetask.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 
 /// \file
 /// Follows the store over one connection.
@@ -32,8 +33,8 @@
     StoreTask(const StoreTask &) = delete;
     StoreTask &operator=(const StoreTask &) = delete;
 
-    /// Starts or resumes the calls.
-    void resume();
+    /// Starts or resumes the calls. \param confirmedAt see StoreFollower::resume().
+    void resume(std::optional<TimePoint> confirmedAt);
 
     /// Cancels the open call and makes no calls until resume().
     void pause();
--- a/libs/entry/src/feedclient.cpp
+++ b/libs/entry/src/feedclient.cpp
@@ -92,6 +92,7 @@
         connection_.reset();
     }
     if (!isSuccess) {
+        hasPeerLostStore_ = hasPeerLostStore_ || (result.response && respondedAt_);
         respondedAt_.reset();
         schedulePoll(retryDelay());
         return;
@@ -102,6 +103,7 @@
         return;
     }
     const bool requestedItems = wantsItems_ || isCatchingUp_;
+    hasPeerLostStore_ = false;
     respondedAt_ = BootClock::now();
     ageAtResponse_ = response.value().age;
     peerRevision_ = response.value().revision;
--- a/libs/entry/src/feedtask.cpp
+++ b/libs/entry/src/feedtask.cpp
@@ -68,6 +68,7 @@
 
 void FeedTask::onTick(TimePoint now)
 {
+    isOutageAssumed_ = isOutageAssumed_ || haveAllPeersLostStore();
     updateClients();
     const bool isHealthy = hasHealthyPeer(now);
     if (isHealthy || (isFollowingStore_ && store_.isConnected())) {
@@ -135,6 +136,20 @@
         clients_.begin(), clients_.end(), [now](const auto &client) { return client.second->isHealthy(now); });
 }
 
+bool FeedTask::haveAllPeersLostStore() const
+{
+    return !clients_.empty() && std::all_of(clients_.begin(), clients_.end(), [](const auto &client) {
+        return client.second->hasPeerLostStore();
+    });
+}
+
+// When the items were last confirmed; nothing if there are none, or if the store may have had an outage since.
+std::optional<TimePoint> FeedTask::confirmedAt() const
+{
+    const bool isKnown = state_.completeRevision() > 0 && !isOutageAssumed_;
+    return isKnown ? std::optional<TimePoint>(lastContactAt_) : std::nullopt;
+}
+
 void FeedTask::setFollowingStore(bool isFollowing, const char *reason)
 {
     if (isFollowingStore_ == isFollowing) {
@@ -146,7 +161,7 @@
         .text("reason", reason)
         .count("revision", state_.revision());
     if (isFollowing) {
-        store_.resume();
+        store_.resume(confirmedAt());
     } else {
         store_.pause();
     }
@@ -155,9 +170,10 @@
 void FeedTask::applyResponse(const FeedResponse &response)
 {
     const TimePoint now = BootClock::now();
-    if (now - lastContactAt_ >= outageTime()) {
+    if (isOutageAssumed_ || now - lastContactAt_ >= StoreFollower::minOutageTime()) {
         state_.onStoreReturned(now);
     }
+    isOutageAssumed_ = false;
     lastContactAt_ = now;
     if (response.isSnapshot) {
         state_.applySnapshot(now, response.items, response.revision);
--- a/libs/entry/src/storetask.cpp
+++ b/libs/entry/src/storetask.cpp
@@ -48,12 +48,12 @@
     pause();
 }
 
-void StoreTask::resume()
+void StoreTask::resume(std::optional<TimePoint> confirmedAt)
 {
     isPaused_ = false;
     isStarting_ = true;
     StoreActions actions;
-    follower_.resume(BootClock::now(), actions);
+    follower_.resume(BootClock::now(), confirmedAt, actions);
     performActions(std::move(actions));
 }
 
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -417,6 +417,28 @@
             self.assertEqual(entry.ask("/fetch/x", request_id=f"e{number}")[0], 503)
             self.assertEqual(world.ran(f"e{number}"), [])
 
+    def test_removal_takes_effect_in_time_where_all_readers_of_the_store_are_lost(self):
+        # Guards against processes that turn to the store for the first time and take that for its return from an outage.
+        world = self.world(entries=6)
+        world.wait(lambda: sum(entry.reads_store() for entry in world.entries) == 3, 5, "not three processes read the store")
+        readers = [entry for entry in world.entries if entry.reads_store()]
+        followers = [entry for entry in world.entries if entry not in readers]
+        # The followers are started anew and learn all they know from the readers.
+        for entry in followers:
+            entry.store_link.set_harm(Harm.RESET)
+            entry.stop()
+            entry.start()
+        for entry in followers:
+            world.wait(entry.is_ready, 10, f"{entry.name} is not ready")
+        world.wait(lambda: not any(entry.reads_store() for entry in followers), 5, "the readers are not followed")
+        for entry in followers:
+            entry.store_link.set_harm(Harm.NONE)
+        for entry in readers:
+            entry.stop()
+        world.searchers["i-desk-0"].unregister()
+        removed = lambda: all(entry.lines("searcher_changed")[-1]["change"] == "removed" for entry in followers)
+        world.wait(removed, IN_FORCE, "a removal is not known everywhere")
+
     def test_removal_takes_effect_in_time_although_open_connections_fell_silent(self):
         # Guards against a lost connection that counts as an outage of the store, after which removals are held back.
         world = self.world(entries=5)
