Feed: a response without items ends an outage as well

After an outage of the store in which registrations expired, a process now and then dropped the searchers at once instead of keeping them for the time in which they register again, and refused all requests for a service for a second or two.

Cause: the time since the last contact decides whether the store has returned. A peer that is asked for its revision alone counts as contact, but only responses with items were judged. If the response without items came first, the contact was new when the items came, and their removals took effect at once.

Change: FeedTask::onContact() judges each contact, before it becomes the last one.

--- a/libs/entry/include/entry/feedtask.h
+++ b/libs/entry/include/entry/feedtask.h
@@ -64,6 +64,7 @@
 
 private:
     void updateClients();
+    void onContact(TimePoint now);
     void applyResponse(const FeedResponse &response);
     bool hasHealthyPeer(TimePoint now) const;
     bool haveAllPeersLostStore() const;
--- a/libs/entry/src/feedtask.cpp
+++ b/libs/entry/src/feedtask.cpp
@@ -72,7 +72,7 @@
     updateClients();
     const bool isHealthy = hasHealthyPeer(now);
     if (isHealthy || (isFollowingStore_ && store_.isConnected())) {
-        lastContactAt_ = now;
+        onContact(now);
     }
     if (isHealthy != hadHealthyPeer_) {
         hadHealthyPeer_ = isHealthy;
@@ -167,14 +167,20 @@
     }
 }
 
-void FeedTask::applyResponse(const FeedResponse &response)
+// Any response ends an outage, also one without items: those may follow on another connection.
+void FeedTask::onContact(TimePoint now)
 {
-    const TimePoint now = BootClock::now();
     if (isOutageAssumed_ || now - lastContactAt_ >= StoreFollower::minOutageTime()) {
         state_.onStoreReturned(now);
     }
     isOutageAssumed_ = false;
     lastContactAt_ = now;
+}
+
+void FeedTask::applyResponse(const FeedResponse &response)
+{
+    const TimePoint now = BootClock::now();
+    onContact(now);
     if (response.isSnapshot) {
         state_.applySnapshot(now, response.items, response.revision);
     } else {
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -439,6 +439,31 @@
         removed = lambda: all(entry.lines("searcher_changed")[-1]["change"] == "removed" for entry in followers)
         world.wait(removed, IN_FORCE, "a removal is not known everywhere")
 
+    def test_registrations_that_expire_while_the_store_is_away_are_kept_for_a_while(self):
+        # Guards against processes that drop searchers because the store was away and could not renew their registrations.
+        world = self.world(entries=5)
+        world.wait(lambda: sum(entry.reads_store() for entry in world.entries) == 3, 5, "not three processes read the store")
+        for harm in (Harm.RESET, Harm.SILENT):
+            for entry in world.entries:
+                entry.store_link.set_harm(harm)
+            time.sleep(4.5)
+            for name in ("i-desk-0", "i-desk-1"):
+                world.searchers[name].unregister()
+            for entry in world.entries:
+                entry.store_link.set_harm(Harm.NONE)
+            back = time.monotonic() + 1.5
+            number = 0
+            while time.monotonic() < back:
+                number += 1
+                entry = world.entries[number % 5]
+                self.assertEqual(entry.ask("/fetch/x", request_id=f"{harm.value}-{number}")[0], 200, entry.name)
+                time.sleep(0.02)
+            for name in ("i-desk-0", "i-desk-1"):
+                world.searchers[name].register()
+            time.sleep(3)
+            for entry in world.entries:
+                self.assertEqual(entry.ask("/fetch/x")[0], 200, entry.name)
+
     def test_removal_takes_effect_in_time_although_open_connections_fell_silent(self):
         # Guards against a lost connection that counts as an outage of the store, after which removals are held back.
         world = self.world(entries=5)
