Store: the first watch after a failure is answered at once

The time without an answer decides whether the store was away. A watch that broke was repeated with the usual wait, so that a store without changes answered it 1.5 s later, and two halves of two watches together could count as an outage; the process also told its followers for that long that it has no fresh items.

Change: the first watch after a failed call, or after a time in which peers were followed, has a wait of 1 ms.

firstWatchAfterAFailureIsAnsweredAtOnce checks it (it needs the new constant).

--- a/libs/catalog/include/catalog/storefollower.h
+++ b/libs/catalog/include/catalog/storefollower.h
@@ -107,6 +107,8 @@
 public:
     /// How long the store may hold a watch. A lost answer is detected watchTimeoutMargin() later.
     static constexpr Duration watchWait() noexcept { return std::chrono::milliseconds(1'500); }
+    /// The wait of the first watch after a failure or a pause. Its answer shows at once that the store serves.
+    static constexpr Duration checkWait() noexcept { return std::chrono::milliseconds(1); }
     /// Time beyond watchWait() after which a watch times out.
     static constexpr Duration watchTimeoutMargin() noexcept { return std::chrono::milliseconds(500); }
     /// Timeout of a list call.
--- a/libs/catalog/src/storefollower.cpp
+++ b/libs/catalog/src/storefollower.cpp
@@ -165,7 +165,7 @@
     }
     call.kind = StoreCall::Kind::Watch;
     call.afterRevision = revision_;
-    call.wait = watchWait();
+    call.wait = failedSince_ ? checkWait() : watchWait();
     call.timeout = watchWait() + watchTimeoutMargin();
     return call;
 }
--- a/libs/catalog/tests/storefollower_test.cpp
+++ b/libs/catalog/tests/storefollower_test.cpp
@@ -172,6 +172,23 @@
     BOOST_TEST(fixture.actions.items.size() == 1U);
 }
 
+// Guards against a watch that breaks late, is repeated, and is held by the store as usual: that is no outage either.
+BOOST_AUTO_TEST_CASE(firstWatchAfterAFailureIsAnsweredAtOnce)
+{
+    FollowerFixture fixture;
+    fixture.completeList();
+    BOOST_TEST((fixture.nextCall().wait == StoreFollower::watchWait()));
+    fixture.now += StoreFollower::watchWait();
+    fixture.follower.onFailure(fixture.now, StoreFailure::Unreachable, fixture.actions);
+    const StoreCall check = fixture.nextCall();
+    BOOST_TEST((check.kind == StoreCall::Kind::Watch));
+    BOOST_TEST((check.wait == StoreFollower::checkWait()));
+    fixture.now += check.wait + 50ms;
+    fixture.follower.onChanges(fixture.now, StoreChanges{{}, 12}, fixture.actions);
+    BOOST_TEST(!fixture.actions.hasStoreReturned);
+    BOOST_TEST((fixture.nextCall().wait == StoreFollower::watchWait()));
+}
+
 // A store that answers nobody for some time loses registrations that its searchers cannot renew.
 BOOST_AUTO_TEST_CASE(silenceThatLastsIsAnOutage)
 {
