--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -395,7 +395,7 @@
         current = lambda: all(entry.lines("configuration_in_force")[-1]["version"] == 12 for entry in world.entries)
         world.wait(current, 6, "the change made meanwhile is not in force")
 
-    def test_evacuation_stays_in_force_where_a_peer_has_missed_it(self):
+    def test_domain_stays_out_of_service_where_a_peer_has_missed_it(self):
         # Guards against a reader of the store that loses it, takes over an older snapshot of a peer and forgets what is newer.
         world = self.world(entries=2)
         silent, reader = world.entries
@@ -406,12 +406,12 @@
         time.sleep(0.3)
         silent.store_link.set_harm(Harm.SILENT)
         world.store.put("op/evacuate/a", {"zone": "a"})
-        world.wait(lambda: reader.lines("failure_domains_out"), 1, "the evacuation is not known")
+        world.wait(lambda: reader.lines("failure_domains_out"), 1, "the domain that is out is not known")
         reader.store_link.set_harm(Harm.RESET)
         time.sleep(2.5)
         for entry in world.entries:
             entry.store_link.set_harm(Harm.NONE)
-        world.wait(lambda: silent.lines("failure_domains_out"), IN_FORCE, "the evacuation is not known everywhere")
+        world.wait(lambda: silent.lines("failure_domains_out"), IN_FORCE, "the domain that is out is not known everywhere")
         time.sleep(0.5)
         for number, entry in enumerate(world.entries):
             self.assertEqual(entry.ask("/fetch/x", request_id=f"e{number}")[0], 503)
@@ -499,7 +499,7 @@
             for entry in world.entries:
                 entry.process.send_signal(signal.SIGCONT)
             world.wait(lambda: all(entry.version() == version for entry in world.entries), 8, f"{changes} changes are not followed")
-        world.wait(lambda: all(entry.lines("failure_domains_out") for entry in world.entries), 1, "the evacuation is not known")
+        world.wait(lambda: all(entry.lines("failure_domains_out") for entry in world.entries), 1, "the domain that is out is not known")
         self.assertTrue(any(line["failure"] == "too_large" for entry in world.entries for line in entry.lines("store_call_failed")))
         for entry in world.entries:
             self.assertLess(entry.peak_memory(), MOST_MEMORY)
