Searchers that state a rate limit are seen: log lines and metrics

Callers saw no change: nothing in the choice of a searcher depends on this.

The adapter reads Server-Limit into SelfReport; StatedLimit holds what a searcher process states: a lower limit is taken at once, a higher one or the end only from a reply to a call that was sent after the last statement had arrived. Values that can't be parsed are logged and start or end nothing; extreme ones are clamped.

Lines searcher_limit_changed and searcher_limit_used (own calls every 4 s, VMs that share), call_repeated tells if the searcher is limited; metrics searchers_limited and calls_to_limited_searchers_total by purpose.

--- a/libs/entry/include/entry/counters.h
+++ b/libs/entry/include/entry/counters.h
@@ -19,6 +19,8 @@
     std::array<std::uint64_t, 4> endCounts{};
     /// Time from the last byte of the request to the answer, by route and GatherEnd.
     LatencyMetric latencies{"request_seconds", "route"};
+    /// Calls to searchers that state a rate limit, indexed by CallPurpose.
+    std::array<std::uint64_t, 3> limitedCalls{};
     std::uint64_t abandoned = 0;
     std::uint64_t unrouted = 0;
     std::uint64_t unconfigured = 0;
--- a/libs/entry/include/entry/dispatcher.h
+++ b/libs/entry/include/entry/dispatcher.h
@@ -100,6 +100,10 @@
     /// Closes the idle connections to a searcher that is no longer registered.
     void closeIdleConnections(const std::string &instance) { connections_.closeIdle(instance); }
 
+    /// Logs how many calls this process has sent to each searcher that states a rate limit. Must be called several
+    /// times a second.
+    void reportLimitedSearchers(TimePoint now);
+
     std::size_t openCalls() const noexcept { return calls_.size(); }
     const SearcherConnectionPool &connections() const noexcept { return connections_; }
 
@@ -112,7 +116,9 @@
 
     void onOpened(const CallPtr &call, const std::error_code &error);
     void transmit(const CallPtr &call);
+    bool onReply(const CallPtr &call, const http::Response &response);
     void onResult(const CallPtr &call, http::CallResult result);
+    void applySelfReport(Call &call, unsigned status);
     void checkSearcher(const CallPtr &call, const SearcherCallResult &outcome);
     static SearcherCallResult classify(Call &call, http::CallResult result);
     void end(const CallPtr &call, SearcherCallResult outcome);
@@ -124,6 +130,7 @@
     SearcherConnectionPool connections_;
     ReachabilityChecks checks_;
     std::list<CallPtr> calls_;
+    TimePoint limitsReportedAt_;
     LatencyMetric latencies_{"call_seconds", "backend"};
     std::function<void(const std::string &backend)> onSearcherFree_;
 };
--- a/libs/entry/include/entry/protocol.h
+++ b/libs/entry/include/entry/protocol.h
@@ -6,6 +6,7 @@
 #include "catalog/searcherentry.h"
 #include "catalog/storefollower.h"
 #include "http/message.h"
+#include "placement/selfreport.h"
 #include "placement/trackedsearcher.h"
 #include "routing/configuration.h"
 
@@ -45,6 +46,7 @@
     /// True if the body has a content encoding, so that it isn't the searcher's original body.
     bool isEncoded = false;
     std::optional<LoadReport> load;
+    SelfReport selfReport;
     /// How long the searcher keeps the connection open while idle.
     std::optional<Duration> idleTimeout;
 };
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -22,6 +22,9 @@
 /// Maximum number of connections that one openMissingConnections() opens. The limit keeps it from delaying requests.
 constexpr std::size_t maxConnectionsPerPass = 20;
 
+/// Interval of the log lines about searchers that state a rate limit.
+constexpr Duration limitReportPeriod = std::chrono::seconds(4);
+
 /// Timeout of the check that finds out whether a searcher crashed when its connection is lost.
 constexpr Duration crashCheckTimeout = std::chrono::milliseconds(50);
 
@@ -124,13 +127,45 @@
     call->connection->call(
         std::move(request),
         call->spec.isPart ? maxPartBytes : maxAnswerBytes,
-        [this, call](const http::Response &response) {
-            call->reply = protocol_.readSearcherReply(response);
-            return call->reply.requestId.empty() || call->reply.requestId == call->spec.requestId;
-        },
+        [this, call](const http::Response &response) { return onReply(call, response); },
         [this, call](http::CallResult result) { onResult(call, std::move(result)); });
 }
 
+// Called when the headers of a response have arrived. Returns whether the response belongs to the call.
+bool Dispatcher::onReply(const CallPtr &call, const http::Response &response)
+{
+    call->reply = protocol_.readSearcherReply(response);
+    const bool isOwn = call->reply.requestId.empty() || call->reply.requestId == call->spec.requestId;
+    if (isOwn && !call->reply.isWrongSearcher) {
+        applySelfReport(*call, response.result_int());
+    }
+    return isOwn;
+}
+
+void Dispatcher::applySelfReport(Call &call, unsigned status)
+{
+    const TimePoint now = BootClock::now();
+    TrackedSearcher &searcher = *call.spec.searcher;
+    const SelfReport &selfReport = call.reply.selfReport;
+    const bool hasRun = !call.reply.isNotRun && !call.reply.stamp.empty();
+    const double before = searcher.statedLimit().callsPerSecond();
+    const LimitChange change = searcher.statedLimit().apply(now, call.startedAt, selfReport, hasRun);
+    if (change == LimitChange::None && !selfReport.isUnreadable) {
+        return;
+    }
+    log_.line(EventRank::Routine, "searcher_limit_changed")
+        .text("request", call.spec.requestId)
+        .text("backend", searcher.entry().backend)
+        .text("searcher", searcher.entry().instance)
+        .text("peer", searcher.entry().address.toString())
+        .text("change", name(change))
+        .flag("unreadable", selfReport.isUnreadable)
+        .count("status", status)
+        .number("before", before)
+        .number("calls_per_second", searcher.statedLimit().callsPerSecond())
+        .count("sharing_vms", pool_.fleetSize());
+}
+
 void Dispatcher::onResult(const CallPtr &call, http::CallResult result)
 {
     if (call->isEnded) {
@@ -303,6 +338,25 @@
     }
 }
 
+void Dispatcher::reportLimitedSearchers(TimePoint now)
+{
+    if (now - limitsReportedAt_ < limitReportPeriod) {
+        return;
+    }
+    for (const std::shared_ptr<TrackedSearcher> &searcher : pool_.limitedSearchers()) {
+        StatedLimit &limit = searcher->statedLimit();
+        log_.line(EventRank::Routine, "searcher_limit_used")
+            .text("backend", searcher->entry().backend)
+            .text("searcher", searcher->entry().instance)
+            .number("calls_per_second", limit.callsPerSecond())
+            .milliseconds("stated_ms", now - limit.statedAt())
+            .count("calls", limit.takeCallCount())
+            .milliseconds("span_ms", now - std::max(limit.statedAt(), limitsReportedAt_))
+            .count("sharing_vms", pool_.fleetSize());
+    }
+    limitsReportedAt_ = now;
+}
+
 void Dispatcher::onTick(TimePoint now)
 {
     std::vector<CallPtr> expired;
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -259,7 +259,7 @@
 void EntryProcess::Implementation::answerMetrics(const ExchangePtr &exchange)
 {
     const detail::MetricsSources sources{
-        entry_, dispatcher_, crashes_, state_, store_, *peers_, httpServers_.callers(), log_, searcherMemory_};
+        entry_, dispatcher_, pool_, crashes_, state_, store_, *peers_, httpServers_.callers(), log_, searcherMemory_};
     exchange->respond(http::textResponse(200, "text/plain; version=0.0.4", detail::metricsText(sources)));
 }
 
@@ -442,6 +442,7 @@
 {
     httpServers_.closeExpired(now);
     crashes_.onTick(now);
+    dispatcher_.reportLimitedSearchers(now);
     peers_->refreshMembers();
     onMembers();
     if (settingsFile_.hasChanged()) {
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -23,6 +23,16 @@
     }
 }
 
+// Calls to searchers that state a rate limit.
+void addLimitedCalls(std::string &text, const EntryCounters &counters)
+{
+    MetricWriter writer(text, "sassafrasvane_calls_to_limited_searchers_total", {}, "counter");
+    for (std::size_t purpose = 0; purpose < counters.limitedCalls.size(); ++purpose) {
+        writer.line(labelText({{"purpose", name(static_cast<CallPurpose>(purpose))}}),
+                    counters.limitedCalls.at(purpose));
+    }
+}
+
 } // namespace
 
 std::string metricsText(const MetricsSources &sources)
@@ -31,6 +41,7 @@
     const http::ServerCounters server = sources.callers.counters();
     std::string text;
     addEnds(text, counters);
+    addLimitedCalls(text, counters);
     counters.latencies.appendText(text);
     sources.dispatcher.latencies().appendText(text);
     add(text, "requests_abandoned_total", "counter", counters.abandoned);
@@ -50,6 +61,7 @@
     add(text, "searcher_connections_open", "gauge", sources.dispatcher.connections().openConnections());
     add(text, "searcher_connections_total", "counter", sources.dispatcher.connections().totalOpenedConnections());
     add(text, "searchers", "gauge", sources.state.searcherCount());
+    add(text, "searchers_limited", "gauge", sources.pool.limitedSearchers().size());
     add(text, "configuration_version", "gauge", sources.state.routes() ? sources.state.routes()->version() : 0);
     add(text, "store_revision", "gauge", sources.state.revision());
     add(text, "store_calls_total", "counter", sources.store.calls());
--- a/libs/entry/src/metricstext.h
+++ b/libs/entry/src/metricstext.h
@@ -20,6 +20,7 @@
 struct MetricsSources {
     const EntryServer &entry;
     const Dispatcher &dispatcher;
+    const SearcherPool &pool;
     const CrashWatch &crashes;
     const PublishedState &state;
     const StoreTask &store;
--- a/libs/entry/src/requestcalls.cpp
+++ b/libs/entry/src/requestcalls.cpp
@@ -80,6 +80,8 @@
 
 void RequestTask::recordSent(const Part &part, CallPurpose purpose)
 {
+    const bool isLimited = part.tried.back()->statedLimit().isInForce();
+    shared_.counters.limitedCalls.at(static_cast<std::size_t>(purpose)) += isLimited ? 1 : 0;
     if (purpose == CallPurpose::First) {
         return;
     }
@@ -89,6 +91,7 @@
         .text("purpose", name(purpose))
         .text("backend", part.backend->name())
         .text("searcher", part.tried.back()->entry().instance)
+        .flag("limited", isLimited)
         .number("budget_left", part.backend->budget().available());
 }
 
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -157,6 +157,12 @@
     /// True if \p searcher is still registered.
     bool isRegistered(const TrackedSearcher &searcher) const;
 
+    /// Registered searchers that state a rate limit.
+    std::vector<std::shared_ptr<TrackedSearcher>> limitedSearchers() const;
+
+    /// Number of entry VMs among which limits are divided, this one included.
+    std::size_t fleetSize() const noexcept { return fleet_.size(); }
+
     /// Returns the registered searcher \p instance; null if there is none.
     std::shared_ptr<TrackedSearcher> find(std::string_view instance) const;
 
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "catalog/searcherentry.h"
+#include "placement/statedlimit.h"
 
 #include <cstdint>
 #include <optional>
@@ -95,6 +96,10 @@
     /// Records that this process has used its turn. \param turn interval between two turns.
     void takeTurn(TimePoint now, Duration turn) noexcept;
 
+    /// The rate limit that the searcher states for all VMs together.
+    StatedLimit &statedLimit() noexcept { return statedLimit_; }
+    const StatedLimit &statedLimit() const noexcept { return statedLimit_; }
+
     /// Average time that a call occupies a slot, without the wait for the slot, in multiples of the typical duration.
     double relativeServiceTime() const noexcept { return relativeServiceTime_; }
 
@@ -150,6 +155,7 @@
     TimePoint queueReportValidUntil_;
     TimePoint nextTurnAt_;
     double relativeServiceTime_ = 1;
+    StatedLimit statedLimit_;
 };
 
 } // namespace sassafrasvane
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -175,6 +175,7 @@
             = now + fromMilliseconds(1'000 / (rate * usableColdRateShare));
     }
     best->takeTurn(now, turnInterval(*best, parameters));
+    best->statedLimit().countCall();
     return {best, PlacementFailure::None};
 }
 
@@ -322,6 +323,17 @@
     return std::min(connectionLimit(limits), std::max(minCallLimit, shared));
 }
 
+std::vector<std::shared_ptr<TrackedSearcher>> SearcherPool::limitedSearchers() const
+{
+    std::vector<std::shared_ptr<TrackedSearcher>> limited;
+    for (const auto &[instance, searcher] : searchers_) {
+        if (searcher->statedLimit().isInForce()) {
+            limited.push_back(searcher);
+        }
+    }
+    return limited;
+}
+
 bool SearcherPool::isRegistered(const TrackedSearcher &searcher) const
 {
     return find(searcher.entry().instance).get() == &searcher;
--- /dev/null
+++ b/libs/placement/src/statedlimit.cpp
@@ -0,0 +1,47 @@
+#include "placement/statedlimit.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace sassafrasvane
+{
+
+const char *name(LimitChange change) noexcept
+{
+    constexpr std::array<const char *, 4> names{"none", "stated", "changed", "ended"};
+    return names.at(static_cast<std::size_t>(change));
+}
+
+LimitChange StatedLimit::apply(TimePoint now, TimePoint sentAt, const SelfReport &selfReport, bool hasRun) noexcept
+{
+    const bool isNewest = !isInForce_ || sentAt >= heardAt_;
+    if (!selfReport.callsPerSecond) {
+        if (!isInForce_ || selfReport.isUnreadable || !hasRun || !isNewest) {
+            return LimitChange::None;
+        }
+        isInForce_ = false;
+        return LimitChange::Ended;
+    }
+    const double stated = std::clamp(*selfReport.callsPerSecond, minCallsPerSecond(), maxCallsPerSecond());
+    const bool isFirst = !std::exchange(isInForce_, true);
+    heardAt_ = now;
+    if (isFirst) {
+        statedAt_ = now;
+        calls_ = 0;
+        callsPerSecond_ = stated;
+        return LimitChange::Stated;
+    }
+    if (stated == callsPerSecond_ || (stated > callsPerSecond_ && !isNewest)) {
+        return LimitChange::None;
+    }
+    callsPerSecond_ = stated;
+    return LimitChange::Changed;
+}
+
+std::uint64_t StatedLimit::takeCallCount() noexcept
+{
+    return std::exchange(calls_, 0);
+}
+
+} // namespace sassafrasvane
