--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -149,7 +149,7 @@
     const SelfReport &selfReport = call.reply.selfReport;
     const bool hasRun = !call.reply.isNotRun && !call.reply.stamp.empty();
     const double before = searcher.statedLimit().callsPerSecond();
-    const LimitChange change = searcher.statedLimit().apply(now, call.startedAt, selfReport, hasRun);
+    const LimitChange change = pool_.applySelfReport(now, searcher, call.startedAt, selfReport, hasRun);
     if (change == LimitChange::None && !selfReport.isUnreadable) {
         return;
     }
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -157,6 +157,14 @@
     /// True if \p searcher is still registered.
     bool isRegistered(const TrackedSearcher &searcher) const;
 
+    /// Applies what a reply of \p searcher says about it. \param sentAt when the call was sent. \param hasRun true if
+    /// the searcher has run the call.
+    LimitChange applySelfReport(TimePoint now,
+                                TrackedSearcher &searcher,
+                                TimePoint sentAt,
+                                const SelfReport &report,
+                                bool hasRun);
+
     /// Registered searchers that state a rate limit.
     std::vector<std::shared_ptr<TrackedSearcher>> limitedSearchers() const;
 
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -323,6 +323,15 @@
     return std::min(connectionLimit(limits), std::max(minCallLimit, shared));
 }
 
+LimitChange SearcherPool::applySelfReport(TimePoint now,
+                                          TrackedSearcher &searcher,
+                                          TimePoint sentAt,
+                                          const SelfReport &report,
+                                          bool hasRun)
+{
+    return searcher.statedLimit().apply(now, sentAt, report, hasRun);
+}
+
 std::vector<std::shared_ptr<TrackedSearcher>> SearcherPool::limitedSearchers() const
 {
     std::vector<std::shared_ptr<TrackedSearcher>> limited;
--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -263,6 +263,10 @@
         self.cut_bytes = 0
         self.piece_seconds = 0.0
         self.ran = []
+        # Calls a second that all answers state as the limit; None states none.
+        self.limit = None
+        # Times at which requests arrived, whatever became of them.
+        self.arrivals = []
         self.sequence = 0
         self.born = 1_700_000_000_000
         # A request whose target holds this text crashes the searcher, which is back after a while.
@@ -287,11 +291,12 @@
 
     async def handle(self, request, reader, writer):
         request_id = request.headers.get("x-sassafrasvane-request-id", "")
+        self.arrivals.append(time.monotonic())
         if request.headers.get("x-sassafrasvane-expect-instance") != self.instance:
             writer.write(response(421, {"X-Sassafrasvane-Instance-Id": self.instance}, b""))
             return True
         if self.mode == "shed":
-            writer.write(response(503, {"X-Sassafrasvane-Not-Executed": "1"}, b""))
+            writer.write(response(503, {"X-Sassafrasvane-Not-Executed": "1"} | self.stated(), b""))
             return True
         left = request.headers.get("x-sassafrasvane-deadline-ms")
         run = Run(request_id, request.method, request.target, request.body, int(left) if left else None, time.monotonic())
@@ -337,10 +342,14 @@
             "X-Sassafrasvane-Request-Id": request_id,
             "X-Sassafrasvane-Server-Stamp": f"stamp.{self.instance}.{request_id}",
             "X-Sassafrasvane-Server-Load": "1,0,2",
-        }
+        } | self.stated()
         body = b"".join(self.records) if self.records else b"reply to " + request_body
         return response(500 if self.mode == "error" else 200, headers, body)
 
+    def stated(self):
+        """The header that states the limit."""
+        return {} if self.limit is None else {"Server-Limit": str(self.limit)}
+
     def answer(self, request_id, request_body, writer):
         """Returns false if the connection ends with the answer."""
         if self.mode == "lost":
