A searcher's stated limit is kept by the whole fleet

Cause: no way led from what a reply says about its searcher to the choice of a searcher. A limited searcher is as fast as before, so it got as many calls as before, from each VM on its own.

Change: a stated limit is divided among the VMs that carry traffic. limitShare() names a VM's part from the fleet as it sees it, by rendezvous hashing: at most one sender for each call per second, since each sender may have one call in hand; the others call rarely, in short slots, to learn whether the limit has ended. PacedShare keeps the pace: starts without a call in hand, catches up on 250 ms at most, on the clock that counts sleep. SearcherPool::choose() counts every call and decides, whatever its purpose; hedges get what first calls leave; the cost of a searcher grows as its share is used up, so replicas without a limit take over before. If limits leave no room for enough parts before the request would be refused, it is refused at once, with a Retry-After that follows from when there is room, spread over as long again. A rejection by a limited searcher is no failure sample.

Why it works: senders together send 0.9 L a second and have at most L calls and a quarter of a second in hand: 4.8 L in any 4 s, of 6 L + 5 allowed; all others together a tenth of L, or one call in 10 s.

--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -8,6 +8,7 @@
 #include "fleet/membership.h"
 #include "fleet/subset.h"
 #include "observe/eventlog.h"
+#include "placement/limitshare.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,7 +18,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -44,12 +44,10 @@
 
 /// The entry VMs advertised to callers, as seen by this process.
 struct AdvertisedMembers {
-    /// Number of entry VMs advertised now.
-    std::size_t count = 0;
-    /// True if this process is one of them.
+    /// The members that share limits, by their peer addresses: those advertised now or recently.
+    Fleet fleet;
+    /// True if this process is advertised now.
     bool hasSelf = false;
-    /// Peer addresses of the members that share the limits: those advertised now or recently, and this process.
-    std::set<std::string> quotaSharers;
 };
 
 /// Runs the membership exchange on a UDP socket.
--- a/libs/entry/include/entry/retryadvice.h
+++ b/libs/entry/include/entry/retryadvice.h
@@ -16,9 +16,17 @@
     /// How long requests of this kind could not have been served. 0 if only this request was shed.
     Duration outage{0};
     /// How long the caller waits for an answer, if known.
-    std::optional<Duration> callerTimeout;
+    std::optional<Duration> callerTimeout{};
+    /// How long the limits that searchers state keep this VM from serving the request; 0 if no limit is in the way.
+    Duration limitedFor{0};
 };
 
+/// Longest time for which callers are told to wait for searchers that state a limit, before jitter.
+constexpr Duration maxLimitedRetryAfter() noexcept
+{
+    return std::chrono::seconds(10);
+}
+
 /// Limits of the time that retryAfter() returns, before jitter. They do not hold for barred requests, whose callers are
 /// told to wait for CrashBar::entryLifetime().
 constexpr Duration minRetryAfter() noexcept
@@ -35,6 +43,9 @@
 /// The end of an outage is unknown. An outage is expected to last about as long again as it has lasted so far, so the
 /// time grows with the outage: a caller that retries too early is refused twice. The time is short enough that the
 /// caller still has time for an answer. Random jitter of up to a quarter keeps callers from retrying all at once.
+///
+/// When a limit that searchers state leaves room again is known, but the room is for few callers. They are told to come
+/// back at any time from then on until as long again.
 Duration retryAfter(const RefusalCause &cause, Random &random);
 
 } // namespace sassafrasvane
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -275,7 +275,7 @@
 {
     const TimePoint now = BootClock::now();
     const AdvertisedMembers advertised = peers_->advertisedMembers(now);
-    pool_.setFleet(advertised.quotaSharers, advertised.count);
+    pool_.setFleet(now, advertised.fleet);
     isAdvertised_ = advertised.hasSelf;
     // Until peers are known, the process polls the seeds, for at most startFallbackDelay() after the start.
     const bool isAlone = peers_->reachableCount() == 1 && now - startedAt_ < startFallbackDelay();
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -355,11 +355,11 @@
     }
     std::erase_if(advertisedAt_, [now](const auto &entry) { return now - entry.second >= quotaShareRetention(); });
     AdvertisedMembers advertised;
-    advertised.count = chosen.size();
+    advertised.fleet.advertisedCount = std::max<std::size_t>(1, chosen.size());
+    advertised.fleet.memberCount = membership_.reachableCount();
     advertised.hasSelf = std::find(chosen.begin(), chosen.end(), self) != chosen.end();
-    advertised.quotaSharers.insert(peerAddress(self).toString());
     for (const auto &[daemon, at] : advertisedAt_) {
-        advertised.quotaSharers.insert(peerAddress(daemon).toString());
+        advertised.fleet.sharers.insert(peerAddress(daemon).toString());
     }
     return advertised;
 }
--- a/libs/entry/src/requestend.cpp
+++ b/libs/entry/src/requestend.cpp
@@ -1,6 +1,5 @@
 #include "requesttask.h"
 
-#include "entry/retryadvice.h"
 #include "gather/recordmerge.h"
 #include "headers.h"
 #include "refusal.h"
@@ -68,7 +67,7 @@
         parts_.front().response->prepare_payload();
         return std::move(*parts_.front().response);
     case GatherEnd::Unserved:
-        return notRunResponse(retryAfter({longestOutage(BootClock::now()), metadata_.timeout}, shared_.random));
+        return notRunResponse(retryAfter(refusalCause(BootClock::now()), shared_.random));
     case GatherEnd::Failed:
         if (failureResponse_ && !route_.isGathered() && !isNotRunStatus(failureResponse_->result_int())) {
             removeConnectionHeaders(*failureResponse_);
@@ -82,6 +81,15 @@
     return http::emptyResponse(gatewayTimeout);
 }
 
+RefusalCause RequestTask::refusalCause(TimePoint now) const
+{
+    RefusalCause cause;
+    cause.outage = longestOutage(now);
+    cause.limitedFor = limitedUntil(now) - now;
+    cause.callerTimeout = metadata_.timeout;
+    return cause;
+}
+
 // The longest time since a searcher was chosen at one of the backends that have no available searcher now. Backends
 // that were never chosen from are left out; 0 if none remains.
 Duration RequestTask::longestOutage(TimePoint now) const
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -121,6 +121,10 @@
         return;
     }
     if (!gather_.start(now)) {
+        if (limitedUntil(now) > gatherParameters_.refuseAt) {
+            gather_.refuse();
+            return;
+        }
         waitToStart();
     }
     schedule();
@@ -153,6 +157,25 @@
     return static_cast<std::size_t>(serving) >= gatherParameters_.minParts;
 }
 
+// When the limits that searchers state let this VM call enough backends for an answer; now if no limit is in the way.
+TimePoint RequestTask::limitedUntil(TimePoint now) const
+{
+    std::vector<TimePoint> limited;
+    for (const Part &part : parts_) {
+        if (const std::optional<TimePoint> until = shared_.pool.limitedUntil(now, *part.backend)) {
+            limited.push_back(*until);
+        }
+    }
+    const std::size_t unlimited = parts_.size() - limited.size();
+    if (unlimited >= gatherParameters_.minParts) {
+        return now;
+    }
+    const std::vector<TimePoint>::iterator last
+        = limited.begin() + static_cast<std::ptrdiff_t>(gatherParameters_.minParts - unlimited - 1);
+    std::nth_element(limited.begin(), last, limited.end());
+    return *last;
+}
+
 void RequestTask::schedule()
 {
     const std::optional<TimePoint> wakeAt = gather_.wakeAt();
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -3,6 +3,7 @@
 #include "entry/counters.h"
 #include "entry/crashwatch.h"
 #include "entry/dispatcher.h"
+#include "entry/retryadvice.h"
 #include "entry/waitinglist.h"
 #include "gather/gather.h"
 #include "http/server.h"
@@ -86,6 +87,7 @@
     void waitToStart();
     WaitingList::QueueParameters queueParameters() const;
     bool canBeServed(TimePoint now) const;
+    TimePoint limitedUntil(TimePoint now) const;
     Placement place(std::size_t part, CallPurpose purpose);
     Placement place(std::size_t part, CallPurpose purpose, bool mayWait);
     std::optional<CallHandle> send(std::size_t part, const std::shared_ptr<TrackedSearcher> &searcher);
@@ -102,6 +104,7 @@
     void finish(GatherEnd end);
     void endCalls(bool isAbandoned);
     http::Response answer(GatherEnd end);
+    RefusalCause refusalCause(TimePoint now) const;
     Duration longestOutage(TimePoint now) const;
     http::Response mergedAnswer();
     void logEnd(GatherEnd end, unsigned status) const;
--- a/libs/entry/src/retryadvice.cpp
+++ b/libs/entry/src/retryadvice.cpp
@@ -12,16 +12,23 @@
 constexpr double callerTimeoutShare = 0.26;
 /// Maximum jitter as a share of the wait.
 constexpr double jitterShare = 0.25;
+/// The same for callers that wait for room within the limits that searchers state.
+constexpr double limitedJitterShare = 1;
 
 } // namespace
 
 Duration retryAfter(const RefusalCause &cause, Random &random)
 {
-    Duration wait = std::clamp(cause.outage, minRetryAfter(), maxRetryAfter());
+    const Duration limitedFor = std::min(cause.limitedFor, maxLimitedRetryAfter());
+    const double jitter = limitedFor > Duration{0} ? limitedJitterShare : jitterShare;
+    Duration earliest = std::max(limitedFor, std::clamp(cause.outage, minRetryAfter(), maxRetryAfter()));
+    Duration latest = earliest + shareOf(earliest, jitter);
     if (cause.callerTimeout) {
-        wait = std::min(wait, std::max(minRetryAfter(), shareOf(*cause.callerTimeout, callerTimeoutShare)));
+        const Duration bound = std::max(minRetryAfter(), shareOf(*cause.callerTimeout, callerTimeoutShare));
+        earliest = std::min(earliest, bound);
+        latest = std::min(latest, bound + shareOf(bound, jitterShare));
     }
-    return wait + shareOf(wait, jitterShare * random.unit());
+    return earliest + shareOf(latest - earliest, random.unit());
 }
 
 } // namespace sassafrasvane
--- a/libs/entry/tests/querysimulation.cpp
+++ b/libs/entry/tests/querysimulation.cpp
@@ -33,7 +33,7 @@
     EntryVm(const std::string &name, const std::set<std::string> &fleet, Duration target)
         : pool(name, "a", PoolBounds(), hashBytes(name)), times(target)
     {
-        pool.setFleet(fleet);
+        pool.setFleet(TimePoint(), fleet);
     }
 
     SearcherPool pool;
--- a/libs/entry/tests/retryadvice_test.cpp
+++ b/libs/entry/tests/retryadvice_test.cpp
@@ -67,6 +67,15 @@
     BOOST_TEST((advice({10s, 100ms}).min >= minRetryAfter()));
 }
 
+BOOST_AUTO_TEST_CASE(callersOfLimitedSearchersComeBackSpreadFromWhenThereIsRoom)
+{
+    const Range range = advice({Duration{0}, std::nullopt, 2s});
+    BOOST_TEST((range.min >= 2s));
+    BOOST_TEST((range.max - range.min >= 1'800ms));
+    BOOST_TEST((advice({Duration{0}, 900ms, 2s}).max <= 300ms));
+    BOOST_TEST((advice({Duration{0}, std::nullopt, 1h}).max <= 2 * maxLimitedRetryAfter()));
+}
+
 BOOST_AUTO_TEST_CASE(moreCallersAreServedByTheirSecondAttemptAfterAnOutage)
 {
     Random random(11);
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -4,6 +4,7 @@
 #include "base/room.h"
 #include "base/time.h"
 #include "catalog/searcherentry.h"
+#include "placement/limitshare.h"
 #include "placement/retrybudget.h"
 #include "placement/trackedsearcher.h"
 #include "routing/configuration.h"
@@ -120,13 +121,14 @@
     /// Sets the failure domains whose searchers get no calls. \return false if they are the same as before.
     bool setExcludedDomains(const std::set<std::string> &domains);
 
-    /// Sets the entry VMs among which limits are divided. \param vms names of all entry VMs that may send calls; this
-    /// VM is added if it is missing. \param advertisedCount number of VMs that are advertised to callers now and
-    /// therefore send nearly all calls.
-    void setFleet(const std::set<std::string> &vms, std::size_t advertisedCount);
+    /// Sets the entry VMs among which limits are divided.
+    void setFleet(TimePoint now, const Fleet &fleet);
 
     /// Overload for a fleet in which all VMs are advertised to callers.
-    void setFleet(const std::set<std::string> &vms) { setFleet(vms, vms.size()); }
+    void setFleet(TimePoint now, const std::set<std::string> &vms)
+    {
+        setFleet(now, Fleet{vms, vms.size(), vms.size()});
+    }
 
     /// Returns the backend \p name and creates it if needed. It may have no searchers.
     BackendPool &backend(std::string_view name);
@@ -169,7 +171,11 @@
     std::vector<std::shared_ptr<TrackedSearcher>> limitedSearchers() const;
 
     /// Number of entry VMs among which limits are divided, this one included.
-    std::size_t fleetSize() const noexcept { return fleet_.size(); }
+    std::size_t fleetSize() const noexcept { return callers_.size(); }
+
+    /// If the available searchers of \p backend all state limits that let this VM send no call now, returns when the
+    /// first of them may be called.
+    std::optional<TimePoint> limitedUntil(TimePoint now, const BackendPool &backend) const;
 
     /// Returns the registered searcher \p instance; null if there is none.
     std::shared_ptr<TrackedSearcher> find(std::string_view instance) const;
@@ -199,6 +205,11 @@
     std::size_t connectionLimit(const BackendLimits &limits) const;
     std::size_t callLimit(const TrackedSearcher &searcher, const BackendLimits &limits) const;
     void updateBudgets();
+    void updateLimitShare(TimePoint now, TrackedSearcher &searcher);
+    static Room roomWithinLimit(TimePoint now,
+                                const TrackedSearcher &searcher,
+                                const CallParameters &parameters,
+                                bool hasWaitingCalls);
 
     std::string self_;
     std::string failureDomain_;
@@ -208,9 +219,9 @@
     std::unordered_map<std::string, std::shared_ptr<TrackedSearcher>> searchers_;
     std::unordered_map<std::string, ColdCallPacing> coldCallPacing_;
     std::set<std::string> excludedDomains_;
-    std::set<std::string> fleet_;
-    /// Number of entry VMs that are advertised to callers; at least 1.
-    std::size_t advertisedCount_ = 1;
+    Fleet fleet_;
+    /// The VMs of the fleet that share limits, and this VM.
+    std::set<std::string> callers_;
 };
 
 } // namespace sassafrasvane
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "catalog/searcherentry.h"
+#include "placement/pacedshare.h"
 #include "placement/statedlimit.h"
 
 #include <cstdint>
@@ -100,6 +101,19 @@
     StatedLimit &statedLimit() noexcept { return statedLimit_; }
     const StatedLimit &statedLimit() const noexcept { return statedLimit_; }
 
+    /// This VM's share of the stated limit; meaningful while the limit is in force.
+    PacedShare &pacedShare() noexcept { return pacedShare_; }
+    const PacedShare &pacedShare() const noexcept { return pacedShare_; }
+
+    /// True if the stated limit, if there is one, lets this VM send a call now.
+    bool isWithinLimit(TimePoint now) const noexcept { return !statedLimit_.isInForce() || pacedShare_.mayCall(now); }
+
+    /// True if this VM's share of the stated limit, if there is one, is not used up by the calls that come.
+    bool hasSpareCalls(TimePoint now) const noexcept
+    {
+        return !statedLimit_.isInForce() || pacedShare_.headroom(now) >= 1;
+    }
+
     /// Average time that a call occupies a slot, without the wait for the slot, in multiples of the typical duration.
     double relativeServiceTime() const noexcept { return relativeServiceTime_; }
 
@@ -156,6 +170,7 @@
     TimePoint nextTurnAt_;
     double relativeServiceTime_ = 1;
     StatedLimit statedLimit_;
+    PacedShare pacedShare_;
 };
 
 } // namespace sassafrasvane
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -1,5 +1,7 @@
 #include "placement/searcherpool.h"
 
+#include "fleetsize.h"
+
 #include <algorithm>
 #include <array>
 
@@ -9,8 +11,8 @@
 namespace
 {
 
-/// Limits are divided among at least this many entry VMs, so that a part is left for VMs that start later.
-constexpr std::size_t minFleetSize = 8;
+using detail::minFleetSize;
+
 /// Shares of the retry limits over all entry VMs that are handed out to the VMs.
 constexpr double usableSlackShare = 0.7;
 constexpr double usableRatioShare = 0.85;
@@ -57,7 +59,12 @@
 }
 
 SearcherPool::SearcherPool(std::string self, std::string failureDomain, const PoolBounds &bounds, std::uint64_t seed)
-    : self_(std::move(self)), failureDomain_(std::move(failureDomain)), bounds_(bounds), random_(seed), fleet_{self_}
+    : self_(std::move(self))
+    , failureDomain_(std::move(failureDomain))
+    , bounds_(bounds)
+    , random_(seed)
+    , fleet_{{self_}, 1, 1}
+    , callers_{self_}
 {
 }
 
@@ -104,12 +111,18 @@
     return true;
 }
 
-void SearcherPool::setFleet(const std::set<std::string> &vms, std::size_t advertisedCount)
+void SearcherPool::setFleet(TimePoint now, const Fleet &fleet)
 {
-    fleet_ = vms;
-    advertisedCount_ = std::max<std::size_t>(1, advertisedCount);
-    fleet_.insert(self_);
+    if (fleet_ == fleet) {
+        return;
+    }
+    fleet_ = fleet;
+    callers_ = fleet.sharers;
+    callers_.insert(self_);
     updateBudgets();
+    for (const std::shared_ptr<TrackedSearcher> &searcher : limitedSearchers()) {
+        updateLimitShare(now, *searcher);
+    }
 }
 
 void SearcherPool::setBounds(const PoolBounds &bounds)
@@ -121,7 +134,7 @@
 void SearcherPool::updateBudgets()
 {
     for (const auto &[name, pool] : backends_) {
-        pool->budget_.setLimits(bounds_.retryRatio * usableRatioShare, retryBurst(bounds_, fleet_.size()));
+        pool->budget_.setLimits(bounds_.retryRatio * usableRatioShare, retryBurst(bounds_, callers_.size()));
     }
 }
 
@@ -131,7 +144,7 @@
     if (known != backends_.end()) {
         return *known->second;
     }
-    const RetryBudget budget(bounds_.retryRatio * usableRatioShare, retryBurst(bounds_, fleet_.size()));
+    const RetryBudget budget(bounds_.retryRatio * usableRatioShare, retryBurst(bounds_, callers_.size()));
     std::unique_ptr<BackendPool> pool = std::make_unique<BackendPool>(std::string(name), budget);
     return *backends_.emplace(std::string(name), std::move(pool)).first->second;
 }
@@ -175,7 +188,10 @@
             = now + fromMilliseconds(1'000 / (rate * usableColdRateShare));
     }
     best->takeTurn(now, turnInterval(*best, parameters));
-    best->statedLimit().countCall();
+    if (best->statedLimit().isInForce()) {
+        best->statedLimit().countCall();
+        best->pacedShare().onCall(now);
+    }
     return {best, PlacementFailure::None};
 }
 
@@ -200,6 +216,9 @@
                           const CallParameters &parameters,
                           bool hasWaitingCalls) const
 {
+    if (searcher.statedLimit().isInForce() && (hasWaitingCalls || !searcher.isWithinLimit(now))) {
+        return roomWithinLimit(now, searcher, parameters, hasWaitingCalls);
+    }
     const bool isQueueLong = hasLongQueue(now, searcher, parameters);
     if (!hasWaitingCalls && hasRoom(now, searcher, limits, parameters)) {
         return isQueueLong ? Room::Turn : Room::Now;
@@ -214,12 +233,41 @@
     return hasTurnSoon ? Room::NextTurn : Room::None;
 }
 
+// Waiting calls use up what is left of the limit.
+Room SearcherPool::roomWithinLimit(TimePoint now,
+                                   const TrackedSearcher &searcher,
+                                   const CallParameters &parameters,
+                                   bool hasWaitingCalls)
+{
+    const bool hasCallSoon = !hasWaitingCalls && searcher.pacedShare().nextCallAt(now) <= now + parameters.maxWait;
+    return hasCallSoon ? Room::NextTurn : Room::None;
+}
+
+std::optional<TimePoint> SearcherPool::limitedUntil(TimePoint now, const BackendPool &backend) const
+{
+    std::optional<TimePoint> until;
+    for (const std::shared_ptr<TrackedSearcher> &searcher : backend.searchers_) {
+        if (!isUsable(*searcher) || !isAvailable(now, *searcher)) {
+            continue;
+        }
+        if (searcher->isWithinLimit(now)) {
+            return std::nullopt;
+        }
+        until = std::min(until.value_or(TimePoint::max()), searcher->pacedShare().nextCallAt(now));
+    }
+    return until;
+}
+
 bool SearcherPool::hasRoom(TimePoint now,
                            const TrackedSearcher &searcher,
                            const BackendLimits &limits,
                            const CallParameters &parameters) const
 {
     const bool mayQueue = searcher.hasTurn(now) && !parameters.isHedge;
+    // The limit is left to first calls and retries while they need all of it.
+    if (!searcher.isWithinLimit(now) || (parameters.isHedge && !searcher.hasSpareCalls(now))) {
+        return false;
+    }
     return !isCongested(now, searcher, parameters) && (mayQueue || !hasLongQueue(now, searcher, parameters))
         && searcher.openCalls() < callLimit(searcher, limits) && mayCallCold(now, searcher, limits);
 }
@@ -243,7 +291,8 @@
 {
     const double slots = std::max<double>(1, searcher.entry().slots);
     return shareOf(parameters.typicalDuration,
-                   searcher.relativeServiceTime() * static_cast<double>(advertisedCount_)
+                   searcher.relativeServiceTime()
+                       * static_cast<double>(std::max<std::size_t>(1, fleet_.advertisedCount))
                        / (slots * turnOvercommitFactor));
 }
 
@@ -296,7 +345,7 @@
     }
     const std::uint64_t key = hashBytes(searcher.entry().instance);
     const std::set<std::string>::const_iterator owner
-        = std::max_element(fleet_.begin(), fleet_.end(), [key](const std::string &left, const std::string &right) {
+        = std::max_element(callers_.begin(), callers_.end(), [key](const std::string &left, const std::string &right) {
               return mix(key, hashBytes(left)) < mix(key, hashBytes(right));
           });
     const auto pace = coldCallPacing_.find(searcher.entry().instance);
@@ -313,12 +362,12 @@
 {
     const std::uint32_t connections = limits.maxConnections;
     const std::uint32_t shared = connections > reservedConnections ? connections - reservedConnections : 1;
-    return std::max<std::size_t>(1, shared / std::max(fleet_.size(), minFleetSize));
+    return std::max<std::size_t>(1, shared / std::max(callers_.size(), minFleetSize));
 }
 
 std::size_t SearcherPool::callLimit(const TrackedSearcher &searcher, const BackendLimits &limits) const
 {
-    const std::size_t fleet = std::max(fleet_.size(), minFleetSize);
+    const std::size_t fleet = std::max(callers_.size(), minFleetSize);
     const std::size_t shared = (searcher.entry().slots * maxCallsPerSlot + fleet - 1) / fleet;
     return std::min(connectionLimit(limits), std::max(minCallLimit, shared));
 }
@@ -329,7 +378,22 @@
                                           const SelfReport &report,
                                           bool hasRun)
 {
-    return searcher.statedLimit().apply(now, sentAt, report, hasRun);
+    const LimitChange change = searcher.statedLimit().apply(now, sentAt, report, hasRun);
+    if (change != LimitChange::None) {
+        updateLimitShare(now, searcher);
+    }
+    return change;
+}
+
+void SearcherPool::updateLimitShare(TimePoint now, TrackedSearcher &searcher)
+{
+    const StatedLimit &limit = searcher.statedLimit();
+    if (!limit.isInForce()) {
+        searcher.pacedShare().clear();
+        return;
+    }
+    searcher.pacedShare().setShare(
+        now, limitShare(limit.callsPerSecond(), searcher.entry().instance, self_, fleet_), random_.unit());
 }
 
 std::vector<std::shared_ptr<TrackedSearcher>> SearcherPool::limitedSearchers() const
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -33,6 +33,8 @@
 constexpr Duration queueReportLifetime = std::chrono::milliseconds(500);
 /// Cost factor of a cold searcher, as it is slower.
 constexpr double coldSlowness = 1.6;
+/// Cost that is added for a searcher whose stated limit is used up, as a share of its cost; proportionally less before.
+constexpr double usedLimitCost = 0.5;
 /// Minimum and maximum time for which a searcher is blocked after consecutive failures.
 constexpr Duration minBlockTime = std::chrono::milliseconds(100);
 constexpr Duration maxBlockTime = std::chrono::milliseconds(2'000);
@@ -185,8 +187,10 @@
         blockedUntil_ = now + wrongSearcherBlockTime;
         return;
     }
+    // A searcher that states a limit rejects calls to protect itself; that does not predict how other calls will end.
+    const bool isLimitRejection = end == CallEnd::Rejected && statedLimit_.isInForce();
     // Connection failures are not added: once a connection opens again, they do not predict how calls will end.
-    if (!isConnectFailure) {
+    if (!isConnectFailure && !isLimitRejection) {
         addFailureSample(now, 1);
     }
     if (end == CallEnd::Rejected) {
@@ -275,6 +279,9 @@
     if (isCold(now)) {
         cost *= coldSlowness;
     }
+    if (statedLimit_.isInForce()) {
+        cost *= 1 + usedLimitCost * (1 - pacedShare_.headroom(now));
+    }
     if (isOverdue(now)) {
         cost += overdueCost;
     }
--- a/libs/placement/tests/limit_test.cpp
+++ b/libs/placement/tests/limit_test.cpp
@@ -42,7 +42,7 @@
         limits.name = "desk";
         limits.maxConnections = 200;
         pool->setBackendLimits({limits});
-        pool->setFleet(fleet_);
+        pool->setFleet(time.now(), fleet_);
         for (std::size_t number = 0; number < replicas; ++number) {
             pool->put(time.now(), entryOf(number));
             oracles_[number].onDisturbed(vm);
--- a/libs/placement/tests/load_test.cpp
+++ b/libs/placement/tests/load_test.cpp
@@ -43,7 +43,7 @@
         for (const std::string &vm : fleet) {
             pools_.push_back(std::make_unique<SearcherPool>(vm, "a", PoolBounds(), hashBytes(vm)));
             pools_.back()->setBackendLimits({limits()});
-            pools_.back()->setFleet(fleet);
+            pools_.back()->setFleet(time.now(), fleet);
         }
         for (std::size_t number = 0; number < searcherCount; ++number) {
             searchers_.emplace_back(time, random_);
--- a/libs/placement/tests/searcherpool_test.cpp
+++ b/libs/placement/tests/searcherpool_test.cpp
@@ -204,7 +204,7 @@
     for (int vm = 0; vm < 12; ++vm) {
         fleet.insert("vm-" + std::to_string(vm));
     }
-    fixture.pool.setFleet(fleet);
+    fixture.pool.setFleet(fixture.now, fleet);
     const std::size_t limit = fixture.pool.connectionLimit(*fixture.pool.find("s1"));
     BOOST_TEST(limit * fleet.size() <= 26U);
     BOOST_TEST(limit >= 1U);
@@ -221,7 +221,7 @@
         limits.maxConnections = 26;
         limits.coldCallsPerSecond = 10;
         pool.setBackendLimits({limits});
-        pool.setFleet(fleet);
+        pool.setFleet(TimePoint(1'000s), fleet);
         SearcherEntry cold = entry("s1");
         cold.remainingColdTime = 10s;
         TimePoint now{1'000s};
@@ -264,7 +264,7 @@
 BOOST_AUTO_TEST_CASE(searcherAtWhichCallsQueueIsCalledByTurns)
 {
     PoolFixture fixture;
-    fixture.pool.setFleet({"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6"});
+    fixture.pool.setFleet(fixture.now, {"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6"});
     fixture.pool.remove("s2");
     fixture.pool.remove("s3");
     const auto room = [&fixture] { return fixture.pool.room(fixture.now, fixture.desk(), callParameters, false); };
@@ -323,7 +323,7 @@
 BOOST_AUTO_TEST_CASE(turnsAreSharedAmongTheAdvertisedVms)
 {
     PoolFixture fixture;
-    fixture.pool.setFleet({"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6"}, 2);
+    fixture.pool.setFleet(fixture.now, Fleet{{"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6"}, 2, 6});
     fixture.pool.remove("s2");
     fixture.pool.remove("s3");
     callWithLoad(fixture, "s1", 2 * typical, 2);
