A searcher's limit outlives its registration

What searchers would see: when the registration of a searcher that states a limit expires and returns, as while the store is away, each VM forgot the limit and sent calls beside its pace until the next reply.

Cause: what a searcher process asks of its callers hung on its registration.

Change: IncarnationState holds it for a process (instance and start); RetainedIncarnations keeps at most 1,024 states of removed searchers.

limitOutlivesTheRegistration failed before: 38 calls in 4 s, 23 allowed, with a registration that returns every 500 ms.

--- /dev/null
+++ b/libs/placement/include/placement/incarnationstate.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/time.h"
+#include "catalog/searcherentry.h"
+#include "placement/pacedshare.h"
+#include "placement/statedlimit.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <utility>
+
+/// \file
+/// What this VM owes to one process of a searcher.
+
+namespace sassafrasvane
+{
+
+/// What one process of a searcher asks of its callers, and how far this VM has used it. It belongs to the process and
+/// not to its registration, which may expire and return while the store is away.
+struct IncarnationState {
+    /// The rate limit that the searcher states for all VMs together.
+    StatedLimit statedLimit;
+    /// This VM's share of the stated limit.
+    PacedShare pacedShare;
+};
+
+/// Keeps the states of searchers whose registrations were removed, in case the same process registers again.
+///
+/// \code
+/// retained.keep(searcher.entry(), state);
+/// std::shared_ptr<IncarnationState> state = retained.take(entry);
+/// \endcode
+class RetainedIncarnations
+{
+public:
+    /// Maximum number of states; the oldest are dropped.
+    static constexpr std::size_t maxStates() noexcept { return 1'024; }
+
+    /// Keeps \p state if the searcher asks anything of its callers.
+    void keep(const SearcherEntry &entry, std::shared_ptr<IncarnationState> state);
+
+    /// Returns the state of the process that \p entry registers and keeps it no longer; a new one if there is none.
+    std::shared_ptr<IncarnationState> take(const SearcherEntry &entry);
+
+private:
+    struct Retained {
+        std::string instance;
+        std::uint64_t startedAtMs = 0;
+        std::shared_ptr<IncarnationState> state;
+    };
+
+    std::deque<Retained> retained_;
+};
+
+} // namespace sassafrasvane
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -217,6 +217,7 @@
     Random random_;
     std::map<std::string, std::unique_ptr<BackendPool>, std::less<>> backends_;
     std::unordered_map<std::string, std::shared_ptr<TrackedSearcher>> searchers_;
+    RetainedIncarnations retained_;
     std::unordered_map<std::string, ColdCallPacing> coldCallPacing_;
     std::set<std::string> excludedDomains_;
     Fleet fleet_;
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -2,10 +2,10 @@
 
 #include "base/time.h"
 #include "catalog/searcherentry.h"
-#include "placement/pacedshare.h"
-#include "placement/statedlimit.h"
+#include "placement/incarnationstate.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -45,7 +45,10 @@
 class TrackedSearcher
 {
 public:
-    TrackedSearcher(TimePoint now, const SearcherEntry &entry);
+    /// \param state what the searcher asks of its callers, known from an earlier registration of the same process.
+    TrackedSearcher(TimePoint now,
+                    const SearcherEntry &entry,
+                    std::shared_ptr<IncarnationState> state = std::make_shared<IncarnationState>());
 
     const SearcherEntry &entry() const noexcept { return entry_; }
 
@@ -98,20 +101,23 @@
     void takeTurn(TimePoint now, Duration turn) noexcept;
 
     /// The rate limit that the searcher states for all VMs together.
-    StatedLimit &statedLimit() noexcept { return statedLimit_; }
-    const StatedLimit &statedLimit() const noexcept { return statedLimit_; }
+    StatedLimit &statedLimit() noexcept { return state_->statedLimit; }
+    const StatedLimit &statedLimit() const noexcept { return state_->statedLimit; }
 
     /// This VM's share of the stated limit; meaningful while the limit is in force.
-    PacedShare &pacedShare() noexcept { return pacedShare_; }
-    const PacedShare &pacedShare() const noexcept { return pacedShare_; }
+    PacedShare &pacedShare() noexcept { return state_->pacedShare; }
+    const PacedShare &pacedShare() const noexcept { return state_->pacedShare; }
+
+    /// What the searcher asks of its callers.
+    const std::shared_ptr<IncarnationState> &incarnationState() const noexcept { return state_; }
 
     /// True if the stated limit, if there is one, lets this VM send a call now.
-    bool isWithinLimit(TimePoint now) const noexcept { return !statedLimit_.isInForce() || pacedShare_.mayCall(now); }
+    bool isWithinLimit(TimePoint now) const noexcept { return !statedLimit().isInForce() || pacedShare().mayCall(now); }
 
     /// True if this VM's share of the stated limit, if there is one, is not used up by the calls that come.
     bool hasSpareCalls(TimePoint now) const noexcept
     {
-        return !statedLimit_.isInForce() || pacedShare_.headroom(now) >= 1;
+        return !statedLimit().isInForce() || pacedShare().headroom(now) >= 1;
     }
 
     /// Average time that a call occupies a slot, without the wait for the slot, in multiples of the typical duration.
@@ -169,8 +175,7 @@
     TimePoint queueReportValidUntil_;
     TimePoint nextTurnAt_;
     double relativeServiceTime_ = 1;
-    StatedLimit statedLimit_;
-    PacedShare pacedShare_;
+    std::shared_ptr<IncarnationState> state_;
 };
 
 } // namespace sassafrasvane
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -78,8 +78,10 @@
         return;
     }
     remove(entry.instance);
-    const std::shared_ptr<TrackedSearcher> searcher = std::make_shared<TrackedSearcher>(now, entry);
+    const std::shared_ptr<TrackedSearcher> searcher
+        = std::make_shared<TrackedSearcher>(now, entry, retained_.take(entry));
     searchers_[entry.instance] = searcher;
+    updateLimitShare(now, *searcher);
     backend(entry.backend).searchers_.push_back(searcher);
 }
 
@@ -91,6 +93,7 @@
     }
     std::vector<std::shared_ptr<TrackedSearcher>> &siblings = backend(known->entry().backend).searchers_;
     siblings.erase(std::remove(siblings.begin(), siblings.end(), known), siblings.end());
+    retained_.keep(known->entry(), known->incarnationState());
     searchers_.erase(known->entry().instance);
     coldCallPacing_.erase(known->entry().instance);
 }
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -80,7 +80,7 @@
     return names.at(static_cast<std::size_t>(end));
 }
 
-TrackedSearcher::TrackedSearcher(TimePoint now, const SearcherEntry &entry)
+TrackedSearcher::TrackedSearcher(TimePoint now, const SearcherEntry &entry, std::shared_ptr<IncarnationState> state)
     : entry_(entry)
     , slownessAt_(now)
     , failureAt_(now)
@@ -88,6 +88,7 @@
     , lastReplyAt_(now)
     , coldUntil_(now + entry.remainingColdTime)
     , loadReportedAt_(now)
+    , state_(std::move(state))
 {
 }
 
@@ -188,7 +189,7 @@
         return;
     }
     // A searcher that states a limit rejects calls to protect itself; that does not predict how other calls will end.
-    const bool isLimitRejection = end == CallEnd::Rejected && statedLimit_.isInForce();
+    const bool isLimitRejection = end == CallEnd::Rejected && statedLimit().isInForce();
     // Connection failures are not added: once a connection opens again, they do not predict how calls will end.
     if (!isConnectFailure && !isLimitRejection) {
         addFailureSample(now, 1);
@@ -279,8 +280,8 @@
     if (isCold(now)) {
         cost *= coldSlowness;
     }
-    if (statedLimit_.isInForce()) {
-        cost *= 1 + usedLimitCost * (1 - pacedShare_.headroom(now));
+    if (statedLimit().isInForce()) {
+        cost *= 1 + usedLimitCost * (1 - pacedShare().headroom(now));
     }
     if (isOverdue(now)) {
         cost += overdueCost;
--- a/libs/placement/tests/limit_test.cpp
+++ b/libs/placement/tests/limit_test.cpp
@@ -68,6 +68,15 @@
         time.runUntil(end);
     }
 
+    /// The registration of searcher \p number expires and returns everywhere.
+    void registerAgain(std::size_t number)
+    {
+        for (const auto &[vm, pool] : pools_) {
+            pool->remove(entryOf(number).instance);
+            pool->put(time.now(), entryOf(number));
+        }
+    }
+
     const LimitOracle &oracle(std::size_t number) const { return oracles_.at(number); }
     SearcherPool &pool(const std::string &vm) { return *pools_.at(vm); }
     const std::set<std::string> &fleet() const { return fleet_; }
@@ -160,4 +169,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(limitOutlivesTheRegistration)
+{
+    LimitSimulation simulation(8);
+    simulation.state(0, 3);
+    simulation.run(200, 2s);
+    for (int registration = 0; registration < 20; ++registration) {
+        simulation.registerAgain(0);
+        simulation.run(200, 500ms);
+    }
+    BOOST_TEST(!simulation.oracle(0).failure(), *simulation.oracle(0).failure());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
