The pace of a cold searcher outlives its registration

What searchers would see: a cold searcher whose registration expires and returns got a call at each return, beside the rate that it tolerates.

Cause: the same as for the stated limit; the pace was erased with the registration. Now it is part of IncarnationState.

coldSearcherThatRegistersAgainGetsNoMoreThanItsRate failed before: 20 calls in a second, 8 allowed.

--- a/libs/placement/include/placement/incarnationstate.h
+++ b/libs/placement/include/placement/incarnationstate.h
@@ -25,6 +25,8 @@
     StatedLimit statedLimit;
     /// This VM's share of the stated limit.
     PacedShare pacedShare;
+    /// While the searcher is cold: when this VM may call it next. In the distant past if it has not called it cold.
+    TimePoint nextColdCallAt;
 };
 
 /// Keeps the states of searchers whose registrations were removed, in case the same process registers again.
@@ -39,7 +41,7 @@
     /// Maximum number of states; the oldest are dropped.
     static constexpr std::size_t maxStates() noexcept { return 1'024; }
 
-    /// Keeps \p state if the searcher asks anything of its callers.
+    /// Keeps \p state if the searcher states a limit or was called cold.
     void keep(const SearcherEntry &entry, std::shared_ptr<IncarnationState> state);
 
     /// Returns the state of the process that \p entry registers and keeps it no longer; a new one if there is none.
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -181,10 +181,6 @@
     std::shared_ptr<TrackedSearcher> find(std::string_view instance) const;
 
 private:
-    struct ColdCallPacing {
-        TimePoint nextCallAt;
-    };
-
     bool isUsable(const TrackedSearcher &searcher) const;
     std::vector<std::shared_ptr<TrackedSearcher>> usableWhere(
         const std::function<bool(const TrackedSearcher &searcher)> &isListed) const;
@@ -218,7 +214,6 @@
     std::map<std::string, std::unique_ptr<BackendPool>, std::less<>> backends_;
     std::unordered_map<std::string, std::shared_ptr<TrackedSearcher>> searchers_;
     RetainedIncarnations retained_;
-    std::unordered_map<std::string, ColdCallPacing> coldCallPacing_;
     std::set<std::string> excludedDomains_;
     Fleet fleet_;
     /// The VMs of the fleet that share limits, and this VM.
--- a/libs/placement/src/incarnationstate.cpp
+++ b/libs/placement/src/incarnationstate.cpp
@@ -7,7 +7,7 @@
 
 void RetainedIncarnations::keep(const SearcherEntry &entry, std::shared_ptr<IncarnationState> state)
 {
-    if (!state->statedLimit.isInForce()) {
+    if (!state->statedLimit.isInForce() && state->nextColdCallAt == TimePoint()) {
         return;
     }
     if (retained_.size() >= maxStates()) {
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -95,7 +95,6 @@
     siblings.erase(std::remove(siblings.begin(), siblings.end(), known), siblings.end());
     retained_.keep(known->entry(), known->incarnationState());
     searchers_.erase(known->entry().instance);
-    coldCallPacing_.erase(known->entry().instance);
 }
 
 void SearcherPool::setBackendLimits(const std::vector<BackendLimits> &limits)
@@ -187,8 +186,7 @@
     backend.lastChosenAt_ = now;
     if (best->isCold(now) && backend.limits_.coldCallsPerSecond > 0) {
         const double rate = backend.limits_.coldCallsPerSecond * bounds_.coldFactor + bounds_.coldSlack;
-        coldCallPacing_[best->entry().instance].nextCallAt
-            = now + fromMilliseconds(1'000 / (rate * usableColdRateShare));
+        best->incarnationState()->nextColdCallAt = now + fromMilliseconds(1'000 / (rate * usableColdRateShare));
     }
     best->takeTurn(now, turnInterval(*best, parameters));
     if (best->statedLimit().isInForce()) {
@@ -351,8 +349,7 @@
         = std::max_element(callers_.begin(), callers_.end(), [key](const std::string &left, const std::string &right) {
               return mix(key, hashBytes(left)) < mix(key, hashBytes(right));
           });
-    const auto pace = coldCallPacing_.find(searcher.entry().instance);
-    return *owner == self_ && (pace == coldCallPacing_.end() || now >= pace->second.nextCallAt);
+    return *owner == self_ && now >= searcher.incarnationState()->nextColdCallAt;
 }
 
 std::size_t SearcherPool::connectionLimit(const TrackedSearcher &searcher) const
--- a/libs/placement/tests/searcherpool_test.cpp
+++ b/libs/placement/tests/searcherpool_test.cpp
@@ -210,6 +210,27 @@
     BOOST_TEST(limit >= 1U);
 }
 
+BOOST_AUTO_TEST_CASE(coldSearcherThatRegistersAgainGetsNoMoreThanItsRate)
+{
+    PoolFixture fixture;
+    BackendLimits limits;
+    limits.name = "desk";
+    limits.maxConnections = 26;
+    limits.coldCallsPerSecond = 2;
+    fixture.pool.setBackendLimits({limits});
+    SearcherEntry cold = entry("s1");
+    cold.remainingColdTime = 10s;
+    fixture.pool.remove("s2");
+    fixture.pool.remove("s3");
+    int calls = 0;
+    for (int registration = 0; registration < 20; ++registration, fixture.now += 50ms) {
+        fixture.pool.remove("s1");
+        fixture.pool.put(fixture.now, cold);
+        calls += fixture.choose().searcher ? 1 : 0;
+    }
+    BOOST_TEST(calls <= 2 * PoolBounds().coldFactor + PoolBounds().coldSlack);
+}
+
 BOOST_AUTO_TEST_CASE(coldSearcherGetsItsRateOverAllEntryVms)
 {
     const std::set<std::string> fleet{"vm-1", "vm-2", "vm-3"};
