Limits: fuzz world and oracle; a reply that is as old as the statement does not end a limit

limit_fuzz joins the pools of 12 VMs that start, sleep, are cut off and come and go among the advertised ones, and 3 searchers whose limits come, change, end and whose registrations and processes return. LimitOracle judges by what the searcher got: a VM is bound by a limit from half a second after its reply; for each limit the calls of all VMs that are bound by it or a lower one are counted.

It found, after 150 sequences: of two replies that arrive at the same instant, the one to the older call ended the limit, if that call was sent in the microsecond in which the other arrived. Only a call that was sent later is certainly newer. replyToACallThatWasSentAsTheLimitArrivedDoesNotEndTheLimit failed before.

It also showed that an oracle which binds VMs by a lowered limit before they have heard of it can't be met: 12 VMs that knew 20 a second sent one call each at the same instant and learnt of 1 a second by these calls. The oracle counts such calls for the limit that the VM knew.

VMs that a limit is not divided among probe at least every 30 s times their number (10 s before), so that their calls don't meet even for a limit of 0.

--- /dev/null
+++ b/fuzz/limitworld.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "limitoracle.h"
+#include "placement/searcherpool.h"
+#include "worldcommands.h"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \file
+/// A fleet of entry VMs before searchers that state rate limits, in virtual time.
+
+namespace sassafrasvane
+{
+
+/// VMs that start, stop, sleep and are cut off, and searchers whose limits come, change and end.
+class LimitWorld
+{
+public:
+    LimitWorld();
+
+    /// All that can happen.
+    static const std::vector<WorldAction<LimitWorld>> &actions();
+
+    /// Sends requests at all VMs until all limits had time to take effect.
+    void finish();
+
+    /// The first failure, or nothing.
+    std::optional<std::string> failure() const;
+
+private:
+    /// An entry VM.
+    struct Vm {
+        std::string name;
+        std::shared_ptr<SearcherPool> pool;
+        /// When this VM last saw each VM advertised.
+        std::map<std::string, TimePoint> advertisedAt;
+        bool isAsleep = false;
+        bool isCutOff = false;
+    };
+
+    /// A searcher and its present process.
+    struct Searcher {
+        SearcherEntry entry;
+        std::optional<double> limit;
+        LimitOracle oracle;
+    };
+
+    /// A call whose reply has not arrived.
+    struct Call {
+        std::size_t vm = 0;
+        std::shared_ptr<SearcherPool> pool;
+        std::shared_ptr<TrackedSearcher> tracked;
+        std::uint64_t number = 0;
+        TimePoint sentAt;
+        std::size_t searcher = 0;
+        std::uint64_t startedAtMs = 0;
+        SelfReport report;
+    };
+
+    void request(std::size_t vm, std::size_t count);
+    void requestEverywhere(std::size_t count, std::size_t);
+    void reply(std::size_t call, std::size_t);
+    void replyToAll(std::size_t, std::size_t);
+    void passTime(std::size_t milliseconds, std::size_t);
+    void stateLimit(std::size_t searcher, std::size_t limit);
+    void endLimit(std::size_t searcher, std::size_t);
+    void restartVm(std::size_t vm, std::size_t);
+    void toggleSleep(std::size_t vm, std::size_t);
+    void toggleCut(std::size_t vm, std::size_t);
+    void toggleAdvertised(std::size_t vm, std::size_t);
+    void registerAgain(std::size_t searcher, std::size_t vm);
+    void restartSearcher(std::size_t searcher, std::size_t);
+    void send(std::size_t vm);
+    void deliver(std::size_t call);
+    void start(Vm &vm);
+    void refreshViews();
+    void disturb(const Vm &vm);
+
+    static constexpr std::size_t vmCount_ = 12;
+    static constexpr std::size_t searcherCount_ = 3;
+
+    TimePoint now_{std::chrono::seconds(1'000)};
+    std::array<Vm, vmCount_> vms_;
+    std::array<Searcher, searcherCount_> searchers_;
+    std::set<std::string> advertised_;
+    std::vector<Call> calls_;
+    std::uint64_t starts_ = 0;
+};
+
+} // namespace sassafrasvane
--- a/libs/placement/src/limitshare.cpp
+++ b/libs/placement/src/limitshare.cpp
@@ -17,7 +17,7 @@
 /// An observer calls the searcher at least once in the longer of these times, however low the limit is: the second is
 /// multiplied by the number of observers.
 constexpr double maxObserverIntervalSeconds = 30;
-constexpr double maxObserverSpacingSeconds = 10;
+constexpr double maxObserverSpacingSeconds = 30;
 
 // Number of sharers that precede self in the rendezvous order of the searcher.
 std::size_t rankOf(std::string_view instance, std::string_view self, const std::set<std::string> &sharers)
--- a/libs/placement/src/statedlimit.cpp
+++ b/libs/placement/src/statedlimit.cpp
@@ -15,7 +15,7 @@
 
 LimitChange StatedLimit::apply(TimePoint now, TimePoint sentAt, const SelfReport &selfReport, bool hasRun) noexcept
 {
-    const bool isNewest = !isInForce_ || sentAt >= heardAt_;
+    const bool isNewest = !isInForce_ || sentAt > heardAt_;
     if (!selfReport.callsPerSecond) {
         if (!isInForce_ || selfReport.isUnreadable || !hasRun || !isNewest) {
             return LimitChange::None;
--- a/libs/placement/tests/statedlimit_test.cpp
+++ b/libs/placement/tests/statedlimit_test.cpp
@@ -42,6 +42,14 @@
     BOOST_TEST(limit.isInForce());
 }
 
+BOOST_AUTO_TEST_CASE(replyToACallThatWasSentAsTheLimitArrivedDoesNotEndTheLimit)
+{
+    StatedLimit limit;
+    limit.apply(start, start - 10ms, rate(30), true);
+    BOOST_TEST((limit.apply(start + 10ms, start, nothing, true) == LimitChange::None));
+    BOOST_TEST(limit.isInForce());
+}
+
 BOOST_AUTO_TEST_CASE(lateReplyWithAHigherLimitDoesNotRaiseTheLimit)
 {
     StatedLimit limit;
