A limit that is stated by a reply to a former registration's call holds

What searchers would see: the registration of a searcher returns while calls to it are open; a reply states the searcher's first limit, and all VMs go on as if there were none until their next replies.

Cause: only states that already asked something were kept for the next registration. Now all are, at most 4,096, found by key.

--- a/fuzz/limitworld.cpp
+++ b/fuzz/limitworld.cpp
@@ -54,7 +54,7 @@
         {"toggleSleep", 1, &LimitWorld::toggleSleep},
         {"toggleCut", 1, &LimitWorld::toggleCut},
         {"toggleAdvertised", 1, &LimitWorld::toggleAdvertised},
-        {"registerAgain", 1, &LimitWorld::registerAgain},
+        {"registerAgain", 2, &LimitWorld::registerAgain},
         {"restartSearcher", 1, &LimitWorld::restartSearcher},
     };
     return list;
@@ -237,12 +237,14 @@
     refreshViews();
 }
 
-void LimitWorld::registerAgain(std::size_t searcher, std::size_t vm)
+// As when a registration expires while the store is away.
+void LimitWorld::registerAgain(std::size_t searcher, std::size_t)
 {
     const SearcherEntry &entry = searchers_.at(searcher % searcherCount_).entry;
-    SearcherPool &pool = *vms_.at(vm % vmCount_).pool;
-    pool.remove(entry.instance);
-    pool.put(now_, entry);
+    for (const Vm &vm : vms_) {
+        vm.pool->remove(entry.instance);
+        vm.pool->put(now_, entry);
+    }
 }
 
 // The new process states nothing of what the former one stated.
--- a/fuzz/limitworld.h
+++ b/fuzz/limitworld.h
@@ -73,7 +73,7 @@
     void toggleSleep(std::size_t vm, std::size_t);
     void toggleCut(std::size_t vm, std::size_t);
     void toggleAdvertised(std::size_t vm, std::size_t);
-    void registerAgain(std::size_t searcher, std::size_t vm);
+    void registerAgain(std::size_t searcher, std::size_t);
     void restartSearcher(std::size_t searcher, std::size_t);
     void send(std::size_t vm);
     void deliver(std::size_t call);
--- a/libs/placement/include/placement/incarnationstate.h
+++ b/libs/placement/include/placement/incarnationstate.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -39,22 +40,23 @@
 {
 public:
     /// Maximum number of states; the oldest are dropped.
-    static constexpr std::size_t maxStates() noexcept { return 1'024; }
+    static constexpr std::size_t maxStates() noexcept { return 4'096; }
 
-    /// Keeps \p state if the searcher states a limit or was called cold.
+    /// Keeps \p state, also if the searcher asks nothing yet: replies to open calls may still tell.
     void keep(const SearcherEntry &entry, std::shared_ptr<IncarnationState> state);
 
     /// Returns the state of the process that \p entry registers and keeps it no longer; a new one if there is none.
     std::shared_ptr<IncarnationState> take(const SearcherEntry &entry);
 
 private:
-    struct Retained {
-        std::string instance;
-        std::uint64_t startedAtMs = 0;
-        std::shared_ptr<IncarnationState> state;
-    };
+    /// Instance and start of a searcher's process.
+    using Key = std::pair<std::string, std::uint64_t>;
 
-    std::deque<Retained> retained_;
+    static Key keyOf(const SearcherEntry &entry) { return {entry.instance, entry.startedAtMs}; }
+
+    std::map<Key, std::shared_ptr<IncarnationState>> states_;
+    /// Keys in the order in which they were kept, those of taken states included.
+    std::deque<Key> order_;
 };
 
 } // namespace sassafrasvane
--- a/libs/placement/src/incarnationstate.cpp
+++ b/libs/placement/src/incarnationstate.cpp
@@ -1,33 +1,22 @@
 #include "placement/incarnationstate.h"
 
-#include <algorithm>
-
 namespace sassafrasvane
 {
 
 void RetainedIncarnations::keep(const SearcherEntry &entry, std::shared_ptr<IncarnationState> state)
 {
-    if (!state->statedLimit.isInForce() && state->nextColdCallAt == TimePoint()) {
-        return;
-    }
-    if (retained_.size() >= maxStates()) {
-        retained_.pop_front();
+    if (order_.size() >= maxStates()) {
+        states_.erase(order_.front());
+        order_.pop_front();
     }
-    retained_.push_back({entry.instance, entry.startedAtMs, std::move(state)});
+    states_.insert_or_assign(keyOf(entry), std::move(state));
+    order_.push_back(keyOf(entry));
 }
 
 std::shared_ptr<IncarnationState> RetainedIncarnations::take(const SearcherEntry &entry)
 {
-    const std::deque<Retained>::iterator found
-        = std::find_if(retained_.begin(), retained_.end(), [&entry](const Retained &retained) {
-              return retained.instance == entry.instance && retained.startedAtMs == entry.startedAtMs;
-          });
-    if (found == retained_.end()) {
-        return std::make_shared<IncarnationState>();
-    }
-    std::shared_ptr<IncarnationState> state = std::move(found->state);
-    retained_.erase(found);
-    return state;
+    std::map<Key, std::shared_ptr<IncarnationState>>::node_type found = states_.extract(keyOf(entry));
+    return found ? std::move(found.mapped()) : std::make_shared<IncarnationState>();
 }
 
 } // namespace sassafrasvane
--- a/libs/placement/tests/limit_test.cpp
+++ b/libs/placement/tests/limit_test.cpp
@@ -169,6 +169,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(limitStatedAfterTheRegistrationExpiredHoldsForTheNextOne)
+{
+    LimitSimulation simulation(8);
+    SearcherPool &pool = simulation.pool("vm-0");
+    const std::shared_ptr<TrackedSearcher> former = pool.find("s0");
+    simulation.registerAgain(0);
+    pool.applySelfReport(simulation.time.now(), *former, simulation.time.now() - callTime, {3, false}, true);
+    BOOST_TEST(pool.find("s0")->statedLimit().isInForce());
+}
+
 BOOST_AUTO_TEST_CASE(limitOutlivesTheRegistration)
 {
     LimitSimulation simulation(8);
