Soak: searchers that state limits, judged by what they got

Two of them in each run, from a generator of their own, so that the other faults of a seed stay what they were. stated_limits_are_kept counts the calls of processes that had passed on such an answer half a second before, in windows of 4 s.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,13 +7,16 @@
 from collections.abc import Callable
 
 from proxy import Harm
-from soakworld import CRASHING, GRACE, USUAL_DELAY_S, SoakWorld
+from soakworld import CRASHING, FOREVER, GRACE, USUAL_DELAY_S, SoakWorld
 
 HARMS = [Harm.DELAY, Harm.RESET, Harm.CUT_TO_SERVER, Harm.CUT_TO_CLIENT, Harm.SILENT]
 SEARCHER_MODES = ["lost", "truncated", "doubled", "error", "shed", "hang", "slow"]
 # How long a process is gone after a long kill, and a searcher stays after it was told to leave.
 LONG_S = 9.0
 DRAIN_S = 3.5
+# Calls a second that a limited searcher states, and for how long.
+LIMITS = [0.0, 1.0, 4.0]
+LIMITED_S = 8.0
 # How long callers send a request that crashes searchers.
 CRASHING_S = 8.0
 # Share of the processes and searchers that are disturbed at the same time, so that service remains.
@@ -43,7 +46,14 @@
         length = generator.choice([0.2, 0.6, 1.5, 3.0])
         steps.append(Step(at, kind, generator.random(), length, generator.choice(details)))
         at += generator.choice([0.0, 0.1, 0.2, 0.4, 1.0])
-    return steps
+    return sorted(steps + limit_steps(seed, seconds), key=lambda step: step.at)
+
+
+def limit_steps(seed, seconds):
+    """Searchers that state limits. They have a generator of their own, so that a seed's other faults stay what they were."""
+    generator = random.Random(f"{seed}/limits")
+    times = sorted(generator.uniform(0, seconds) for _ in range(2))
+    return [Step(at, "limit_searcher", generator.random(), LIMITED_S, generator.choice(LIMITS)) for at in times]
 
 
 class Faults:
@@ -57,7 +67,7 @@
 
     def begin(self, step):
         self.begun += 1
-        kind = KINDS[step.kind]
+        kind = LIMIT_KIND if step.kind == "limit_searcher" else KINDS[step.kind]
         target = kind.choose(self, step)
         if target is None:
             return
@@ -220,6 +230,20 @@
             searcher.mode = step.detail
         return undo
 
+    def limit_searcher(self, instance, step):
+        """A searcher states a limit in all its answers."""
+        searcher = self.world.searchers[instance]
+        span = [instance, step.detail, time.monotonic(), FOREVER]
+
+        def heal():
+            span[3] = time.monotonic()
+            searcher.limit = None
+
+        undo = undoing(self.world.searcher_disturbed[instance], heal)
+        searcher.limit = step.detail
+        self.world.history.limits.append(span)
+        return undo
+
     def send_crashing(self, _store, step):
         """Callers send a request that crashes the searchers that run it, again and again."""
         target = f"/{step.detail}/{CRASHING}-{self.begun}"
@@ -286,3 +310,4 @@
     "send_crashing": Kind(Faults.store, Faults.send_crashing, ["board", "fetch", "book"]),
     "replace_searcher": Kind(Faults.calm_searcher, Faults.replace_searcher, ["drained", "removed", "address_reused"]),
 }
+LIMIT_KIND = Kind(Faults.calm_searcher, Faults.limit_searcher, LIMITS)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -25,6 +25,12 @@
 # Crashes after which a request is known, and requests that may still reach searchers some time later.
 CRASHES_TO_LEARN = 3
 MOST_LATE_CRASHES = 3
+# A searcher that states a limit gets at most this multiple of it in a window, plus the slack, from processes that were
+# told some time before.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+LIMIT_REACTION_S = 0.5
 # Calm after which everything is served again.
 RECOVERY_S = 5.0
 STAMP = "x-sassafrasvane-server-stamp"
@@ -278,6 +284,39 @@
     return [f"{searcher.instance} has {len(searcher.writers)} connections" for searcher in over]
 
 
+def _calls_that_count(evidence, instance, begin, end):
+    """Times of the calls at a searcher, from processes that had passed on its limit some time before."""
+    told = {}
+    times = []
+    runs = sorted(evidence.world.searchers[instance].ran, key=lambda run: run.at)
+    for run in [run for run in runs if begin <= run.at <= end]:
+        sent = evidence.sent.get(run.request_id)
+        if sent is None:
+            continue
+        told_at = told.get(sent.entry)
+        if told_at is not None and run.at >= told_at + LIMIT_REACTION_S:
+            parts = (evidence.entries[sent.entry].disturbed, evidence.world.host_stalled)
+            if all(part.is_calm(told_at, run.at) for part in parts):
+                times.append(run.at)
+        if sent.status == 200 and run.ended_at and run.ended_at <= sent.ended_at:
+            told[sent.entry] = min(told.get(sent.entry, sent.ended_at), sent.ended_at)
+    return times
+
+
+def stated_limits_are_kept(evidence):
+    """A searcher that states a limit gets no more than that from all processes together."""
+    broken = []
+    for instance, limit, begin, end in evidence.history.limits:
+        times = _calls_that_count(evidence, instance, begin, end)
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit + LIMIT_SLACK
+        for last in [at for at in times if at >= begin + STABLE_S]:
+            count = sum(last - LIMIT_WINDOW_S < at <= last for at in times)
+            if count > allowed:
+                broken.append(f"{instance} stated {limit} a second and got {count} calls in {LIMIT_WINDOW_S} s")
+                break
+    return broken
+
+
 def service_returns(evidence):
     """After the faults, requests are served again."""
     after = evidence.history.calm_from + RECOVERY_S
@@ -306,6 +345,7 @@
     processes_keep_running,
     crashing_requests_are_stopped,
     searchers_keep_their_connections,
+    stated_limits_are_kept,
     service_returns,
 ]
 
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -229,6 +229,24 @@
         self.world.searchers["desk-0"].writers = set(range(27))
         self.assertEqual(self.broken(), {"searchers_keep_their_connections"})
 
+    def limited_calls(self, count):
+        self.world.history.limits.append(["desk-0", 1.0, START, START + 20])
+        for number in range(count):
+            self.world.send(f"r{number}", at=START + 1 + number * 5 / count)
+
+    def test_searcher_that_gets_more_than_it_states(self):
+        self.limited_calls(30)
+        self.assertEqual(self.broken(), {"stated_limits_are_kept"})
+
+    def test_searcher_that_gets_what_it_states(self):
+        self.limited_calls(8)
+        self.assertEqual(self.broken(), set())
+
+    def test_process_that_forgot_the_limit_at_its_restart(self):
+        self.limited_calls(30)
+        self.world.entry.disturbed.spans.append([START + 2, START + 3])
+        self.assertEqual(self.broken(), set())
+
     def test_failures_in_calm(self):
         self.world.history.calm_from = START - 10
         self.world.send("r1", status=503, instances=())
--- a/tests/soak/soakworld.py
+++ b/tests/soak/soakworld.py
@@ -73,6 +73,8 @@
     unasked_bytes: list = dataclasses.field(default_factory=list)
     # Searchers that were told to leave or were removed: instance and time.
     left: list = dataclasses.field(default_factory=list)
+    # Limits that searchers stated: instance, calls a second, first and last moment.
+    limits: list = dataclasses.field(default_factory=list)
     # Planned stops that took longer than they may.
     late_stops: list = dataclasses.field(default_factory=list)
     # Processes that ended although nobody ended them: name and exit code.
