--- a/fuzz/limitworld.cpp
+++ b/fuzz/limitworld.cpp
@@ -21,7 +21,7 @@
 
 LimitWorld::LimitWorld()
 {
-    for (std::size_t number = 0; number < searcherCount_; ++number) {
+    for (std::size_t number = 0; number < searcherCount; ++number) {
         SearcherEntry &entry = searchers_.at(number).entry;
         entry.instance = "s" + std::to_string(number);
         entry.backend = "desk";
@@ -29,7 +29,7 @@
         entry.slots = 8;
         entry.startedAtMs = 1;
     }
-    for (std::size_t number = 0; number < vmCount_; ++number) {
+    for (std::size_t number = 0; number < vmCount; ++number) {
         Vm &vm = vms_.at(number);
         vm.name = "vm-" + std::to_string(number);
         advertised_.insert(vm.name);
@@ -109,7 +109,7 @@
             fleet.sharers.insert(name);
         }
         fleet.advertisedCount = std::max<std::size_t>(1, advertised_.size());
-        fleet.memberCount = vmCount_;
+        fleet.memberCount = vmCount;
         vm.pool->setFleet(now_, fleet);
     }
 }
@@ -117,13 +117,13 @@
 void LimitWorld::request(std::size_t vm, std::size_t count)
 {
     for (std::size_t sent = 0; sent <= count % maxRequests; ++sent) {
-        send(vm % vmCount_);
+        send(vm % vmCount);
     }
 }
 
 void LimitWorld::requestEverywhere(std::size_t count, std::size_t)
 {
-    for (std::size_t vm = 0; vm < vmCount_; ++vm) {
+    for (std::size_t vm = 0; vm < vmCount; ++vm) {
         request(vm, count % 3);
     }
 }
@@ -196,41 +196,41 @@
 
 void LimitWorld::stateLimit(std::size_t searcher, std::size_t limit)
 {
-    Searcher &chosen = searchers_.at(searcher % searcherCount_);
+    Searcher &chosen = searchers_.at(searcher % searcherCount);
     chosen.limit = limits.at(limit % limits.size());
     chosen.oracle.onStated(now_, chosen.limit);
 }
 
 void LimitWorld::endLimit(std::size_t searcher, std::size_t)
 {
-    Searcher &chosen = searchers_.at(searcher % searcherCount_);
+    Searcher &chosen = searchers_.at(searcher % searcherCount);
     chosen.limit.reset();
     chosen.oracle.onStated(now_, std::nullopt);
 }
 
 void LimitWorld::restartVm(std::size_t vm, std::size_t)
 {
-    start(vms_.at(vm % vmCount_));
+    start(vms_.at(vm % vmCount));
     refreshViews();
 }
 
 void LimitWorld::toggleSleep(std::size_t vm, std::size_t)
 {
-    Vm &chosen = vms_.at(vm % vmCount_);
+    Vm &chosen = vms_.at(vm % vmCount);
     chosen.isAsleep = !chosen.isAsleep;
     disturb(chosen);
 }
 
 void LimitWorld::toggleCut(std::size_t vm, std::size_t)
 {
-    Vm &chosen = vms_.at(vm % vmCount_);
+    Vm &chosen = vms_.at(vm % vmCount);
     chosen.isCutOff = !chosen.isCutOff;
     disturb(chosen);
 }
 
 void LimitWorld::toggleAdvertised(std::size_t vm, std::size_t)
 {
-    const std::string &name = vms_.at(vm % vmCount_).name;
+    const std::string &name = vms_.at(vm % vmCount).name;
     if (advertised_.erase(name) == 0) {
         advertised_.insert(name);
     }
@@ -240,7 +240,7 @@
 // As when a registration expires while the store is away.
 void LimitWorld::registerAgain(std::size_t searcher, std::size_t)
 {
-    const SearcherEntry &entry = searchers_.at(searcher % searcherCount_).entry;
+    const SearcherEntry &entry = searchers_.at(searcher % searcherCount).entry;
     for (const Vm &vm : vms_) {
         vm.pool->remove(entry.instance);
         vm.pool->put(now_, entry);
@@ -250,7 +250,7 @@
 // The new process states nothing of what the former one stated.
 void LimitWorld::restartSearcher(std::size_t searcher, std::size_t)
 {
-    Searcher &chosen = searchers_.at(searcher % searcherCount_);
+    Searcher &chosen = searchers_.at(searcher % searcherCount);
     ++chosen.entry.startedAtMs;
     chosen.limit.reset();
     const std::optional<std::string> failure = chosen.oracle.failure();
--- a/fuzz/limitworld.h
+++ b/fuzz/limitworld.h
@@ -81,12 +81,12 @@
     void refreshViews();
     void disturb(const Vm &vm);
 
-    static constexpr std::size_t vmCount_ = 12;
-    static constexpr std::size_t searcherCount_ = 3;
+    static constexpr std::size_t vmCount = 12;
+    static constexpr std::size_t searcherCount = 3;
 
     TimePoint now_{std::chrono::seconds(1'000)};
-    std::array<Vm, vmCount_> vms_;
-    std::array<Searcher, searcherCount_> searchers_;
+    std::array<Vm, vmCount> vms_;
+    std::array<Searcher, searcherCount> searchers_;
     std::set<std::string> advertised_;
     std::vector<Call> calls_;
     std::uint64_t starts_ = 0;
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -142,24 +142,22 @@
     return isOwn;
 }
 
-void Dispatcher::applySelfReport(Call &call, unsigned status)
+void Dispatcher::applySelfReport(const Call &call, unsigned status)
 {
-    const TimePoint now = BootClock::now();
     TrackedSearcher &searcher = *call.spec.searcher;
-    const SelfReport &selfReport = call.reply.selfReport;
     const bool hasRun = !call.reply.isNotRun && !call.reply.stamp.empty();
     const double before = searcher.statedLimit().callsPerSecond();
-    const LimitChange change = pool_.applySelfReport(now, searcher, call.startedAt, selfReport, hasRun);
-    if (change == LimitChange::None && !selfReport.isUnreadable) {
+    const LimitChange change
+        = pool_.applySelfReport(BootClock::now(), searcher, call.startedAt, call.reply.selfReport, hasRun);
+    if (change == LimitChange::None) {
         return;
     }
-    log_.line(EventRank::Routine, "searcher_limit_changed")
+    log_.line(change == LimitChange::Changed ? EventRank::Routine : EventRank::Important, "searcher_limit_changed")
         .text("request", call.spec.requestId)
         .text("backend", searcher.entry().backend)
         .text("searcher", searcher.entry().instance)
         .text("peer", searcher.entry().address.toString())
         .text("change", name(change))
-        .flag("unreadable", selfReport.isUnreadable)
         .count("status", status)
         .number("before", before)
         .number("calls_per_second", searcher.statedLimit().callsPerSecond())
--- a/libs/entry/src/requestend.cpp
+++ b/libs/entry/src/requestend.cpp
@@ -161,7 +161,9 @@
             .count("left_out", gather_.leftOutParts());
     }
     if (end == GatherEnd::Unserved) {
-        line.text("without_room", backendsWhere([this](std::size_t part) { return room(part) == Room::None; }));
+        const TimePoint now = BootClock::now();
+        line.text("without_room", backendsWhere([this](std::size_t part) { return room(part) == Room::None; }))
+            .milliseconds("limited_ms", limitedUntil(now) - now);
     }
 }
 
--- a/libs/placement/include/placement/statedlimit.h
+++ b/libs/placement/include/placement/statedlimit.h
@@ -14,9 +14,10 @@
 /// How a reply changed a StatedLimit.
 enum class LimitChange {
     None,
-    Stated,  ///< The searcher states a limit and had none before.
-    Changed, ///< The searcher states another limit than before.
-    Ended,   ///< The searcher states no limit any more.
+    Stated,     ///< The searcher states a limit and had none before.
+    Changed,    ///< The searcher states another limit than before.
+    Ended,      ///< The searcher states no limit any more.
+    Unreadable, ///< The searcher states something that cannot be parsed; the limit stays as it was. Told once in a row.
 };
 
 /// Stable lower-case name of \p change, as written to log lines.
@@ -64,6 +65,8 @@
     /// Arrival of the last reply with a limit.
     TimePoint heardAt_;
     std::uint64_t calls_ = 0;
+    /// True if the last reply stated something that cannot be parsed.
+    bool isUnreadable_ = false;
 };
 
 } // namespace sassafrasvane
--- a/libs/placement/src/statedlimit.cpp
+++ b/libs/placement/src/statedlimit.cpp
@@ -9,15 +9,19 @@
 
 const char *name(LimitChange change) noexcept
 {
-    constexpr std::array<const char *, 4> names{"none", "stated", "changed", "ended"};
+    constexpr std::array<const char *, 5> names{"none", "stated", "changed", "ended", "unreadable"};
     return names.at(static_cast<std::size_t>(change));
 }
 
 LimitChange StatedLimit::apply(TimePoint now, TimePoint sentAt, const SelfReport &selfReport, bool hasRun) noexcept
 {
     const bool isNewest = !isInForce_ || sentAt > heardAt_;
+    const bool wasUnreadable = std::exchange(isUnreadable_, selfReport.isUnreadable && !selfReport.callsPerSecond);
+    if (isUnreadable_) {
+        return wasUnreadable ? LimitChange::None : LimitChange::Unreadable;
+    }
     if (!selfReport.callsPerSecond) {
-        if (!isInForce_ || selfReport.isUnreadable || !hasRun || !isNewest) {
+        if (!isInForce_ || !hasRun || !isNewest) {
             return LimitChange::None;
         }
         isInForce_ = false;
--- a/libs/placement/tests/statedlimit_test.cpp
+++ b/libs/placement/tests/statedlimit_test.cpp
@@ -65,7 +65,8 @@
     StatedLimit limit;
     limit.apply(start, start - 10ms, rate(30), true);
     BOOST_TEST((limit.apply(start + 1s, start + 990ms, nothing, false) == LimitChange::None));
-    BOOST_TEST((limit.apply(start + 2s, start + 1'990ms, unreadable, true) == LimitChange::None));
+    BOOST_TEST((limit.apply(start + 2s, start + 1'990ms, unreadable, true) == LimitChange::Unreadable));
+    BOOST_TEST((limit.apply(start + 3s, start + 2'990ms, unreadable, true) == LimitChange::None));
     BOOST_TEST(limit.callsPerSecond() == 30);
 }
 
--- a/tests/entry/limit_test.py
+++ b/tests/entry/limit_test.py
@@ -133,7 +133,7 @@
             searcher.limit = limit
             for number in range(8):
                 self.assertEqual(self.world.entries[0].ask(f"/fetch/{number}")[0], 200)
-        self.assertTrue(any(line["unreadable"] for line in self.world.entries[0].lines("searcher_limit_changed")))
+        self.assertTrue(any(line["change"] == "unreadable" for line in self.world.entries[0].lines("searcher_limit_changed")))
         self.assertEqual(self.world.entries[0].metric("searchers_limited"), 0)
 
     def test_operators_see_limited_searchers(self):
