--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -204,7 +204,7 @@
         time.sleep(0.5)
         self.assertTrue(served(), "an older version has come into force")
         world.searchers["i-desk-0"].register("draining")
-        left = lambda: all(entry.lines("searcher_changed")[-1]["leaving"] for entry in world.entries)
+        left = lambda: all(entry.last_line("searcher_changed").get("leaving") for entry in world.entries)
         world.wait(left, IN_FORCE, "a leaving searcher is not known everywhere")
         before = len(world.searchers["i-desk-0"].ran)
         for number in range(20):
@@ -222,7 +222,7 @@
             world.entries[index].stop()
         world.configure(9, 4)
         alive = world.entries[3:]
-        current = lambda: all(entry.lines("configuration_in_force")[-1]["version"] == 9 for entry in alive)
+        current = lambda: all(entry.version() == 9 for entry in alive)
         world.wait(current, IN_FORCE, "a change is not in force after the loss of processes")
 
     def test_changes_reach_failure_domains_without_a_reader_of_the_store(self):
@@ -230,7 +230,7 @@
         world = self.world(entries=32, shards=2)
 
         def in_force(version, entries):
-            return all(entry.lines("configuration_in_force")[-1]["version"] == version for entry in entries)
+            return all(entry.version() == version for entry in entries)
 
         world.configure(2, 2)
         world.wait(lambda: in_force(2, world.entries), IN_FORCE, "a change is not in force everywhere")
@@ -392,7 +392,7 @@
         world.store.forget_history()
         world.configure(12, 4)
         world.store.refusing = False
-        current = lambda: all(entry.lines("configuration_in_force")[-1]["version"] == 12 for entry in world.entries)
+        current = lambda: all(entry.version() == 12 for entry in world.entries)
         world.wait(current, 6, "the change made meanwhile is not in force")
 
     def test_domain_stays_out_of_service_where_a_peer_has_missed_it(self):
@@ -436,7 +436,7 @@
         for entry in readers:
             entry.stop()
         world.searchers["i-desk-0"].unregister()
-        removed = lambda: all(entry.lines("searcher_changed")[-1]["change"] == "removed" for entry in followers)
+        removed = lambda: all(entry.last_line("searcher_changed").get("change") == "removed" for entry in followers)
         world.wait(removed, IN_FORCE, "a removal is not known everywhere")
 
     def test_registrations_that_expire_while_the_store_is_away_are_kept_for_a_while(self):
@@ -475,7 +475,7 @@
         for entry in world.entries:
             entry.store_link.silence_open_connections()
         world.searchers["i-desk-0"].unregister()
-        removed = lambda: all(entry.lines("searcher_changed")[-1]["change"] == "removed" for entry in world.entries)
+        removed = lambda: all(entry.last_line("searcher_changed").get("change") == "removed" for entry in world.entries)
         world.wait(removed, IN_FORCE, "a removal is not known everywhere")
 
     def test_many_versions_of_a_large_configuration_are_followed_on_a_small_vm(self):
@@ -515,7 +515,7 @@
         world.searchers["i-desk-0"].unregister()
         for entry in readers:
             entry.start()
-        removed = lambda: all(entry.lines("searcher_changed")[-1]["change"] == "removed" for entry in followers)
+        removed = lambda: all(entry.last_line("searcher_changed").get("change") == "removed" for entry in followers)
         world.wait(removed, IN_FORCE, "a removal is not known everywhere")
         before = len(world.searchers["i-desk-0"].ran)
         for number in range(10):
@@ -664,7 +664,7 @@
         entry.stop()
         world.searchers["i-desk-0"].unregister()
         world.configure(2, 3)
-        known = lambda: all(each.lines("configuration_in_force")[-1]["version"] == 2 for each in world.entries if each is not entry)
+        known = lambda: all(each.version() == 2 for each in world.entries if each is not entry)
         world.wait(known, IN_FORCE, "the change is not in force")
         # It learns from the other processes alone.
         world.store.refusing = True
--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -127,13 +127,15 @@
 
     def reads_store(self):
         """True if the process follows the store itself, and not other processes."""
-        sources = self.lines("source_changed")
-        return bool(sources) and sources[-1]["source"] == "store"
+        return self.last_line("source_changed").get("source") == "store"
 
     def version(self):
         """The version of the configuration in force; None without one."""
-        versions = [line["version"] for line in self.lines("configuration_in_force")]
-        return versions[-1] if versions else None
+        return self.last_line("configuration_in_force").get("version")
+
+    def last_line(self, event):
+        """The last line about the event; empty if there is none yet, as a process may be ready before its log is written."""
+        return next(iter(reversed(self.lines(event))), {})
 
     def lines(self, event):
         self.log.flush()
