Stand-in: a run ends with the crash of its searcher

The soak's left_callers_cost_little counts runs that still go on half a second after their caller has left. A run that crashed its searcher was recorded as never ended, so three callers that left while they sent such a request would break the promise though nothing ran any more.

--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -304,6 +304,7 @@
         self.ran.append(run)
         if self.crashes_on and self.crashes_on in request.target:
             self._crash()
+            run.ended_at = time.monotonic()
             return False
         try:
             if not await self.work(run, reader):
