Soak: a request that was held up on a harmed link may reach its searcher late

The process had closed its connection; the proxy delivered what it held when the link healed.

The users' rules allow this case ("Held up"). Both sides have a test. The bounds stay.

--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -42,6 +42,8 @@
             self.searchers[f"shard-{shard}-0"] = searcher(f"shard-{shard}-0", f"shard-{shard}", records)
         self.history.configurations.append(Configuration(1, START - 99, START - 99, "desk", ()))
 
+        self.link_harmed = {instance: Disturbances() for instance in self.searchers}
+
     is_in_touch = SoakWorld.is_in_touch
 
     def send(self, request_id, route="fetch", at=START, status=200, instances=("desk-0",), **more):
@@ -177,6 +179,20 @@
             self.world.run("desk-0", sent, START + 0.02).ended_at = START + 2
         self.assertEqual(self.broken(), {"left_callers_cost_little"})
 
+    def test_work_for_callers_that_left_while_the_link_to_the_searcher_was_harmed(self):
+        self.world.link_harmed["desk-0"].spans.append([START - 1, START + 1.9])
+        for number in range(4):
+            sent = self.world.send(f"r{number}", status=None, failure="left", instances=())
+            self.world.run("desk-0", sent, START + 2).ended_at = START + 2.1
+        self.assertEqual(self.broken(), set())
+
+    def test_work_that_began_before_its_caller_left_counts_on_a_harmed_link_too(self):
+        self.world.link_harmed["desk-0"].spans.append([START - 1, START + 1.9])
+        for number in range(4):
+            sent = self.world.send(f"r{number}", status=None, failure="left", instances=())
+            self.world.run("desk-0", sent, START + 0.02).ended_at = START + 2
+        self.assertEqual(self.broken(), {"left_callers_cost_little"})
+
     def test_late_answers(self):
         self.world.send("r1", status=504, ended_at=START + 2.7)
         self.assertEqual(self.broken(), {"answers_come_in_time"})
--- a/tests/soak/soakworld.py
+++ b/tests/soak/soakworld.py
@@ -118,6 +118,8 @@
         self.history = History()
         self.links = {}
         self.searcher_disturbed = {}
+        # Times in which the link to a searcher was harmed.
+        self.link_harmed = {}
         self.store_disturbed = Disturbances()
         self.host_stalled = Disturbances()
         self.current = None
@@ -145,6 +147,7 @@
         self.searchers[instance] = searcher
         self.links[instance] = link
         self.searcher_disturbed[instance] = Disturbances()
+        self.link_harmed[instance] = Disturbances()
 
     def extra_routes(self):
         return self.current.extra
