A raised limit is taken though calls overlap all the time

What callers would see: a searcher states 10 calls a second and then 30; a VM whose calls to it overlap goes on with 10.

Cause: each reply with a higher limit moved the time after which a call must have been sent for its reply to raise the limit. Now only replies that state the limit in force or a lower one do.

--- a/libs/placement/include/placement/incarnationstate.h
+++ b/libs/placement/include/placement/incarnationstate.h
@@ -14,7 +14,7 @@
 #include <utility>
 
 /// \file
-/// What this VM owes to one process of a searcher.
+/// What one process of a searcher asks of its callers.
 
 namespace sassafrasvane
 {
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -93,7 +93,7 @@
 ///
 /// The limits of connections and of calls to cold searchers apply to all entry VMs together. The connections of a
 /// searcher are divided evenly among the entry VMs. A cold searcher is called only by one entry VM, which rendezvous
-/// hashing selects.
+/// hashing selects. A rate limit that a searcher states is divided by limitShare().
 ///
 /// \code
 /// BackendPool &backend = pool.backend("desk");
--- a/libs/placement/include/placement/statedlimit.h
+++ b/libs/placement/include/placement/statedlimit.h
@@ -26,7 +26,7 @@
 /// The rate limit of one searcher process, over all VMs, as its latest replies state it.
 ///
 /// Replies may arrive out of order. A lower limit is in force at once; a higher one or the end of the limit only if the
-/// reply belongs to a call that was sent after the last reply with a limit had arrived, and so is certainly newer.
+/// reply belongs to a call that was sent after the last reply with the limit had arrived, and so is certainly newer.
 ///
 /// \code
 /// if (limit.apply(now, sentAt, reply.selfReport, hasRun) != LimitChange::None) { ... }
@@ -62,7 +62,7 @@
     bool isInForce_ = false;
     double callsPerSecond_ = 0;
     TimePoint statedAt_;
-    /// Arrival of the last reply with a limit.
+    /// Arrival of the last reply that stated the limit in force.
     TimePoint heardAt_;
     std::uint64_t calls_ = 0;
     /// True if the last reply stated something that cannot be parsed.
--- a/libs/placement/src/statedlimit.cpp
+++ b/libs/placement/src/statedlimit.cpp
@@ -28,6 +28,9 @@
         return LimitChange::Ended;
     }
     const double stated = std::clamp(*selfReport.callsPerSecond, minCallsPerSecond(), maxCallsPerSecond());
+    if (isInForce_ && stated > callsPerSecond_ && !isNewest) {
+        return LimitChange::None;
+    }
     const bool isFirst = !std::exchange(isInForce_, true);
     heardAt_ = now;
     if (isFirst) {
@@ -36,11 +39,7 @@
         callsPerSecond_ = stated;
         return LimitChange::Stated;
     }
-    if (stated == callsPerSecond_ || (stated > callsPerSecond_ && !isNewest)) {
-        return LimitChange::None;
-    }
-    callsPerSecond_ = stated;
-    return LimitChange::Changed;
+    return std::exchange(callsPerSecond_, stated) == stated ? LimitChange::None : LimitChange::Changed;
 }
 
 std::uint64_t StatedLimit::takeCallCount() noexcept
--- a/libs/placement/tests/statedlimit_test.cpp
+++ b/libs/placement/tests/statedlimit_test.cpp
@@ -60,6 +60,16 @@
     BOOST_TEST(limit.callsPerSecond() == 5);
 }
 
+BOOST_AUTO_TEST_CASE(higherLimitIsTakenThoughCallsOverlapAllTheTime)
+{
+    StatedLimit limit;
+    limit.apply(start, start - 30ms, rate(10), true);
+    for (Duration elapsed = 10ms; elapsed <= 100ms; elapsed += 10ms) {
+        limit.apply(start + elapsed, start + elapsed - 30ms, rate(30), true);
+    }
+    BOOST_TEST(limit.callsPerSecond() == 30);
+}
+
 BOOST_AUTO_TEST_CASE(rejectionOrUnreadableLimitDoesNotEndTheLimit)
 {
     StatedLimit limit;
