--- a/libs/placement/include/placement/limitshare.h
+++ b/libs/placement/include/placement/limitshare.h
@@ -29,8 +29,8 @@
 struct LimitShare {
     /// Interval between two calls of this VM.
     Duration interval{0};
-    /// True if the limit is divided among this VM and others. The VMs that it is not divided among send a call now and
-    /// then, to learn whether the limit has ended.
+    /// True if this VM is a sender: one of those that the limit is divided among. The others are observers, which send
+    /// a call now and then to learn whether the limit has changed.
     bool isSender = false;
 
     bool operator==(const LimitShare &) const = default;
@@ -38,9 +38,9 @@
 
 /// Returns the share of VM \p self in the limit of \p callsPerSecond that the searcher \p instance states.
 ///
-/// Every VM may have one unused call in hand, so that the number of senders adds to what a searcher can get at once. A
-/// limit is therefore divided among at most one VM for each call per second, which rendezvous hashing selects; the
-/// other VMs use other replicas. All VMs that see the same fleet select the same senders.
+/// Every sender may send one call at once after a pause, so that their number adds to what a searcher can get in a
+/// burst. A limit is therefore divided among at most one VM for each call per second, which rendezvous hashing selects;
+/// the other VMs use other replicas. All VMs that see the same fleet select the same senders.
 LimitShare limitShare(double callsPerSecond, std::string_view instance, std::string_view self, const Fleet &fleet);
 
 } // namespace sassafrasvane
--- a/libs/placement/include/placement/pacedshare.h
+++ b/libs/placement/include/placement/pacedshare.h
@@ -11,9 +11,8 @@
 
 /// When this VM may call a searcher that states a rate limit.
 ///
-/// A sender calls once in each interval and catches up on at most burstTime() of unused time. Any other VM may call in
-/// a short slot of each interval and loses the call if it does not use the slot: otherwise all those VMs could have a
-/// call in hand and send it at the same time.
+/// A sender calls once in each interval and catches up on at most burstTime() of unused time. An observer may call in a
+/// short slot of each interval; an unused slot expires, as otherwise all observers could call at once after a pause.
 ///
 /// \code
 /// paced.setShare(now, share, random.unit());
@@ -24,7 +23,7 @@
 public:
     /// Unused time on which a sender catches up.
     static constexpr Duration burstTime() noexcept { return std::chrono::milliseconds(250); }
-    /// Length of the slot of a VM that is no sender.
+    /// Length of an observer's slot.
     static constexpr Duration slotLength() noexcept { return std::chrono::seconds(1); }
 
     /// Sets the share. The time of the last call still counts, if the VM was and is a sender. \param phase when the
@@ -51,7 +50,7 @@
     TimePoint slotAt(TimePoint now) const noexcept;
 
     LimitShare share_;
-    /// When the next call is due. For a VM that is no sender: the start of its next unused slot.
+    /// When the next call is due. For an observer: the start of its next unused slot.
     TimePoint nextAt_;
 };
 
--- a/libs/placement/src/limitshare.cpp
+++ b/libs/placement/src/limitshare.cpp
@@ -11,12 +11,12 @@
 namespace
 {
 
-/// Parts of a limit that its senders, and all other VMs together, use.
-constexpr double senderPart = 0.9;
-constexpr double observerPart = 0.1;
-/// An observer calls the searcher at least once in the longer of these times, however low the limit is: the second is
-/// multiplied by the number of observers.
-constexpr double maxObserverIntervalSeconds = 30;
+/// Parts of a limit for its senders, for the other VMs that are advertised to callers, and for all other VMs together.
+/// Senders also get the second part if every advertised VM is one.
+constexpr double senderPart = 0.8;
+constexpr double advertisedObserverPart = 0.15;
+constexpr double strayObserverPart = 0.05;
+/// Time, multiplied by the number of observers, in which each observer calls the searcher however low the limit is.
 constexpr double maxObserverSpacingSeconds = 30;
 
 // Number of sharers that precede self in the rendezvous order of the searcher.
@@ -34,21 +34,27 @@
     return fromMilliseconds(seconds * millisecondsPerSecond);
 }
 
+LimitShare observerShare(double callsPerSecond, std::size_t observers)
+{
+    const double count = static_cast<double>(std::max<std::size_t>(1, observers));
+    return {fromSeconds(std::min(count / callsPerSecond, count * maxObserverSpacingSeconds)), false};
+}
+
 } // namespace
 
 LimitShare limitShare(double callsPerSecond, std::string_view instance, std::string_view self, const Fleet &fleet)
 {
     const std::size_t sharers = std::max(fleet.sharers.size(), detail::minFleetSize);
-    const double wanted = std::clamp(callsPerSecond, 1.0, static_cast<double>(sharers));
-    const std::size_t senders = static_cast<std::size_t>(wanted);
-    const bool isSharer = fleet.sharers.contains(std::string(self));
-    if (isSharer && rankOf(instance, self, fleet.sharers) < senders) {
-        return {fromSeconds(static_cast<double>(senders) / (callsPerSecond * senderPart)), true};
+    const std::size_t senders = static_cast<std::size_t>(std::clamp(callsPerSecond, 1.0, static_cast<double>(sharers)));
+    if (!fleet.sharers.contains(std::string(self))) {
+        return observerShare(callsPerSecond * strayObserverPart,
+                             std::max(fleet.memberCount, fleet.sharers.size() + 1) - fleet.sharers.size());
+    }
+    if (rankOf(instance, self, fleet.sharers) >= senders) {
+        return observerShare(callsPerSecond * advertisedObserverPart, sharers - senders);
     }
-    const std::size_t members = std::max({fleet.memberCount, sharers, senders + 1});
-    const double observers = static_cast<double>(members - senders);
-    const double longest = std::max(maxObserverIntervalSeconds, maxObserverSpacingSeconds * observers);
-    return {fromSeconds(std::min(observers / (callsPerSecond * observerPart), longest)), false};
+    const double part = senders == sharers ? senderPart + advertisedObserverPart : senderPart;
+    return {fromSeconds(static_cast<double>(senders) / (callsPerSecond * part)), true};
 }
 
 } // namespace sassafrasvane
--- a/libs/placement/tests/pacedshare_test.cpp
+++ b/libs/placement/tests/pacedshare_test.cpp
@@ -27,7 +27,7 @@
 
 BOOST_AUTO_TEST_SUITE(pacedshare)
 
-BOOST_AUTO_TEST_CASE(senderKeepsItsPaceAndStartsWithoutACallInHand)
+BOOST_AUTO_TEST_CASE(senderKeepsItsPaceFromItsFirstCallOn)
 {
     PacedShare paced;
     paced.setShare(start, {500ms, true}, 0.5);
@@ -36,7 +36,7 @@
     BOOST_TEST(callsDuring(paced, start, 10s) == 20);
 }
 
-BOOST_AUTO_TEST_CASE(senderThatWakesFromAPauseHasLittleInHand)
+BOOST_AUTO_TEST_CASE(senderThatWakesFromAPauseCatchesUpOnLittle)
 {
     PacedShare paced;
     paced.setShare(start, {100ms, true}, 0);
@@ -54,7 +54,7 @@
     BOOST_TEST((paced.nextCallAt(start + 20ms) == start + 200ms));
 }
 
-BOOST_AUTO_TEST_CASE(unusedSlotIsLost)
+BOOST_AUTO_TEST_CASE(unusedSlotExpires)
 {
     PacedShare paced;
     paced.setShare(start, {20s, false}, 0.5);
