The state of a searcher that registers often is not dropped before older ones

What searchers would see: after thousands of removals in between, a searcher's limit was forgotten though it had been kept just before: the list of keys still held the key of an earlier registration.

--- a/fuzz/limitworld.cpp
+++ b/fuzz/limitworld.cpp
@@ -45,6 +45,7 @@
     static const std::vector<WorldAction<LimitWorld>> list{
         {"request", 6, &LimitWorld::request},
         {"requestEverywhere", 10, &LimitWorld::requestEverywhere},
+        {"repeat", 4, &LimitWorld::repeat},
         {"reply", 4, &LimitWorld::reply},
         {"replyToAll", 8, &LimitWorld::replyToAll},
         {"passTime", 14, &LimitWorld::passTime},
@@ -128,7 +129,17 @@
     }
 }
 
-void LimitWorld::send(std::size_t number)
+// Hedges or retries an open call at another searcher.
+void LimitWorld::repeat(std::size_t call, std::size_t isHedge)
+{
+    if (!calls_.empty()) {
+        const Call &chosen = calls_.at(call % calls_.size());
+        const std::array<std::shared_ptr<TrackedSearcher>, 1> tried{chosen.tracked};
+        send(chosen.vm, tried, isHedge % 2 == 0);
+    }
+}
+
+void LimitWorld::send(std::size_t number, std::span<const std::shared_ptr<TrackedSearcher>> tried, bool isHedge)
 {
     Vm &vm = vms_.at(number);
     if (vm.isAsleep) {
@@ -136,7 +147,8 @@
     }
     CallParameters parameters;
     parameters.typicalDuration = callTime;
-    const Choice choice = vm.pool->choose(now_, vm.pool->backend("desk"), {}, parameters);
+    parameters.isHedge = isHedge;
+    const Choice choice = vm.pool->choose(now_, vm.pool->backend("desk"), tried, parameters);
     if (!choice.searcher) {
         return;
     }
--- a/fuzz/limitworld.h
+++ b/fuzz/limitworld.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,7 @@
 
     void request(std::size_t vm, std::size_t count);
     void requestEverywhere(std::size_t count, std::size_t);
+    void repeat(std::size_t call, std::size_t isHedge);
     void reply(std::size_t call, std::size_t);
     void replyToAll(std::size_t, std::size_t);
     void passTime(std::size_t milliseconds, std::size_t);
@@ -75,7 +77,7 @@
     void toggleAdvertised(std::size_t vm, std::size_t);
     void registerAgain(std::size_t searcher, std::size_t);
     void restartSearcher(std::size_t searcher, std::size_t);
-    void send(std::size_t vm);
+    void send(std::size_t vm, std::span<const std::shared_ptr<TrackedSearcher>> tried = {}, bool isHedge = false);
     void deliver(std::size_t call);
     void start(Vm &vm);
     void refreshViews();
--- a/libs/placement/include/placement/incarnationstate.h
+++ b/libs/placement/include/placement/incarnationstate.h
@@ -55,7 +55,7 @@
     static Key keyOf(const SearcherEntry &entry) { return {entry.instance, entry.startedAtMs}; }
 
     std::map<Key, std::shared_ptr<IncarnationState>> states_;
-    /// Keys in the order in which they were kept, those of taken states included.
+    /// Keys of the states in the order in which they were kept.
     std::deque<Key> order_;
 };
 
--- a/libs/placement/src/incarnationstate.cpp
+++ b/libs/placement/src/incarnationstate.cpp
@@ -16,7 +16,11 @@
 std::shared_ptr<IncarnationState> RetainedIncarnations::take(const SearcherEntry &entry)
 {
     std::map<Key, std::shared_ptr<IncarnationState>>::node_type found = states_.extract(keyOf(entry));
-    return found ? std::move(found.mapped()) : std::make_shared<IncarnationState>();
+    if (!found) {
+        return std::make_shared<IncarnationState>();
+    }
+    std::erase(order_, found.key());
+    return std::move(found.mapped());
 }
 
 } // namespace sassafrasvane
