--- a/libs/placement/include/placement/statedlimit.h
+++ b/libs/placement/include/placement/statedlimit.h
@@ -63,7 +63,7 @@
     double callsPerSecond_ = 0;
     TimePoint statedAt_;
     /// Arrival of the last reply that stated the limit in force.
-    TimePoint heardAt_;
+    TimePoint confirmedAt_;
     std::uint64_t calls_ = 0;
     /// True if the last reply stated something that cannot be parsed.
     bool isUnreadable_ = false;
--- a/libs/placement/src/statedlimit.cpp
+++ b/libs/placement/src/statedlimit.cpp
@@ -15,7 +15,7 @@
 
 LimitChange StatedLimit::apply(TimePoint now, TimePoint sentAt, const SelfReport &selfReport, bool hasRun) noexcept
 {
-    const bool isNewest = !isInForce_ || sentAt > heardAt_;
+    const bool isNewest = !isInForce_ || sentAt > confirmedAt_;
     const bool wasUnreadable = std::exchange(isUnreadable_, selfReport.isUnreadable && !selfReport.callsPerSecond);
     if (isUnreadable_) {
         return wasUnreadable ? LimitChange::None : LimitChange::Unreadable;
@@ -32,7 +32,7 @@
         return LimitChange::None;
     }
     const bool isFirst = !std::exchange(isInForce_, true);
-    heardAt_ = now;
+    confirmedAt_ = now;
     if (isFirst) {
         statedAt_ = now;
         calls_ = 0;
