HTTP client: a status that does not exist is the server's failure, at the head

Cause: a status below 100 was skipped like an informational response, so that the caller waited until its deadline; 600 and 999 were passed on to callers of a single record. Change: ResponseReader fails a response whose status is outside 100 to 599, or 101; searchers, store and peers alike.

--- a/libs/http/include/http/responsereader.h
+++ b/libs/http/include/http/responsereader.h
@@ -32,8 +32,9 @@
 /// Parses bytes, in pieces of any size, until one response is complete.
 ///
 /// Informational responses and responses that the filter rejects are dropped, up to a fixed number. The call fails if a
-/// response is malformed, exceeds the constraints or the available memory, or if too many responses were dropped before
-/// it. No exception leaves put(), and a Content-Length is checked before memory is allocated for it.
+/// response is malformed, has a status outside 100 to 599 or switches protocols, exceeds the constraints or the
+/// available memory, or if too many responses were dropped before it. No exception leaves put(), and a Content-Length
+/// is checked before memory is allocated for it.
 ///
 /// \code
 /// ResponseReader reader(memory);
--- a/libs/http/src/responsereader.cpp
+++ b/libs/http/src/responsereader.cpp
@@ -18,8 +18,18 @@
 constexpr std::size_t maxUnparsedBytes = 65'536;
 /// Maximum number of responses that one call drops, informational ones included.
 constexpr unsigned maxDroppedResponses = 8;
+/// Statuses outside this range do not exist (RFC 9110, section 15).
+constexpr unsigned minStatus = 100;
+constexpr unsigned maxStatus = 599;
 /// Responses with a lower status are informational.
 constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned switchingProtocols = 101;
+
+// No call asks for another protocol, so that a server that switches to one sends no HTTP from then on.
+bool isExpectedStatus(unsigned status) noexcept
+{
+    return status >= minStatus && status <= maxStatus && status != switchingProtocols;
+}
 
 } // namespace
 
@@ -83,7 +93,8 @@
 {
     boost::system::error_code error;
     const std::size_t used = parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
-    const bool isMalformed = error && error != beast_http::error::need_more;
+    const bool hasBadStatus = parser_->is_header_done() && !isExpectedStatus(parser_->get().result_int());
+    const bool isMalformed = hasBadStatus || (error && error != beast_http::error::need_more);
     if (error == beast_http::error::body_limit || (!isMalformed && !checkConstraints())) {
         failure_ = Errc::TooLarge;
         state_ = State::Failed;
--- a/libs/http/tests/responsereader_test.cpp
+++ b/libs/http/tests/responsereader_test.cpp
@@ -190,3 +190,41 @@
         BOOST_TEST((fixture.reader.state() == (isWhole ? State::Complete : State::Failed)), head.substr(0, size));
     }
 }
+
+// Guards against numbers that are no status: one below 200 was skipped like an informational response, so that the
+// call waited for another response until its deadline, and one above 599 was passed on as the answer.
+BOOST_AUTO_TEST_CASE(responseWithAnInvalidStatusFailsAtItsHead)
+{
+    for (const char *status : {"000", "001", "099", "101", "600", "999"}) {
+        for (const std::size_t size : {std::size_t{1}, std::size_t{1'000}}) {
+            bool isShown = false;
+            http::ResponseMemory memory(1'000'000);
+            http::ResponseReader reader(memory);
+            reader.begin({}, [&isShown](const http::Response &) { return isShown = true; });
+            const std::string head = "HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 4\r\n\r\n";
+            std::string unread;
+            for (std::size_t begin = 0; begin < head.size() && reader.state() == State::Reading; begin += size) {
+                unread += head.substr(begin, size);
+                unread.erase(0, reader.put(unread));
+            }
+            BOOST_TEST((reader.state() == State::Failed), status);
+            BOOST_TEST(!isShown, status);
+        }
+    }
+}
+
+// Guards against status lines that are nearly valid.
+BOOST_AUTO_TEST_CASE(responseWithAMalformedStatusLineFails)
+{
+    for (const char *line : {"HTTP/1.1 20 X",
+                             "HTTP/1.1 2000 X",
+                             "HTTP/1.1 -20 X",
+                             "HTTP/1.1 2x0 X",
+                             "HTTP/2.0 200 X",
+                             "HTTP/1.1  200 X",
+                             "200 OK"}) {
+        ReaderFixture fixture;
+        fixture.feed(std::string(line) + "\r\nContent-Length: 0\r\n\r\n", 1'000);
+        BOOST_TEST((fixture.reader.state() == State::Failed), line);
+    }
+}
--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -183,6 +183,8 @@
         self.revision = 10
         self.calls = 0
         self.refusing = False
+        # The text that stands for the status in all answers; None for the status that fits.
+        self.status = None
         # Time that each page of a range takes, in seconds.
         self.page_delay = 0.0
         self.changed = asyncio.Event()
@@ -223,7 +225,7 @@
             status, body = 200, self.range(query.get("prefix", ""), query.get("after", ""))
         elif parts.path == "/-/kv-watch":
             status, body = await self.watch(int(query["after"]), int(query["waitMs"]) / 1000)
-        writer.write(response(status, {"Content-Type": "application/json"}, json.dumps(body).encode()))
+        writer.write(response(self.status or status, {"Content-Type": "application/json"}, json.dumps(body).encode()))
         return True
 
     def range(self, prefix, after):
@@ -261,6 +263,8 @@
         # Requests that run at the same time; further ones wait. None for any number.
         self.slots = None
         self.mode = "ok"
+        # The text that stands for the status in all answers; None for the status that fits.
+        self.status = None
         # Bytes of each answer that are sent before the connection is closed, in mode "cut", and the time between two pieces.
         self.cut_bytes = 0
         self.piece_seconds = 0.0
@@ -371,7 +375,7 @@
             "X-Sassafrasvane-Server-Load": "1,0,2",
         } | self.stated()
         body = b"".join(self.records) if self.records else b"reply to " + request_body
-        return response(500 if self.mode == "error" else 200, headers, body)
+        return response(self.status or (500 if self.mode == "error" else 200), headers, body)
 
     def stated(self):
         """The headers that tell what the searcher asks of its callers."""
