Tenants and API keys: read from the configuration and from requests

Cause: a configuration may name tenants with API keys, and callers send a key that no searcher may see.

Change: the adapter reads the tenants, keeps digests of the keys only, reads the caller's key, and removes it together with forged tenant names from a copy of the request. RouteTable finds the tenant of a digest.

--- a/libs/entry/include/entry/protocol.h
+++ b/libs/entry/include/entry/protocol.h
@@ -8,6 +8,7 @@
 #include "http/message.h"
 #include "placement/selfreport.h"
 #include "placement/trackedsearcher.h"
+#include "routing/apikey.h"
 #include "routing/configuration.h"
 
 #include <functional>
@@ -31,6 +32,10 @@
     std::string requestId;
     /// How long the caller waits for the response; nothing if not specified.
     std::optional<Duration> timeout;
+    /// Digest of the caller's API key; nothing if the request has none or it cannot be read.
+    std::optional<ApiKeyDigest> apiKey;
+    /// True if the request has something in place of an API key that is not one key.
+    bool isApiKeyUnreadable = false;
 };
 
 /// Metadata of a searcher's response beside status and body.
@@ -87,6 +92,11 @@
     std::vector<std::string> storePrefixes;
 
     std::function<RequestMetadata(const http::Request &request)> readRequestMetadata;
+    /// The challenge in a response to a request without a valid API key (RFC 9110, 11.6.1).
+    std::string apiKeyChallenge;
+    /// Removes the API key from a copy of the caller's request, and whatever the caller sent as the tenant's name. Sets
+    /// the name \p tenant unless it is empty.
+    std::function<void(http::Request &call, std::string_view tenant)> identifyCaller;
     /// Turns a copy of the caller's request into a call to the searcher \p instance.
     std::function<void(http::Request &call, Duration timeLeft, std::string_view instance)> addressCall;
     std::function<SearcherReply(const http::Response &response)> readSearcherReply;
--- a/libs/http/include/http/message.h
+++ b/libs/http/include/http/message.h
@@ -3,6 +3,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <string_view>
 
 /// \file
@@ -34,6 +35,16 @@
     return {text.data(), text.size()};
 }
 
+/// True if \p text can be the value of a header: it is not empty and has no control characters and no blanks around it.
+inline bool isFieldValue(std::string_view text) noexcept
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char del = 0x7f;
+    return !text.empty() && text.front() != ' ' && text.back() != ' '
+        && std::none_of(
+            text.begin(), text.end(), [](unsigned char byte) { return byte < firstPrintable || byte == del; });
+}
+
 /// The value of header \p name; empty if the header is absent. The view is valid as long as \p headers is unchanged.
 inline std::string_view headerOf(const Headers &headers, std::string_view name)
 {
--- a/libs/routing/include/routing/configuration.h
+++ b/libs/routing/include/routing/configuration.h
@@ -1,13 +1,15 @@
 #pragma once
 
 #include "base/time.h"
+#include "routing/apikey.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 /// \file
-/// Published configuration of an entry process: routes of requests, backends and their limits.
+/// Published configuration of an entry process: routes of requests, backends and their limits, tenants.
 
 namespace sassafrasvane
 {
@@ -42,6 +44,8 @@
     std::size_t topRecords = 0;
     /// Minimum share of the shards that a merged answer must include, from 0 to 1.
     double minShardShare = 1;
+    /// True if requests need no API key.
+    bool isPublic = false;
 
     bool isGathered() const noexcept { return !shards.empty(); }
 };
@@ -65,6 +69,18 @@
     Duration idleTimeout = std::chrono::seconds(15);
 };
 
+/// A customer whose callers share API keys and a quota.
+struct Tenant {
+    /// Not empty, and valid as the value of a header.
+    std::string name;
+    /// Takes precedence over RequestRoute::priority.
+    std::optional<std::uint32_t> priority;
+    /// Quota over all VMs together; 0 if there is no limit.
+    double requestsPerSecond = 0;
+    double burst = 0;
+    std::vector<ApiKeyDigest> keys;
+};
+
 /// One version of the whole configuration.
 struct RoutingConfiguration {
     /// Increases with each version, not necessarily by 1.
@@ -72,6 +88,8 @@
     std::vector<RequestRoute> routes;
     std::vector<BackendLimits> backends;
     CallerLimits callerLimits;
+    /// Nothing if requests carry no API keys; an empty list makes every key unknown.
+    std::optional<std::vector<Tenant>> tenants;
 };
 
 } // namespace sassafrasvane
--- a/libs/routing/include/routing/routetable.h
+++ b/libs/routing/include/routing/routetable.h
@@ -6,13 +6,22 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 /// \file
-/// Finds the route of a request.
+/// Finds the route and the tenant of a request.
 
 namespace sassafrasvane
 {
 
+/// An API key that is listed more than once.
+struct RepeatedKey {
+    /// The first tenant that lists the key; it holds it.
+    const Tenant *holder = nullptr;
+    /// A tenant that lists it too; the same one if it lists the key twice.
+    const Tenant *other = nullptr;
+};
+
 /// One version of the configuration, indexed for lookups. It is immutable, so that a request uses the same version
 /// throughout.
 ///
@@ -36,6 +45,12 @@
     /// Returns the limits of \p backend; nullptr if the configuration does not contain it.
     const BackendLimits *backend(std::string_view backend) const;
 
+    /// Returns the tenant that holds the API key with \p digest: the first one that lists it. nullptr if there is none.
+    const Tenant *tenantOf(const ApiKeyDigest &digest) const;
+
+    /// API keys that are listed more than once.
+    const std::vector<RepeatedKey> &repeatedKeys() const noexcept { return repeatedKeys_; }
+
     const RoutingConfiguration &configuration() const noexcept { return configuration_; }
     std::uint64_t version() const noexcept { return configuration_.version; }
 
@@ -48,11 +63,14 @@
     using TextMap = std::unordered_map<std::string, Value, TextHash, std::equal_to<>>;
 
     explicit RouteTable(RoutingConfiguration configuration);
+    void addKeys(const Tenant &tenant);
 
     RoutingConfiguration configuration_;
     /// Key: host followed by path prefix. Each prefix begins with a slash, which separates the two.
     TextMap<const RequestRoute *> routes_;
     TextMap<const BackendLimits *> backends_;
+    std::unordered_map<ApiKeyDigest, const Tenant *, ApiKeyDigestHash> tenants_;
+    std::vector<RepeatedKey> repeatedKeys_;
 };
 
 } // namespace sassafrasvane
--- a/libs/routing/src/routetable.cpp
+++ b/libs/routing/src/routetable.cpp
@@ -33,6 +33,11 @@
     for (const BackendLimits &limits : configuration_.backends) {
         backends_.emplace(limits.name, &limits);
     }
+    if (configuration_.tenants) {
+        for (const Tenant &tenant : *configuration_.tenants) {
+            addKeys(tenant);
+        }
+    }
 }
 
 const RequestRoute *RouteTable::match(std::string_view host, std::string_view target) const
@@ -56,6 +61,22 @@
     return nullptr;
 }
 
+void RouteTable::addKeys(const Tenant &tenant)
+{
+    for (const ApiKeyDigest &key : tenant.keys) {
+        const auto [known, isNew] = tenants_.emplace(key, &tenant);
+        if (!isNew) {
+            repeatedKeys_.push_back({known->second, &tenant});
+        }
+    }
+}
+
+const Tenant *RouteTable::tenantOf(const ApiKeyDigest &digest) const
+{
+    const auto found = tenants_.find(digest);
+    return found == tenants_.end() ? nullptr : found->second;
+}
+
 const BackendLimits *RouteTable::backend(std::string_view backend) const
 {
     const auto found = backends_.find(backend);
--- a/libs/routing/tests/routetable_test.cpp
+++ b/libs/routing/tests/routetable_test.cpp
@@ -66,6 +66,37 @@
     BOOST_TEST(matched("", "") == "none");
 }
 
+// A key must not change its tenant because another one lists it too, or because the order of lookups differs.
+BOOST_AUTO_TEST_CASE(firstTenantThatListsAKeyHoldsIt)
+{
+    RoutingConfiguration configuration;
+    BOOST_TEST(RouteTable::create(configuration)->tenantOf(digestOf("a")) == nullptr);
+    Tenant first;
+    first.name = "first";
+    first.keys = {digestOf("a"), digestOf("b")};
+    Tenant second;
+    second.name = "second";
+    second.keys = {digestOf("b"), digestOf("c"), digestOf("c")};
+    configuration.tenants = {first, second};
+    const std::shared_ptr<const RouteTable> routes = RouteTable::create(configuration);
+    BOOST_TEST(routes->tenantOf(digestOf("a"))->name == "first");
+    BOOST_TEST(routes->tenantOf(digestOf("b"))->name == "first");
+    BOOST_TEST(routes->tenantOf(digestOf("c"))->name == "second");
+    BOOST_TEST(routes->tenantOf(digestOf("A")) == nullptr);
+    BOOST_TEST(routes->tenantOf(digestOf("")) == nullptr);
+    BOOST_REQUIRE(routes->repeatedKeys().size() == 2U);
+    BOOST_TEST(routes->repeatedKeys()[0].holder->name == "first");
+    BOOST_TEST(routes->repeatedKeys()[0].other->name == "second");
+    BOOST_TEST(routes->repeatedKeys()[1].holder == routes->repeatedKeys()[1].other);
+}
+
+// The digest of an empty text in FIPS 180-4's SHA-256: guards against a digest over other bytes than those of the key.
+BOOST_AUTO_TEST_CASE(digestIsSha256)
+{
+    BOOST_TEST(digestOf("").bytes[0] == 0xe3);
+    BOOST_TEST(digestOf("").bytes[31] == 0x55);
+}
+
 BOOST_AUTO_TEST_CASE(backendsAreFoundByName)
 {
     const std::shared_ptr<const RouteTable> routes = table();
