Entry process: API keys are checked, and searchers get the tenant's name

Cause: where the configuration names tenants, a request needs a known key, and no searcher may see it.

Change: a request with a missing, unreadable or unknown key gets 401 after its route is known. The key and forged tenant names are removed from the copy of the request that all calls are made from. The tenant's priority takes precedence over its route's. WaitingList has calls of tenants that are low on quota go after the others of their priority, and no longer wraps around at the largest priority. Metrics count requests by tenant and refusals by reason.

--- a/libs/entry/include/entry/counters.h
+++ b/libs/entry/include/entry/counters.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "entry/countmetric.h"
+#include "entry/keyfault.h"
 #include "entry/latencymetric.h"
 #include "gather/gather.h"
 
@@ -30,6 +32,12 @@
     std::uint64_t barred = 0;
     /// Requests refused because the process may have stopped before their time limit.
     std::uint64_t stopping = 0;
+    /// Requests refused because of their API key, indexed by KeyFault.
+    std::array<std::uint64_t, keyFaultCount> keyFaults{};
+    /// Requests refused because the tenant's quota is used up.
+    std::uint64_t overQuota = 0;
+    /// Requests of each tenant by how they ended.
+    CountMetric tenantRequests{"tenant_requests_total", "tenant"};
 
     /// Counts a request of \p route that ended with \p end after \p elapsed.
     void record(std::string_view route, GatherEnd end, Duration elapsed)
--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -78,10 +78,12 @@
 
 private:
     void onFree(const std::string &backend);
-    void refuse(const std::shared_ptr<http::Exchange> &exchange,
-                const RequestMetadata &metadata,
-                http::Response response,
-                const char *reason);
+    EventLine refuse(const std::shared_ptr<http::Exchange> &exchange,
+                     const RequestMetadata &metadata,
+                     const Tenant *tenant,
+                     http::Response response,
+                     const char *reason);
+    http::Response unauthorizedResponse() const;
     http::Response retryLaterResponse(const RequestMetadata &metadata);
     Duration outageDuration() const;
     std::vector<BackendPool *> backendsOf(const RequestRoute &route);
--- a/libs/entry/include/entry/waitinglist.h
+++ b/libs/entry/include/entry/waitinglist.h
@@ -2,13 +2,13 @@
 
 #include "base/time.h"
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
 #include <string_view>
-#include <tuple>
 
 /// \file
 /// Calls and whole requests that wait for a free searcher.
@@ -19,8 +19,10 @@
 /// Queues of waiting calls or of requests that have not started, one for each backend. Below, a call is either of them.
 ///
 /// Calls that can still meet their latency target go before late calls. Within each group, the most urgent priority
-/// goes first. Calls of one priority go in order of arrival. If the first call has waited for long, the newest call of
-/// its priority goes first instead, because under overload the order of arrival makes every call late.
+/// goes first. Among the calls of one priority that are not late, those of tenants that have used up most of their
+/// quota go last, so that one busy tenant does not take the searchers from the others. Calls that are equal in this go
+/// in order of arrival. If the first call has waited for long, the newest of its equals goes first instead, because
+/// under overload the order of arrival makes every call late.
 ///
 /// \code
 /// waiting.add("desk", {route.priority, now, targetAt}, [] { return tryToSend(); });
@@ -40,11 +42,13 @@
 
     /// Determines the position of a call in its queue.
     struct QueueParameters {
-        /// Priority of the route; 0 is the most urgent.
+        /// Priority of the tenant or route; 0 is the most urgent.
         std::uint32_t priority = 0;
         TimePoint addedAt;
         /// From this time on the call is late: it can no longer meet its latency target.
         TimePoint targetAt;
+        /// True if the tenant has used up most of its quota.
+        bool isLowOnQuota = false;
     };
 
     /// Maximum number of calls or whole requests that wait for one backend in one list.
@@ -67,8 +71,16 @@
     bool hasTimelyCall(TimePoint now, std::string_view backend) const;
 
 private:
-    /// Whether the call is late, its priority, and its sequence number.
-    using Rank = std::tuple<bool, std::uint32_t, std::uint64_t>;
+    /// Order of a call in its queue.
+    struct Rank {
+        bool isLate = false;
+        std::uint32_t priority = 0;
+        /// Always false for late calls.
+        bool isLowOnQuota = false;
+        std::uint64_t sequence = 0;
+
+        friend auto operator<=>(const Rank &, const Rank &) noexcept = default;
+    };
 
     struct Call {
         QueueParameters parameters;
--- a/libs/entry/src/entryserver.cpp
+++ b/libs/entry/src/entryserver.cpp
@@ -13,7 +13,9 @@
 {
 
 constexpr unsigned badRequest = 400;
+constexpr unsigned unauthorized = 401;
 constexpr unsigned notFound = 404;
+constexpr unsigned tooManyRequests = 429;
 
 } // namespace
 
@@ -62,7 +64,7 @@
     const std::shared_ptr<const RouteTable> routes = state_.routes();
     if (!routes) {
         ++counters_.unconfigured;
-        refuse(exchange, metadata, retryLaterResponse(metadata), "no configuration yet");
+        refuse(exchange, metadata, nullptr, retryLaterResponse(metadata), "no configuration yet");
         return;
     }
     const http::Request &request = exchange->request();
@@ -70,36 +72,45 @@
     const RequestRoute *route = routes->match(host, http::fromView(request.target()));
     if (route == nullptr) {
         ++counters_.unrouted;
-        refuse(exchange, metadata, http::emptyResponse(notFound), "no route");
+        refuse(exchange, metadata, nullptr, http::emptyResponse(notFound), "no route");
         return;
     }
+    if (const std::optional<KeyFault> fault = keyFault(*routes, *route, metadata)) {
+        ++counters_.keyFaults.at(static_cast<std::size_t>(*fault));
+        refuse(exchange, metadata, nullptr, unauthorizedResponse(), name(*fault));
+        return;
+    }
+    const Tenant *tenant = metadata.apiKey ? routes->tenantOf(*metadata.apiKey) : nullptr;
     if (metadata.requestId.empty()) {
         ++counters_.malformed;
-        refuse(exchange, metadata, http::emptyResponse(badRequest), "no request id");
+        refuse(exchange, metadata, tenant, http::emptyResponse(badRequest), "no request id");
         return;
     }
     if (lastAnswerAt_ && detail::RequestTask::deadlineOf(*exchange, metadata, *route) > *lastAnswerAt_) {
         ++counters_.stopping;
-        refuse(exchange, metadata, detail::notRunResponse(Duration{0}), "process is stopping");
+        refuse(exchange, metadata, tenant, detail::notRunResponse(Duration{0}), "process is stopping");
         return;
     }
     const Fingerprint fingerprint = fingerprintOf(request);
     if (requestContext_->crashes.isBarred(BootClock::now(), fingerprint)) {
         ++counters_.barred;
-        refuse(exchange, metadata, detail::notRunResponse(CrashBar::entryLifetime()), "crashes searchers");
+        refuse(exchange, metadata, tenant, detail::notRunResponse(CrashBar::entryLifetime()), "crashes searchers");
         return;
     }
     if (requests_.size() >= maxOpenRequests()) {
         ++counters_.overloaded;
-        refuse(exchange, metadata, retryLaterResponse(metadata), "too many requests");
+        refuse(exchange, metadata, tenant, retryLaterResponse(metadata), "too many requests");
         return;
     }
+    detail::RequestCaller caller;
+    caller.tenant = tenant;
     const std::shared_ptr<detail::RequestTask> task = std::make_shared<detail::RequestTask>(*requestContext_,
                                                                                             exchange,
                                                                                             std::move(metadata),
                                                                                             fingerprint,
                                                                                             routes,
                                                                                             *route,
+                                                                                            caller,
                                                                                             backendsOf(*route),
                                                                                             callTimesOf(*route));
     requests_.emplace(task.get(), task);
@@ -118,21 +129,35 @@
     }
 }
 
-void EntryServer::refuse(const std::shared_ptr<http::Exchange> &exchange,
-                         const RequestMetadata &metadata,
-                         http::Response response,
-                         const char *reason)
+// Returns the log line of the refusal, to which more can be added.
+EventLine EntryServer::refuse(const std::shared_ptr<http::Exchange> &exchange,
+                              const RequestMetadata &metadata,
+                              const Tenant *tenant,
+                              http::Response response,
+                              const char *reason)
 {
     const unsigned status = response.result_int();
     exchange->respond(std::move(response));
-    log_.line(EventRank::Important, "request_refused")
-        .text("request", metadata.requestId)
+    EventLine line = log_.line(EventRank::Important, "request_refused");
+    line.text("request", metadata.requestId)
         .text("host", http::headerOf(exchange->request(), "Host"))
         .text("target", http::fromView(exchange->request().target()))
         .text("reason", reason)
         .count("status", status)
         .count("open_requests", requests_.size())
         .count("configuration", state_.routes() ? state_.routes()->version() : 0);
+    if (tenant != nullptr) {
+        counters_.tenantRequests.add(tenant->name, status == tooManyRequests ? "over_quota" : "refused");
+        line.text("tenant", tenant->name);
+    }
+    return line;
+}
+
+http::Response EntryServer::unauthorizedResponse() const
+{
+    http::Response response = http::emptyResponse(unauthorized);
+    response.set(http::beast_http::field::www_authenticate, protocol_.apiKeyChallenge);
+    return response;
 }
 
 http::Response EntryServer::retryLaterResponse(const RequestMetadata &metadata)
@@ -167,6 +192,14 @@
 void EntryServer::onConfiguration(const RouteTable &routes)
 {
     splits_.keepOnly(routes.configuration());
+    if (!routes.repeatedKeys().empty()) {
+        const RepeatedKey &first = routes.repeatedKeys().front();
+        log_.line(EventRank::Important, "api_keys_repeated")
+            .count("configuration", routes.version())
+            .count("keys", routes.repeatedKeys().size())
+            .text("tenant", first.holder->name)
+            .text("other", first.other->name);
+    }
 }
 
 void EntryServer::onTick(TimePoint now)
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -33,6 +33,16 @@
     }
 }
 
+// Requests that were refused because of their tenant.
+void addTenantRefusals(std::string &text, const EntryCounters &counters)
+{
+    MetricWriter writer(text, "sassafrasvane_requests_refused_total", {}, "counter");
+    for (std::size_t fault = 0; fault < counters.keyFaults.size(); ++fault) {
+        writer.line(labelText({{"reason", name(static_cast<KeyFault>(fault))}}), counters.keyFaults.at(fault));
+    }
+    writer.line(labelText({{"reason", "over_quota"}}), counters.overQuota);
+}
+
 } // namespace
 
 std::string metricsText(const MetricsSources &sources)
@@ -42,6 +52,8 @@
     std::string text;
     addEnds(text, counters);
     addLimitedCalls(text, counters);
+    addTenantRefusals(text, counters);
+    counters.tenantRequests.appendText(text);
     counters.latencies.appendText(text);
     sources.dispatcher.latencies().appendText(text);
     add(text, "requests_abandoned_total", "counter", counters.abandoned);
--- a/libs/entry/src/requestcalls.cpp
+++ b/libs/entry/src/requestcalls.cpp
@@ -19,7 +19,13 @@
 
 WaitingList::QueueParameters RequestTask::queueParameters() const
 {
-    return {route_.priority, BootClock::now(), gatherParameters_.targetAt - times_.typicalDuration()};
+    WaitingList::QueueParameters parameters;
+    parameters.priority
+        = caller_.tenant == nullptr ? route_.priority : caller_.tenant->priority.value_or(route_.priority);
+    parameters.addedAt = BootClock::now();
+    parameters.targetAt = gatherParameters_.targetAt - times_.typicalDuration();
+    parameters.isLowOnQuota = caller_.isLowOnQuota;
+    return parameters;
 }
 
 Placement RequestTask::place(std::size_t part, CallPurpose purpose)
--- a/libs/entry/src/requestend.cpp
+++ b/libs/entry/src/requestend.cpp
@@ -17,6 +17,7 @@
         return;
     }
     ++shared_.counters.abandoned;
+    countForTenant("abandoned");
     shared_.log.line(EventRank::Important, "request_abandoned")
         .text("request", metadata_.requestId)
         .text("route", route_.name)
@@ -132,10 +133,18 @@
     return names;
 }
 
+void RequestTask::countForTenant(std::string_view end) const
+{
+    if (caller_.tenant != nullptr) {
+        shared_.counters.tenantRequests.add(caller_.tenant->name, end);
+    }
+}
+
 void RequestTask::logEnd(GatherEnd end, unsigned status) const
 {
     const Duration elapsed = BootClock::now() - exchange_->receivedAt();
     shared_.counters.record(route_.name, end, elapsed);
+    countForTenant(name(end));
     if (span_) {
         spanLine(shared_.log, *span_, "request", elapsed)
             .text("request", metadata_.requestId)
@@ -156,6 +165,9 @@
         .milliseconds("typical_call_ms", times_.typicalDuration())
         .milliseconds("hedge_after_ms", gatherParameters_.hedgeDelay)
         .count("configuration", table_->version());
+    if (caller_.tenant != nullptr) {
+        line.text("tenant", caller_.tenant->name);
+    }
     if (gather_.answeredParts() < parts_.size()) {
         line.text("missing", backendsWhere([this](std::size_t part) { return !gather_.isAnswered(part); }))
             .count("left_out", gather_.leftOutParts());
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -34,6 +34,7 @@
                          Fingerprint fingerprint,
                          std::shared_ptr<const RouteTable> table,
                          const RequestRoute &route,
+                         const RequestCaller &caller,
                          std::vector<BackendPool *> backends,
                          CallTimes &times)
     : shared_(shared)
@@ -43,6 +44,7 @@
     , span_(beginTrace(exchange_->request(), shared.random))
     , table_(std::move(table))
     , route_(route)
+    , caller_(caller)
     , times_(times)
     , parts_(backends.size())
     , deadline_(deadlineOf(*exchange_, metadata_, route))
@@ -53,10 +55,19 @@
     for (std::size_t part = 0; part < backends.size(); ++part) {
         parts_[part].backend = backends[part];
     }
-    http::Request request = exchange_->request();
-    removeConnectionHeaders(request);
-    request.prepare_payload();
-    request_ = std::make_shared<const http::Request>(std::move(request));
+    request_ = makeCall();
+}
+
+// The caller is identified last, so that no header of its request can remove the tenant's name.
+std::shared_ptr<const http::Request> RequestTask::makeCall() const
+{
+    http::Request call = exchange_->request();
+    removeConnectionHeaders(call);
+    if (table_->configuration().tenants) {
+        shared_.protocol.identifyCaller(call, caller_.tenant == nullptr ? std::string_view() : caller_.tenant->name);
+    }
+    call.prepare_payload();
+    return std::make_shared<const http::Request>(std::move(call));
 }
 
 TimePoint RequestTask::deadlineOf(const http::Exchange &exchange,
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -43,18 +43,27 @@
     std::function<void(const RequestTask *request)> release;
 };
 
+/// Who sent a request.
+struct RequestCaller {
+    /// A tenant of the request's version of the configuration; nullptr if the request has no API key.
+    const Tenant *tenant = nullptr;
+    /// True if the tenant has used up most of its quota.
+    bool isLowOnQuota = false;
+};
+
 /// Serves one request: sends a call for each of its parts, and answers the caller when Gather finishes.
 class RequestTask : public std::enable_shared_from_this<RequestTask>
 {
 public:
     /// \param table kept until the request ends. \param route a route of \p table.
-    /// \param backends the backend of each part.
+    /// \param caller its tenant is one of \p table. \param backends the backend of each part.
     RequestTask(RequestContext &shared,
                 std::shared_ptr<http::Exchange> exchange,
                 RequestMetadata metadata,
                 Fingerprint fingerprint,
                 std::shared_ptr<const RouteTable> table,
                 const RequestRoute &route,
+                const RequestCaller &caller,
                 std::vector<BackendPool *> backends,
                 CallTimes &times);
 
@@ -81,6 +90,7 @@
         bool hasFreeRetry = false;
     };
 
+    std::shared_ptr<const http::Request> makeCall() const;
     GatherParameters makeGatherParameters() const;
     GatherHooks gatherHooks();
     Room room(std::size_t part) const;
@@ -107,6 +117,7 @@
     RefusalCause refusalCause(TimePoint now) const;
     Duration longestOutage(TimePoint now) const;
     http::Response mergedAnswer();
+    void countForTenant(std::string_view end) const;
     void logEnd(GatherEnd end, unsigned status) const;
     std::string backendsWhere(const std::function<bool(std::size_t part)> &isListed) const;
 
@@ -118,6 +129,7 @@
     std::optional<TraceSpan> span_;
     std::shared_ptr<const RouteTable> table_;
     const RequestRoute &route_;
+    RequestCaller caller_;
     CallTimes &times_;
     std::shared_ptr<const http::Request> request_;
     std::vector<Part> parts_;
--- a/libs/entry/src/waitinglist.cpp
+++ b/libs/entry/src/waitinglist.cpp
@@ -24,19 +24,21 @@
     if (queue.size() >= maxPerBackend()) {
         return false;
     }
-    queue.emplace(Rank{false, parameters.priority, ++lastSequence_}, Call{parameters, std::move(attempt)});
+    queue.emplace(Rank{false, parameters.priority, parameters.isLowOnQuota, ++lastSequence_},
+                  Call{parameters, std::move(attempt)});
     return true;
 }
 
 void WaitingList::reorderLateCalls(TimePoint now, Queue &queue)
 {
-    for (Queue::iterator place = queue.begin(); place != queue.end() && !std::get<bool>(place->first);) {
+    for (Queue::iterator place = queue.begin(); place != queue.end() && !place->first.isLate;) {
         if (now < place->second.parameters.targetAt) {
             ++place;
             continue;
         }
         Queue::node_type call = queue.extract(place++);
-        std::get<bool>(call.key()) = true;
+        call.key().isLate = true;
+        call.key().isLowOnQuota = false;
         queue.insert(std::move(call));
     }
 }
@@ -44,13 +46,13 @@
 WaitingList::Queue::iterator WaitingList::selectNext(TimePoint now, Queue &queue)
 {
     const Queue::iterator earliest = queue.begin();
-    const auto &[isLate, priority, order] = earliest->first;
+    const Rank &rank = earliest->first;
     const QueueParameters &parameters = earliest->second.parameters;
     const bool isLongWait = now - parameters.addedAt > shareOf(parameters.targetAt - parameters.addedAt, longWaitShare);
-    if (isLate || !isLongWait) {
+    if (rank.isLate || !isLongWait) {
         return earliest;
     }
-    return std::prev(queue.lower_bound(Rank{false, priority + 1, 0}));
+    return std::prev(queue.upper_bound(Rank{false, rank.priority, rank.isLowOnQuota, UINT64_MAX}));
 }
 
 void WaitingList::onSearcherFree(TimePoint now, std::string_view backend)
--- a/libs/entry/tests/waitinglist_test.cpp
+++ b/libs/entry/tests/waitinglist_test.cpp
@@ -104,6 +104,40 @@
     BOOST_TEST(order == expected);
 }
 
+// Guards against one busy tenant that takes the searchers from the others of its priority.
+BOOST_AUTO_TEST_CASE(callsOfTenantsLowOnQuotaGoAfterTheOthersOfTheirPriority)
+{
+    WaitingList waiting;
+    std::vector<int> order;
+    int free = 4;
+    const auto add = [&](std::uint32_t priority, TimePoint targetAt, bool isLowOnQuota, int number) {
+        waiting.add("desk", {priority, now, targetAt, isLowOnQuota}, [&order, &free, number] {
+            if (free == 0) {
+                return WaitingList::AttemptResult::Busy;
+            }
+            --free;
+            order.push_back(number);
+            return WaitingList::AttemptResult::Done;
+        });
+    };
+    add(1, later, true, 1);
+    add(1, later, false, 2);
+    add(0, later, true, 3);
+    add(UINT32_MAX, later, false, 4);
+    waiting.onSearcherFree(now, "desk");
+    BOOST_TEST(order == (std::vector<int>{3, 2, 1, 4}));
+    // After a long wait the newest goes first, but only among its equals; late calls go in order of arrival.
+    order.clear();
+    add(UINT32_MAX, later, false, 1);
+    add(UINT32_MAX, later, true, 2);
+    add(UINT32_MAX, later, false, 3);
+    add(UINT32_MAX, now, true, 4);
+    add(UINT32_MAX, now, false, 5);
+    free = 5;
+    waiting.onSearcherFree(now + 40ms, "desk");
+    BOOST_TEST(order == (std::vector<int>{3, 1, 2, 4, 5}));
+}
+
 BOOST_AUTO_TEST_CASE(callThatCannotGoLetsOthersPass)
 {
     WaitingList waiting;
