Tenant quotas over all VMs: library libs/tenancy

Tenants are to have a quota over all VMs together. TenantQuotas keeps, for each tenant, this VM's view of one shared token bucket: peers report what they admit, each VM uses its share of the level between two rounds of reports, and a side of a partition uses its part of the quota.

--- /dev/null
+++ b/libs/tenancy/src/quotapeers.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "tenancy/quotareport.h"
+#include "tenancy/tenantquotas.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+/// \file
+/// Which of the other VMs are heard, and the part of each quota that this VM's side of a partition may use.
+
+namespace sassafrasvane::detail
+{
+
+/// One other VM.
+struct QuotaPeer {
+    DaemonId daemon;
+    /// True if the VM is in the present list of participants.
+    bool isListed = false;
+    /// True if the VM counts for the majority; see QuotaPeers.
+    bool isVoter = false;
+    bool isHeard = false;
+    bool hasReported = false;
+    TimePoint addedAt;
+    TimePoint heardAt;
+    /// When the VM was heard again after a silence.
+    TimePoint resumedAt;
+    std::uint64_t run = 0;
+    std::uint64_t sequence = 0;
+    std::uint32_t partPermille = 0;
+};
+
+/// Judges the other VMs by their reports.
+///
+/// The part of this side is the share of the voters that are heard. The voters are the participants at the time when
+/// more than half of the voters were last heard. They do not change on the smaller side of a partition: there the
+/// advertised VMs are replaced by others of the same side, which would otherwise make both sides a majority.
+class QuotaPeers
+{
+public:
+    /// Time after its last report for which a VM counts as heard.
+    static constexpr Duration silenceTime() noexcept { return std::chrono::milliseconds(600); }
+    /// Time after which a majority no longer counts a silent VM, and gives its part to the others.
+    static constexpr Duration exclusionTime() noexcept { return std::chrono::seconds(5); }
+    /// Time after which a minority uses only minorityShare() of its part. Shorter than exclusionTime(), so that the
+    /// minority reduces its use before the majority takes over.
+    static constexpr Duration minorityTime() noexcept { return std::chrono::seconds(4); }
+    static constexpr double minorityShare() noexcept { return 0.25; }
+    /// Time after which a minority accepts the present participants as voters. Until then it cannot know whether the
+    /// others have ended or are on the other side of a partition.
+    static constexpr Duration minorityRetention() noexcept { return std::chrono::minutes(10); }
+    /// Time after its last report for which a VM is reported to.
+    static constexpr Duration answerTime() noexcept { return std::chrono::seconds(2); }
+
+    QuotaPeers(TimePoint now, DaemonId self) noexcept;
+
+    void setParticipants(TimePoint now, std::span<const DaemonId> participants);
+
+    /// Records a report. \return the peer before the report, with the new state of hearing; nullptr if the report is
+    /// out of order or there is no room for the peer.
+    QuotaPeer *onReport(TimePoint now, DaemonId daemon, const QuotaReport &report);
+
+    /// Brings the state up to \p now. Must be called before the accessors. \return true if the part has changed.
+    bool update(TimePoint now);
+
+    /// The part of each quota that this side may use.
+    double part() const noexcept { return part_; }
+    /// The part that the silent VMs may use.
+    double partOfOthers() const noexcept { return partOfOthers_; }
+    QuotaBasis basis() const noexcept { return basis_; }
+    /// True if this VM has heard more than half of the voters at least once.
+    bool isEstablished() const noexcept { return isEstablished_; }
+    bool isListed() const noexcept { return isSelfListed_; }
+    /// Number of VMs that share the quotas, this one included.
+    std::size_t participantCount() const noexcept { return participantCount_; }
+    std::uint32_t partPermille() const noexcept;
+    /// Number of the present round. A round ends when each VM that is heard has reported since its start.
+    std::uint64_t round() const noexcept { return round_; }
+    TimePoint lastConfirmedAt() const noexcept { return lastConfirmedAt_; }
+
+    std::vector<DaemonId> recipients(TimePoint now) const;
+
+private:
+    QuotaPeer *find(DaemonId daemon) noexcept;
+    QuotaPeer *findOrAdd(TimePoint now, DaemonId daemon);
+    void expire(TimePoint now);
+    void compute(TimePoint now);
+    bool adoptVoters(TimePoint now);
+    bool hasEstablishedPeers() const noexcept;
+    /// The least part that a VM which is heard and established has reported; 1 if there is none.
+    double partOfEstablishedPeers() const noexcept;
+    void confirmRound(TimePoint now);
+    void scheduleUpdate(TimePoint now);
+
+    DaemonId self_;
+    std::vector<QuotaPeer> peers_;
+    bool isSelfListed_ = false;
+    bool isSelfVoter_ = true;
+    bool isEstablished_ = false;
+    double part_ = 0;
+    double partOfOthers_ = 0;
+    QuotaBasis basis_ = QuotaBasis::Alone;
+    std::size_t participantCount_ = 1;
+    std::optional<TimePoint> minoritySince_;
+    TimePoint updateAt_;
+    bool hasChanged_ = true;
+    std::uint64_t round_ = 1;
+    TimePoint roundStartedAt_;
+    TimePoint lastConfirmedAt_;
+};
+
+} // namespace sassafrasvane::detail
