--- a/libs/entry/include/entry/countmetric.h
+++ b/libs/entry/include/entry/countmetric.h
@@ -35,6 +35,9 @@
     /// Counts one event. \param outcome a stable lower-case name; the value of the label "end".
     void add(std::string_view name, std::string_view outcome);
 
+    /// True if \p name has series of its own.
+    bool hasName(std::string_view name) const { return counts_.contains(name); }
+
     /// Appends all series to \p text.
     void appendText(std::string &text) const;
 
--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -12,11 +12,13 @@
 #include "placement/calltimes.h"
 #include "placement/searcherpool.h"
 #include "routing/weightedsplit.h"
+#include "tenancy/tenantquotas.h"
 
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 /// \file
 /// Accepts and routes callers' requests.
@@ -55,6 +57,10 @@
     EntryServer(const EntryServer &) = delete;
     EntryServer &operator=(const EntryServer &) = delete;
 
+    /// Sets the quotas of tenants, whose values then follow the configuration. Without it, no request is over a quota.
+    /// \param quotas must outlive this object.
+    void setTenantQuotas(TenantQuotas &quotas);
+
     /// Serves one request, or refuses it.
     void handle(const std::shared_ptr<http::Exchange> &exchange);
 
@@ -71,6 +77,9 @@
     /// Retries waiting calls and requests. Must be called several times a second.
     void onTick(TimePoint now);
 
+    /// The state of the tenants with a quota, for metrics.
+    std::vector<TenantUsage> tenantUsage(TimePoint now) const;
+
     const EntryCounters &counters() const noexcept { return counters_; }
     std::size_t openRequests() const noexcept { return requests_.size(); }
     std::size_t waitingRequests() const noexcept { return waitingRequests_.size(); }
@@ -84,6 +93,11 @@
                      http::Response response,
                      const char *reason);
     http::Response unauthorizedResponse() const;
+    QuotaDecision admit(const Tenant *tenant);
+    void refuseOverQuota(const std::shared_ptr<http::Exchange> &exchange,
+                         const RequestMetadata &metadata,
+                         const Tenant &tenant,
+                         const QuotaDecision &decision);
     http::Response retryLaterResponse(const RequestMetadata &metadata);
     Duration outageDuration() const;
     std::vector<BackendPool *> backendsOf(const RequestRoute &route);
--- a/libs/entry/src/entryserver.cpp
+++ b/libs/entry/src/entryserver.cpp
@@ -5,6 +5,8 @@
 #include "requesttask.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 
 namespace sassafrasvane
 {
@@ -16,6 +18,24 @@
 constexpr unsigned unauthorized = 401;
 constexpr unsigned notFound = 404;
 constexpr unsigned tooManyRequests = 429;
+/// Calls of a tenant with less than this share of its bucket left go after those of others.
+constexpr double lowQuotaShare = 0.25;
+
+// If several tenants have the same name, the first one's quota holds for all of them.
+std::vector<TenantQuota> tenantQuotas(const RoutingConfiguration &configuration)
+{
+    std::vector<TenantQuota> quotas;
+    if (!configuration.tenants) {
+        return quotas;
+    }
+    std::unordered_set<std::string_view> names;
+    for (const Tenant &tenant : *configuration.tenants) {
+        if (names.insert(tenant.name).second) {
+            quotas.push_back({tenant.name, tenant.requestsPerSecond, tenant.burst});
+        }
+    }
+    return quotas;
+}
 
 } // namespace
 
@@ -42,6 +62,7 @@
                                                  log,
                                                  counters_,
                                                  random_,
+                                                 nullptr,
                                                  {}})
 {
     requestContext_->release = [this](const detail::RequestTask *request) { requests_.erase(request); };
@@ -102,8 +123,12 @@
         refuse(exchange, metadata, tenant, retryLaterResponse(metadata), "too many requests");
         return;
     }
-    detail::RequestCaller caller;
-    caller.tenant = tenant;
+    const QuotaDecision decision = admit(tenant);
+    if (!decision.isAdmitted) {
+        refuseOverQuota(exchange, metadata, *tenant, decision);
+        return;
+    }
+    const detail::RequestCaller caller{tenant, decision.left < lowQuotaShare};
     const std::shared_ptr<detail::RequestTask> task = std::make_shared<detail::RequestTask>(*requestContext_,
                                                                                             exchange,
                                                                                             std::move(metadata),
@@ -160,6 +185,40 @@
     return response;
 }
 
+void EntryServer::setTenantQuotas(TenantQuotas &quotas)
+{
+    requestContext_->quotas = &quotas;
+}
+
+std::vector<TenantUsage> EntryServer::tenantUsage(TimePoint now) const
+{
+    return requestContext_->quotas == nullptr ? std::vector<TenantUsage>() : requestContext_->quotas->usage(now);
+}
+
+// Requests without a tenant have no quota.
+QuotaDecision EntryServer::admit(const Tenant *tenant)
+{
+    if (tenant == nullptr || requestContext_->quotas == nullptr) {
+        return {};
+    }
+    return requestContext_->quotas->admit(BootClock::now(), tenant->name);
+}
+
+void EntryServer::refuseOverQuota(const std::shared_ptr<http::Exchange> &exchange,
+                                  const RequestMetadata &metadata,
+                                  const Tenant &tenant,
+                                  const QuotaDecision &decision)
+{
+    ++counters_.overQuota;
+    refuse(exchange, metadata, &tenant, detail::notRunResponse(decision.retryAfter, tooManyRequests), "over quota")
+        .number("requests_per_second", tenant.requestsPerSecond)
+        .number("burst", tenant.burst)
+        .number("bucket_left", decision.left)
+        .text("basis", name(decision.basis))
+        .milliseconds("age_ms", decision.age)
+        .milliseconds("retry_after_ms", decision.retryAfter);
+}
+
 http::Response EntryServer::retryLaterResponse(const RequestMetadata &metadata)
 {
     return detail::notRunResponse(retryAfter({outageDuration(), metadata.timeout}, random_));
@@ -192,6 +251,9 @@
 void EntryServer::onConfiguration(const RouteTable &routes)
 {
     splits_.keepOnly(routes.configuration());
+    if (requestContext_->quotas != nullptr) {
+        requestContext_->quotas->setQuotas(BootClock::now(), tenantQuotas(routes.configuration()));
+    }
     if (!routes.repeatedKeys().empty()) {
         const RepeatedKey &first = routes.repeatedKeys().front();
         log_.line(EventRank::Important, "api_keys_repeated")
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -43,6 +43,21 @@
     writer.line(labelText({{"reason", "over_quota"}}), counters.overQuota);
 }
 
+// Tenants without series of their own in tenantRequests have none here, which bounds the number of series.
+void addQuotaLevels(std::string &text, const EntryServer &entry)
+{
+    const std::vector<TenantUsage> usage = entry.tenantUsage(BootClock::now());
+    if (usage.empty()) {
+        return;
+    }
+    MetricWriter writer(text, "sassafrasvane_tenant_quota_level", {}, "gauge");
+    for (const TenantUsage &tenant : usage) {
+        if (entry.counters().tenantRequests.hasName(tenant.tenant)) {
+            writer.line(labelText({{"tenant", tenant.tenant}}), tenant.level);
+        }
+    }
+}
+
 } // namespace
 
 std::string metricsText(const MetricsSources &sources)
@@ -54,6 +69,7 @@
     addLimitedCalls(text, counters);
     addTenantRefusals(text, counters);
     counters.tenantRequests.appendText(text);
+    addQuotaLevels(text, sources.entry);
     counters.latencies.appendText(text);
     sources.dispatcher.latencies().appendText(text);
     add(text, "requests_abandoned_total", "counter", counters.abandoned);
--- a/libs/entry/src/refusal.cpp
+++ b/libs/entry/src/refusal.cpp
@@ -9,24 +9,17 @@
 namespace sassafrasvane::detail
 {
 
-namespace
-{
-
-constexpr unsigned unavailable = 503;
-
-} // namespace
-
 bool isNotRunStatus(unsigned status) noexcept
 {
     constexpr std::array<unsigned, 4> statuses{408, 421, 429, 503};
     return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
 }
 
-http::Response notRunResponse(Duration retryAfter)
+http::Response notRunResponse(Duration retryAfter, unsigned status)
 {
     std::array<char, 32> seconds{};
     const int size = std::snprintf(seconds.data(), seconds.size(), "%.2f", toMilliseconds(retryAfter) / 1'000);
-    http::Response response = http::emptyResponse(unavailable);
+    http::Response response = http::emptyResponse(status);
     response.set(boost::beast::http::field::retry_after,
                  boost::beast::string_view(seconds.data(), static_cast<std::size_t>(size)));
     return response;
--- a/libs/entry/src/refusal.h
+++ b/libs/entry/src/refusal.h
@@ -12,7 +12,8 @@
 /// True for the HTTP statuses that tell a caller that its request was not run and may be sent again.
 bool isNotRunStatus(unsigned status) noexcept;
 
-/// A 503 response with \p retryAfter in its Retry-After header. Only for requests that have not run and never will.
-http::Response notRunResponse(Duration retryAfter);
+/// A response with \p retryAfter in its Retry-After header. Only for requests that have not run and never will.
+/// \param status one for which isNotRunStatus() is true.
+http::Response notRunResponse(Duration retryAfter, unsigned status = 503);
 
 } // namespace sassafrasvane::detail
--- a/libs/entry/src/requestend.cpp
+++ b/libs/entry/src/requestend.cpp
@@ -18,6 +18,9 @@
     }
     ++shared_.counters.abandoned;
     countForTenant("abandoned");
+    if (!hasSentCalls()) {
+        refundQuota();
+    }
     shared_.log.line(EventRank::Important, "request_abandoned")
         .text("request", metadata_.requestId)
         .text("route", route_.name)
@@ -36,6 +39,9 @@
     const unsigned status = response.result_int();
     exchange_->respond(std::move(response));
     logEnd(end, status);
+    if (end == GatherEnd::Unserved) {
+        refundQuota();
+    }
     reportCrashes();
     endCalls(false);
     timer_.cancel();
@@ -133,6 +139,19 @@
     return names;
 }
 
+bool RequestTask::hasSentCalls() const
+{
+    return std::any_of(parts_.begin(), parts_.end(), [](const Part &part) { return !part.calls.empty(); });
+}
+
+// Only for requests that have not run.
+void RequestTask::refundQuota()
+{
+    if (caller_.tenant != nullptr && shared_.quotas != nullptr) {
+        shared_.quotas->refund(BootClock::now(), caller_.tenant->name);
+    }
+}
+
 void RequestTask::countForTenant(std::string_view end) const
 {
     if (caller_.tenant != nullptr) {
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -9,6 +9,7 @@
 #include "http/server.h"
 #include "placement/calltimes.h"
 #include "routing/routetable.h"
+#include "tenancy/tenantquotas.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -39,6 +40,8 @@
     EventLog &log;
     EntryCounters &counters;
     Random &random;
+    /// Null if there are no quotas.
+    TenantQuotas *quotas = nullptr;
     /// Releases a request that has ended.
     std::function<void(const RequestTask *request)> release;
 };
@@ -117,6 +120,8 @@
     RefusalCause refusalCause(TimePoint now) const;
     Duration longestOutage(TimePoint now) const;
     http::Response mergedAnswer();
+    bool hasSentCalls() const;
+    void refundQuota();
     void countForTenant(std::string_view end) const;
     void logEnd(GatherEnd end, unsigned status) const;
     std::string backendsWhere(const std::function<bool(std::size_t part)> &isListed) const;
--- a/libs/entry/tests/countmetric_test.cpp
+++ b/libs/entry/tests/countmetric_test.cpp
@@ -19,4 +19,6 @@
     BOOST_TEST(text.find("sassafrasvane_requests_total{tenant=\"t0\",end=\"answered\"} 2\n") != std::string::npos);
     BOOST_TEST(text.find("{tenant=\"other\",end=\"answered\"} 100\n") != std::string::npos);
     BOOST_TEST(text.find("\"t120\"") == std::string::npos);
+    BOOST_TEST(counts.hasName("t0"));
+    BOOST_TEST(!counts.hasName("t120"));
 }
--- a/libs/operators/include/operators/requeststory.h
+++ b/libs/operators/include/operators/requeststory.h
@@ -33,6 +33,8 @@
 struct RequestStory {
     /// Lines that name the request.
     std::vector<LogLine> lines;
+    /// What the refusals among \c lines because of an API key or a quota mean; a line of text for each.
+    std::string explanations;
     /// Lines that changed what the VMs believed shortly before and during the request; without \c lines, those that
     /// tell of VMs that stopped, stood still or were lost.
     std::vector<LogLine> surroundings;
--- a/libs/operators/src/requeststory.cpp
+++ b/libs/operators/src/requeststory.cpp
@@ -1,5 +1,7 @@
 #include "operators/requeststory.h"
 
+#include "texttable.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -121,6 +123,53 @@
     }
 };
 
+std::string numberOf(const Json &members, const char *name)
+{
+    const auto found = members.find(name);
+    return found != members.end() && found->is_number() ? roundedText(found->get<double>()) : std::string("?");
+}
+
+std::string keyExplanation(const ParsedLine &line)
+{
+    const std::string reason = textOf(line.members, "reason");
+    const std::string version = numberOf(line.members, "configuration");
+    std::string text = "refused by " + line.line.vm + " with status 401 under configuration " + version + ": ";
+    if (reason == "missing_key") {
+        text += "the request has no API key, and its route is not public";
+    } else if (reason == "unreadable_key") {
+        text += "the request has several API keys, or something else in place of one";
+    } else {
+        text += "no tenant holds the request's API key; look for a version that removed it, or for a VM with an older "
+                "one";
+    }
+    return text + '\n';
+}
+
+std::string quotaExplanation(const ParsedLine &line)
+{
+    const Json &members = line.members;
+    return "refused by " + line.line.vm + " with status 429: tenant " + textOf(members, "tenant")
+        + " is over its quota of " + numberOf(members, "requests_per_second") + " requests per second with a burst of "
+        + numberOf(members, "burst") + "; share of its bucket that was left: " + numberOf(members, "bucket_left")
+        + "; basis of the decision: " + textOf(members, "basis") + ", " + numberOf(members, "age_ms")
+        + " ms old; told to come back after " + numberOf(members, "retry_after_ms") + " ms\n";
+}
+
+// What a line about a refusal because of a key or a quota means; empty for other lines.
+std::string explanation(const ParsedLine &line)
+{
+    constexpr std::uint64_t unauthorized = 401;
+    constexpr std::uint64_t tooManyRequests = 429;
+    const auto status = line.members.find("status");
+    if (line.line.event != "request_refused" || status == line.members.end()) {
+        return {};
+    }
+    if (*status == unauthorized) {
+        return keyExplanation(line);
+    }
+    return *status == tooManyRequests ? quotaExplanation(line) : std::string();
+}
+
 void keepLast(std::vector<LogLine> &lines)
 {
     if (lines.size() > mostSurroundings()) {
@@ -145,6 +194,7 @@
     for (const ParsedLine &line : lines) {
         if (textOf(line.members, "request") == request) {
             story.lines.push_back(line.line);
+            story.explanations += explanation(line);
             subjects.add(line);
         }
     }
@@ -174,6 +224,7 @@
     } else {
         text += "request " + std::string(request) + ":\n";
         append(text, story.lines);
+        text += story.explanations;
         text += "on these VMs, up to 5 s before and during the request:\n";
     }
     append(text, story.surroundings);
--- a/libs/operators/tests/requeststory_test.cpp
+++ b/libs/operators/tests/requeststory_test.cpp
@@ -65,6 +65,26 @@
     BOOST_TEST(requestStoryText("q1", story).find("no line names request q1") != std::string::npos);
 }
 
+// A caller asks why it got 401 or 429: the answer must name the key's fault, the tenant and its quota.
+BOOST_AUTO_TEST_CASE(refusalsBecauseOfKeysAndQuotasAreExplained)
+{
+    const auto explained = [](const std::string &members) {
+        const std::string text = line(1, "vm-a", "request_refused", R"(,"request":"q1",)" + members);
+        return requestStoryText("q1", requestStory("q1", std::vector<LogText>{{"a", text}}));
+    };
+    const std::string unknown = explained(R"("status":401,"reason":"unknown_key","configuration":7)");
+    BOOST_TEST(unknown.find("vm-a with status 401 under configuration 7: no tenant holds") != std::string::npos,
+               unknown);
+    BOOST_TEST(explained(R"("status":401,"reason":"missing_key")").find("has no API key") != std::string::npos);
+    BOOST_TEST(explained(R"("status":401,"reason":"unreadable_key")").find("several API keys") != std::string::npos);
+    const std::string quota
+        = explained(R"("status":429,"tenant":"a","requests_per_second":2.5,"burst":4,"bucket_left":0.0,)"
+                    R"("basis":"shared","age_ms":81.5,"retry_after_ms":400)");
+    BOOST_TEST(quota.find("tenant a is over its quota of 2.5 requests per second") != std::string::npos, quota);
+    BOOST_TEST(quota.find("basis of the decision: shared, 81.5 ms old") != std::string::npos, quota);
+    BOOST_TEST(explained(R"("status":503,"reason":"too many requests")").find("refused by") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(unreadableAndDroppedLinesAreTold)
 {
     const std::string text = "Segmentation fault\n{\"time_us\":\"x\"}\n"
--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -45,6 +45,13 @@
         self.thread.join(5)
 
 
+class Headers(dict):
+    """Headers by their lower-case names; of equal names the last one counts."""
+
+    # All headers as they came.
+    lines = ()
+
+
 class Request:
     def __init__(self, method, target, headers, body):
         self.method = method
@@ -75,7 +82,8 @@
     """Reads the first line and the headers of a message."""
     head = await reader.readuntil(b"\r\n\r\n")
     first, *lines = head.decode("latin-1").split("\r\n")
-    headers = {}
+    headers = Headers()
+    headers.lines = tuple(line for line in lines if line)
     for line in lines:
         if line:
             name, value = line.split(":", 1)
@@ -277,6 +285,8 @@
         self.arrivals = []
         # The same with the ids of the requests.
         self.arrived = []
+        # The headers of all requests that arrived, as they came.
+        self.heads = []
         # Ids of the requests that were turned away, each with the time of the answer and the seconds asked for.
         self.turned_away = {}
         self.sequence = 0
@@ -306,6 +316,7 @@
         now = time.monotonic()
         self.arrivals.append(now)
         self.arrived.append((now, request_id))
+        self.heads.append((request_id, request.headers.lines))
         echoed = {"X-Sassafrasvane-Request-Id": request_id}
         if request.headers.get("x-sassafrasvane-expect-instance") != self.instance:
             writer.write(response(421, {"X-Sassafrasvane-Instance-Id": self.instance} | echoed, b""))
--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -187,7 +187,8 @@
         searcher.register()
         self.searchers[instance] = searcher
 
-    def configure(self, version, shards, desk="desk", extra=()):
+    def configure(self, version, shards, desk="desk", extra=(), more=()):
+        """Publishes a version of the configuration, with extra routes and with more members."""
         def route(name, prefix, **more):
             common = {"name": name, "host": "search.example", "prefix": prefix, "timeoutMs": 2000}
             return common | {"targetLatencyMs": 400, "priority": 1, "maxAttempts": 2} | more
@@ -204,7 +205,7 @@
         ]
         limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
         configuration = {"version": version, "routes": [*routes, *extra], "services": services, "limits": limits}
-        self.store.put("op/config", configuration)
+        self.store.put("op/config", configuration | dict(more))
 
     def wait(self, is_done, seconds, what):
         end = time.monotonic() + seconds
