--- a/libs/tenancy/include/tenancy/quotareport.h
+++ b/libs/tenancy/include/tenancy/quotareport.h
@@ -11,7 +11,7 @@
 {
 
 /// Maximum number of entries in one QuotaReport. With the largest numbers they still fit a datagram of 1,200 bytes.
-constexpr std::size_t maxEntriesPerQuotaReport = 38;
+constexpr std::size_t maxEntriesPerQuotaReport = 32;
 
 /// Largest value of QuotaReport::partPermille: the whole quota.
 constexpr std::uint32_t wholeQuotaPermille = 1'000;
@@ -24,6 +24,8 @@
     std::uint64_t count = 0;
     /// Requests that arrive at the VM, admitted or not, in hundredths per second.
     std::uint32_t demandHundredths = 0;
+    /// The same over all VMs that the sender knows of. VMs that are no participants hear only of each other by it.
+    std::uint32_t totalDemandHundredths = 0;
     /// The sender's view of the shared bucket, in hundredths of a token; 0 if it is overdrawn.
     std::uint32_t levelHundredths = 0;
 
@@ -39,6 +41,8 @@
     /// The part of each quota that the sender holds to be usable on its side of a partition. 0 if the sender has not
     /// yet heard more than half of the participants.
     std::uint32_t partPermille = 0;
+    /// Number of participants that the sender hears, itself included; 0 if it is none itself.
+    std::uint32_t participants = 0;
     /// True if the sender has just started or was isolated, and needs the levels of all tenants.
     bool needsLevels = false;
     /// At most maxEntriesPerQuotaReport.
--- a/libs/tenancy/src/quotapeers.cpp
+++ b/libs/tenancy/src/quotapeers.cpp
@@ -52,10 +52,11 @@
         peer->resumedAt = now;
         hasChanged_ = true;
     }
-    hasChanged_ = hasChanged_ || peer->partPermille != report.partPermille;
+    hasChanged_ = hasChanged_ || peer->partPermille != report.partPermille || peer->participants != report.participants;
     peer->run = report.run;
     peer->sequence = report.sequence;
     peer->partPermille = report.partPermille;
+    peer->participants = report.participants;
     peer->isHeard = true;
     peer->hasReported = true;
     peer->heardAt = now;
@@ -118,13 +119,16 @@
     }
     std::size_t excluded = 0;
     std::size_t sharing = isSelfListed_ ? 1 : 0;
+    std::size_t most = 1;
     for (const QuotaPeer &peer : peers_) {
         const bool isLost = !peer.isHeard && now - std::max(peer.addedAt, peer.heardAt) >= exclusionTime();
         excluded += peer.isVoter && isLost ? 1 : 0;
-        sharing += peer.isHeard && (peer.isListed || peer.isVoter) ? 1 : 0;
+        sharing += peer.isSharing() ? 1 : 0;
+        most = peer.isHeard ? std::max<std::size_t>(most, peer.participants) : most;
     }
     excluded = isMajority && isEstablished_ ? excluded : 0;
-    participantCount_ = std::max<std::size_t>(1, sharing);
+    heardParticipants_ = sharing;
+    participantCount_ = std::max(most, sharing);
     const std::size_t counted = voters - excluded;
     part_ = counted == 0 ? 0 : static_cast<double>(heard) / static_cast<double>(counted);
     if (!isMajority && now - *minoritySince_ >= minorityTime()) {
@@ -172,6 +176,14 @@
     return static_cast<double>(least) / wholeQuotaPermille;
 }
 
+std::size_t QuotaPeers::rankOf(std::uint64_t key) const noexcept
+{
+    const std::uint64_t own = mix(key, self_.value);
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [key, own](const QuotaPeer &peer) {
+        return peer.isSharing() && mix(key, peer.daemon.value) > own;
+    }));
+}
+
 std::uint32_t QuotaPeers::partPermille() const noexcept
 {
     return isEstablished_ ? std::max(1U, static_cast<std::uint32_t>(std::floor(part_ * wholeQuotaPermille))) : 0;
@@ -181,7 +193,7 @@
 {
     bool hasHeard = false;
     for (const QuotaPeer &peer : peers_) {
-        if (peer.isHeard && (peer.isListed || peer.isVoter)) {
+        if (peer.isSharing()) {
             hasHeard = true;
             if (peer.heardAt <= roundStartedAt_) {
                 return;
--- a/libs/tenancy/src/quotapeers.h
+++ b/libs/tenancy/src/quotapeers.h
@@ -33,6 +33,11 @@
     std::uint64_t run = 0;
     std::uint64_t sequence = 0;
     std::uint32_t partPermille = 0;
+    /// As in QuotaReport.
+    std::uint32_t participants = 0;
+
+    /// True if the VM is heard and uses a share of the level as a participant does.
+    bool isSharing() const noexcept { return isHeard && (isListed || isVoter || participants > 0); }
 };
 
 /// Judges the other VMs by their reports.
@@ -76,8 +81,12 @@
     /// True if this VM has heard more than half of the voters at least once.
     bool isEstablished() const noexcept { return isEstablished_; }
     bool isListed() const noexcept { return isSelfListed_; }
-    /// Number of VMs that share the quotas, this one included.
+    /// Number of VMs that share the quotas, this one included, as the VM that hears most of them knows.
     std::size_t participantCount() const noexcept { return participantCount_; }
+    /// Number of participants that this VM hears, itself included; 0 if it is none.
+    std::size_t heardParticipants() const noexcept { return isSelfListed_ ? heardParticipants_ : 0; }
+    /// Number of the heard participants that precede this one in the rendezvous order of \p key.
+    std::size_t rankOf(std::uint64_t key) const noexcept;
     std::uint32_t partPermille() const noexcept;
     /// Number of the present round. A round ends when each VM that is heard has reported since its start.
     std::uint64_t round() const noexcept { return round_; }
@@ -106,6 +115,7 @@
     double partOfOthers_ = 0;
     QuotaBasis basis_ = QuotaBasis::Alone;
     std::size_t participantCount_ = 1;
+    std::size_t heardParticipants_ = 1;
     std::optional<TimePoint> minoritySince_;
     TimePoint updateAt_;
     bool hasChanged_ = true;
--- a/libs/tenancy/src/sharedbucket.h
+++ b/libs/tenancy/src/sharedbucket.h
@@ -40,6 +40,9 @@
     /// Raises the level to that of another VM's view.
     void raiseTo(double level) noexcept;
 
+    /// Lowers the level to that of another VM's view.
+    void lowerTo(double level) noexcept { level_ = level < level_ ? level : level_; }
+
     /// Time until the bucket holds one token; \p longest if that takes longer.
     Duration timeToToken(Duration longest) const noexcept;
 
--- a/libs/tenancy/src/tenantquotas.cpp
+++ b/libs/tenancy/src/tenantquotas.cpp
@@ -33,13 +33,13 @@
 constexpr double leastDemand = 0.05;
 /// Time for which a VM that is no participant reports after a tenant's request.
 constexpr Duration activityTime = std::chrono::seconds(30);
-/// Part of the tolerance that is added to the capacity of the bucket. The rest covers errors of the view.
-constexpr double capacityShareOfTolerance = 0.75;
-/// Part of the slack that covers the one request that each participant may admit in a round.
-constexpr double slackForParticipants = 0.6;
+/// Parts of the tolerance: added to the capacity of the bucket, and divided equally among the participants, so that
+/// each may admit some requests in a round when the level is low. The rest covers errors of the view.
+constexpr double capacityShareOfTolerance = 0.2;
+constexpr double reserveShareOfTolerance = 0.6;
 /// Part of the level that is divided equally among the participants; the rest follows their demand. A VM whose demand
 /// the others do not know yet can serve callers that have just moved to it.
-constexpr double equalShareOfLevel = 0.5;
+constexpr double equalShareOfLevel = 0.75;
 /// Time after more than half of the participants are heard for which levels of other VMs are taken over.
 constexpr Duration levelTakeover = std::chrono::seconds(1);
 /// Reports of all levels: interval between two of them, and datagrams at a time.
@@ -48,7 +48,9 @@
 /// Queued datagrams are read in this time after a suspension. They do not show that their sender is heard.
 constexpr Duration queueDrainTime = std::chrono::milliseconds(100);
 /// Counts of other VMs that are kept for one tenant.
-constexpr std::size_t maxCountsPerTenant = 64;
+constexpr std::size_t maxCountsPerTenant = 512;
+/// Time after which the count of a VM that is silent about a tenant may be dropped.
+constexpr Duration countRetention = std::chrono::minutes(1);
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration maxRetryAfter = std::chrono::seconds(30);
 /// Part of Retry-After by which it is lengthened at random.
@@ -114,14 +116,17 @@
     void update(TimePoint now);
     void updateLevelTakeover(TimePoint now);
     TenantState *find(std::uint64_t hash) noexcept;
+    double toleranceOf(const TenantQuota &quota) const noexcept;
     double capacityOf(const TenantQuota &quota) const noexcept;
     void updateBuckets(TimePoint now);
     void startRound(TenantState &tenant) const noexcept;
     bool hasBudget(TimePoint now, TenantState &tenant) noexcept;
-    double shareOf(TimePoint now, TenantState &tenant) const noexcept;
+    double budgetOf(TimePoint now, TenantState &tenant, double level) const noexcept;
+    double shareByDemand(TimePoint now, TenantState &tenant) const noexcept;
+    void sumDemand(TimePoint now, TenantState &tenant) const noexcept;
     QuotaDecision refuse(TenantState &tenant, Duration wait);
     void onEntry(TimePoint now, const QuotaPeer &peer, const QuotaEntry &entry, bool takesLevel);
-    PeerCount &countOf(TenantState &tenant, DaemonId daemon);
+    PeerCount &countOf(TimePoint now, TenantState &tenant, DaemonId daemon);
     bool isDue(TimePoint now, const TenantState &tenant) const noexcept;
     QuotaEntry entryOf(TimePoint now, TenantState &tenant);
     void addLevels(TimePoint now, std::vector<std::size_t> &due);
@@ -142,6 +147,8 @@
     std::optional<TimePoint> majoritySince_;
     TimePoint reportedAt_;
     TimePoint activeAt_;
+    /// Last request of a tenant here or at another VM.
+    TimePoint trafficAt_;
     bool isUrgent_ = false;
     TimePoint levelsReportedAt_;
     std::size_t levelsLeft_ = 0;
@@ -153,13 +160,15 @@
     return found == index_.end() ? nullptr : &tenants_[found->second];
 }
 
-double TenantQuotas::Implementation::capacityOf(const TenantQuota &quota) const noexcept
+double TenantQuotas::Implementation::toleranceOf(const TenantQuota &quota) const noexcept
 {
     const double sum = quota.requestsPerSecond * secondsOf(tolerance_.window) + quota.burst;
-    const double forParticipants
-        = std::min(static_cast<double>(peers_.participantCount()), tolerance_.slack * slackForParticipants);
-    const double tolerated = sum * tolerance_.overage + tolerance_.slack - forParticipants;
-    return std::max(1.0, quota.burst + tolerated * capacityShareOfTolerance);
+    return sum * tolerance_.overage + tolerance_.slack;
+}
+
+double TenantQuotas::Implementation::capacityOf(const TenantQuota &quota) const noexcept
+{
+    return std::max(1.0, quota.burst + toleranceOf(quota) * capacityShareOfTolerance);
 }
 
 void TenantQuotas::Implementation::setQuotas(TimePoint now, std::span<const TenantQuota> quotas)
@@ -243,6 +252,7 @@
     tenant->demandAt = now;
     tenant->changedAt = now;
     activeAt_ = now;
+    trafficAt_ = now;
     tenant->bucket.refill(now);
     startRound(*tenant);
     QuotaDecision decision;
@@ -275,8 +285,8 @@
     }
 }
 
-// The other VMs may not know of the admissions of two rounds. Together, all VMs admit no more than the level in that
-// time, and one request each.
+// The other VMs may not know of the admissions of two rounds. In that time all VMs together admit no more than the
+// level and a part of the slack.
 bool TenantQuotas::Implementation::hasBudget(TimePoint now, TenantState &tenant) noexcept
 {
     if (peers_.participantCount() == 1 && peers_.isListed()) {
@@ -284,26 +294,45 @@
     }
     const double unconfirmed = tenant.unconfirmed + tenant.formerUnconfirmed;
     const double level = tenant.bucket.level() + unconfirmed;
-    const double budget = level * shareOf(now, tenant);
+    const double budget = budgetOf(now, tenant, level);
     isUrgent_ = isUrgent_ || 2 * (unconfirmed + 1) > budget;
-    const double levelForOne = static_cast<double>(peers_.participantCount()) - tolerance_.slack * slackForParticipants;
-    const bool mayUseOne = peers_.isListed() && level >= levelForOne;
-    return unconfirmed + 1 <= std::max(mayUseOne ? 1.0 : 0.0, budget);
+    return unconfirmed + 1 <= budget;
+}
+
+// Whole requests: a fraction is rounded up at the first VMs in the rendezvous order of the tenant.
+double TenantQuotas::Implementation::budgetOf(TimePoint now, TenantState &tenant, double level) const noexcept
+{
+    const double count = static_cast<double>(peers_.participantCount());
+    const double reserve = toleranceOf(tenant.quota) * reserveShareOfTolerance * peers_.part();
+    const double equal = peers_.isListed() ? (equalShareOfLevel * level + reserve) / count : 0;
+    const double budget = equal + (1 - equalShareOfLevel) * level * shareByDemand(now, tenant);
+    const double whole = std::floor(budget);
+    const double roundedUp = (budget - whole) * count;
+    return whole + (peers_.isListed() && static_cast<double>(peers_.rankOf(tenant.hash)) < roundedUp ? 1 : 0);
+}
+
+double TenantQuotas::Implementation::shareByDemand(TimePoint now, TenantState &tenant) const noexcept
+{
+    sumDemand(now, tenant);
+    const double known = peers_.isListed() ? 0 : tenant.totalDemand;
+    const double total = std::max(known, tenant.reportedDemand + tenant.demandOfOthers);
+    return total > 0 ? std::min(1.0, tenant.reportedDemand / total) : 0;
 }
 
-double TenantQuotas::Implementation::shareOf(TimePoint now, TenantState &tenant) const noexcept
+void TenantQuotas::Implementation::sumDemand(TimePoint now, TenantState &tenant) const noexcept
 {
-    if (now - tenant.demandOfOthersAt >= demandPeriod) {
-        tenant.demandOfOthersAt = now;
-        tenant.demandOfOthers = 0;
-        for (const PeerCount &peer : tenant.peers) {
-            tenant.demandOfOthers += now - peer.reportedAt < demandLifetime ? peer.demand : 0;
+    if (now - tenant.demandOfOthersAt < demandPeriod) {
+        return;
+    }
+    tenant.demandOfOthersAt = now;
+    tenant.demandOfOthers = 0;
+    tenant.totalDemand = 0;
+    for (const PeerCount &peer : tenant.peers) {
+        if (now - peer.reportedAt < demandLifetime) {
+            tenant.demandOfOthers += peer.demand;
+            tenant.totalDemand = std::max(tenant.totalDemand, peer.totalDemand);
         }
     }
-    const double demand = tenant.reportedDemand + tenant.demandOfOthers;
-    const double byDemand = demand > 0 ? tenant.reportedDemand / demand : 0;
-    const double equal = peers_.isListed() ? 1 / static_cast<double>(peers_.participantCount()) : 0;
-    return equalShareOfLevel * equal + (1 - equalShareOfLevel) * byDemand;
 }
 
 QuotaDecision TenantQuotas::Implementation::refuse(TenantState &tenant, Duration wait)
@@ -312,7 +341,7 @@
     const Duration atLeast = std::max(wait, minRetryAfter);
     QuotaDecision decision;
     decision.isAdmitted = false;
-    decision.retryAfter = atLeast + sassafrasvane::shareOf(atLeast, retryJitter * random_.unit());
+    decision.retryAfter = atLeast + shareOf(atLeast, retryJitter * random_.unit());
     return decision;
 }
 
@@ -345,6 +374,7 @@
         levelsReportedAt_ = now;
         levelsLeft_ = tenants_.size();
     }
+    trafficAt_ = report.entries.empty() ? trafficAt_ : now;
     const bool takesLevel = needsLevels_ && report.partPermille > 0;
     for (const QuotaEntry &entry : report.entries) {
         onEntry(now, *peer, entry, takesLevel);
@@ -362,7 +392,7 @@
         return;
     }
     tenant->bucket.refill(now);
-    PeerCount &known = countOf(*tenant, peer.daemon);
+    PeerCount &known = countOf(now, *tenant, peer.daemon);
     const double demand = entry.demandHundredths / hundredths;
     double admitted = 0;
     if (known.run == peer.run) {
@@ -373,33 +403,42 @@
     }
     if (admitted < 0) {
         tenant->bucket.giveBack(-admitted);
-    } else if (now - peer.resumedAt < demandPeriod) {
+    } else if (known.reportedAt < peer.resumedAt) {
         tenant->bucket.takeFromReserve(admitted);
     } else {
         tenant->bucket.take(admitted);
     }
+    startRound(*tenant);
+    const double level = entry.levelHundredths / hundredths - tenant->unconfirmed - tenant->formerUnconfirmed;
     if (takesLevel) {
-        startRound(*tenant);
-        tenant->bucket.raiseTo(entry.levelHundredths / hundredths - tenant->unconfirmed - tenant->formerUnconfirmed);
+        tenant->bucket.raiseTo(level);
+    }
+    if (peer.participants > peers_.heardParticipants()) {
+        // Not all VMs that report to the peer report to this one too; the peer's level includes them.
+        tenant->bucket.lowerTo(level);
     }
-    known = {peer.daemon, peer.run, entry.count, demand, now};
+    if (!peer.isListed && admitted != 0) {
+        tenant->changedAt = now;
+    }
+    known = {peer.daemon, peer.run, entry.count, demand, entry.totalDemandHundredths / hundredths, now};
     tenant->demandOfOthersAt = TimePoint();
 }
 
-PeerCount &TenantQuotas::Implementation::countOf(TenantState &tenant, DaemonId daemon)
+PeerCount &TenantQuotas::Implementation::countOf(TimePoint now, TenantState &tenant, DaemonId daemon)
 {
     const auto found = std::find_if(
         tenant.peers.begin(), tenant.peers.end(), [daemon](const PeerCount &count) { return count.peer == daemon; });
     if (found != tenant.peers.end()) {
         return *found;
     }
-    if (tenant.peers.size() < maxCountsPerTenant) {
-        return tenant.peers.emplace_back();
-    }
     const auto oldest = std::min_element(
         tenant.peers.begin(), tenant.peers.end(), [](const PeerCount &first, const PeerCount &second) {
             return first.reportedAt < second.reportedAt;
         });
+    const bool hasRoom = tenant.peers.size() < maxCountsPerTenant;
+    if (oldest == tenant.peers.end() || (hasRoom && now - oldest->reportedAt < countRetention)) {
+        return tenant.peers.emplace_back();
+    }
     *oldest = PeerCount();
     return *oldest;
 }
@@ -426,7 +465,8 @@
         }
     }
     addLevels(now, due);
-    if (due.empty() && sinceReport < idlePeriod) {
+    const bool isIdle = due.empty() && now - trafficAt_ >= demandPeriod;
+    if (isIdle && sinceReport < idlePeriod) {
         return {};
     }
     reportedAt_ = now;
@@ -452,6 +492,7 @@
         report.run = run_;
         report.sequence = ++sequence_;
         report.partPermille = peers_.partPermille();
+        report.participants = static_cast<std::uint32_t>(peers_.heardParticipants());
         report.needsLevels = needsLevels_;
         const std::size_t count = std::min(due.size(), maxEntriesPerQuotaReport);
         for (const std::size_t index : due.first(count)) {
@@ -468,7 +509,12 @@
     const double demand = demandAt(tenant, now);
     tenant.reportedDemand = demand < leastDemand ? 0 : demand;
     tenant.reportedAt = now;
-    return {tenant.hash, tenant.count, toHundredths(tenant.reportedDemand), toHundredths(tenant.bucket.level())};
+    sumDemand(now, tenant);
+    return {tenant.hash,
+            tenant.count,
+            toHundredths(tenant.reportedDemand),
+            toHundredths(tenant.reportedDemand + tenant.demandOfOthers),
+            toHundredths(tenant.bucket.level())};
 }
 
 std::vector<TenantUsage> TenantQuotas::Implementation::usage(TimePoint now) const
--- a/libs/tenancy/src/tenantstate.h
+++ b/libs/tenancy/src/tenantstate.h
@@ -22,6 +22,8 @@
     std::uint64_t count = 0;
     /// Requests per second that arrive at the peer.
     double demand = 0;
+    /// Requests per second that arrive at all VMs, as the peer knows.
+    double totalDemand = 0;
     TimePoint reportedAt;
 };
 
@@ -43,6 +45,8 @@
     /// The demand of this VM that the others have been told.
     double reportedDemand = 0;
     double demandOfOthers = 0;
+    /// Largest sum over all VMs that another VM has reported.
+    double totalDemand = 0;
     TimePoint demandOfOthersAt;
 
     /// Admissions in the present and in the former round; the other VMs may not know them yet.
