Tenancy: fuzzer of the fleet; a VM trusts its own view after a second, a minority uses half at once

quota_fuzz found sides of a partition whose parts exceeded the whole: a restarted VM that counted itself to a majority before the others had noticed the partition, VMs that excluded silent ones at once, and sides that disagree on the participants.

--- a/libs/tenancy/src/quotapeers.cpp
+++ b/libs/tenancy/src/quotapeers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace sassafrasvane::detail
 {
@@ -104,13 +105,15 @@
     const bool isMajority = 2 * heard > voters;
     const double partOfPeers = isEstablished_ ? 1 : partOfEstablishedPeers();
     const double ownPart = voters == 0 ? 0 : static_cast<double>(heard) / static_cast<double>(voters);
-    if (isMajority && !isEstablished_ && partOfPeers > ownPart - partTolerance) {
-        isEstablished_ = true;
+    const bool isConsistent = isMajority && partOfPeers > ownPart - partTolerance;
+    consistentSince_ = isConsistent ? std::optional(consistentSince_.value_or(now)) : std::nullopt;
+    isEstablished_ = isEstablished_ || (isConsistent && now - *consistentSince_ >= establishTime());
+    const std::optional<TimePoint> formerMinority = std::exchange(minoritySince_, std::nullopt);
+    if (!isMajority) {
+        minoritySince_ = formerMinority.value_or(now);
     }
-    if (isMajority) {
-        minoritySince_.reset();
-    } else if (!minoritySince_) {
-        minoritySince_ = now;
+    if (!isMajority || !isEstablished_) {
+        majoritySince_ = now;
     }
     const bool acceptsList = isMajority || now - *minoritySince_ >= minorityRetention();
     if (isEstablished_ && acceptsList && adoptVoters(now)) {
@@ -121,18 +124,18 @@
     std::size_t sharing = isSelfListed_ ? 1 : 0;
     std::size_t most = 1;
     for (const QuotaPeer &peer : peers_) {
-        const bool isLost = !peer.isHeard && now - std::max(peer.addedAt, peer.heardAt) >= exclusionTime();
+        const bool isLost = !peer.isHeard && now - silentSince(peer) >= exclusionTime();
         excluded += peer.isVoter && isLost ? 1 : 0;
         sharing += peer.isSharing() ? 1 : 0;
         most = peer.isHeard ? std::max<std::size_t>(most, peer.participants) : most;
     }
-    excluded = isMajority && isEstablished_ ? excluded : 0;
     heardParticipants_ = sharing;
     participantCount_ = std::max(most, sharing);
     const std::size_t counted = voters - excluded;
     part_ = counted == 0 ? 0 : static_cast<double>(heard) / static_cast<double>(counted);
-    if (!isMajority && now - *minoritySince_ >= minorityTime()) {
-        part_ *= minorityShare();
+    if (!isMajority) {
+        const bool isLasting = now - *minoritySince_ >= minorityTime();
+        part_ *= isLasting ? minorityShare() : earlyMinorityShare();
     }
     part_ = std::min(part_, partOfPeers);
     if (!isSelfListed_ && !isMajority && !hasEstablishedPeers()) {
@@ -147,6 +150,11 @@
     basis_ = hasAll ? QuotaBasis::Shared : isAlone ? QuotaBasis::Alone : QuotaBasis::Partial;
 }
 
+TimePoint QuotaPeers::silentSince(const QuotaPeer &peer) const noexcept
+{
+    return std::max({peer.addedAt, peer.heardAt, majoritySince_});
+}
+
 bool QuotaPeers::adoptVoters(TimePoint now)
 {
     bool hasChanged = isSelfVoter_ != isSelfListed_;
@@ -214,11 +222,14 @@
     bool hasHeard = false;
     for (const QuotaPeer &peer : peers_) {
         hasHeard = hasHeard || peer.isHeard;
-        consider(peer.isHeard ? peer.heardAt + silenceTime() : std::max(peer.addedAt, peer.heardAt) + exclusionTime());
+        consider(peer.isHeard ? peer.heardAt + silenceTime() : silentSince(peer) + exclusionTime());
     }
     if (!hasHeard) {
         consider(now + loneRoundLength);
     }
+    if (consistentSince_) {
+        consider(*consistentSince_ + establishTime());
+    }
     if (minoritySince_) {
         consider(*minoritySince_ + minorityTime());
     }
--- a/libs/tenancy/src/quotapeers.h
+++ b/libs/tenancy/src/quotapeers.h
@@ -56,9 +56,15 @@
     /// minority reduces its use before the majority takes over.
     static constexpr Duration minorityTime() noexcept { return std::chrono::seconds(4); }
     static constexpr double minorityShare() noexcept { return 0.25; }
+    /// Share of its part that a minority uses until then. The sides may disagree by some VMs on who the
+    /// voters are, so that their parts together exceed the whole.
+    static constexpr double earlyMinorityShare() noexcept { return 0.5; }
     /// Time after which a minority accepts the present participants as voters. Until then it cannot know whether the
     /// others have ended or are on the other side of a partition.
     static constexpr Duration minorityRetention() noexcept { return std::chrono::minutes(10); }
+    /// Time for which a VM that has started must hear a majority, and no smaller part from the others, until it trusts
+    /// its own view. The others notice a partition later than silenceTime().
+    static constexpr Duration establishTime() noexcept { return std::chrono::seconds(1); }
     /// Time after its last report for which a VM is reported to.
     static constexpr Duration answerTime() noexcept { return std::chrono::seconds(2); }
 
@@ -78,7 +84,7 @@
     /// The part that the silent VMs may use.
     double partOfOthers() const noexcept { return partOfOthers_; }
     QuotaBasis basis() const noexcept { return basis_; }
-    /// True if this VM has heard more than half of the voters at least once.
+    /// True if this VM has once heard more than half of the voters for establishTime().
     bool isEstablished() const noexcept { return isEstablished_; }
     bool isListed() const noexcept { return isSelfListed_; }
     /// Number of VMs that share the quotas, this one included, as the VM that hears most of them knows.
@@ -98,6 +104,8 @@
     QuotaPeer *find(DaemonId daemon) noexcept;
     QuotaPeer *findOrAdd(TimePoint now, DaemonId daemon);
     void expire(TimePoint now);
+    /// Since when this VM, as one of a majority, has not heard \p peer.
+    TimePoint silentSince(const QuotaPeer &peer) const noexcept;
     void compute(TimePoint now);
     bool adoptVoters(TimePoint now);
     bool hasEstablishedPeers() const noexcept;
@@ -117,6 +125,8 @@
     std::size_t participantCount_ = 1;
     std::size_t heardParticipants_ = 1;
     std::optional<TimePoint> minoritySince_;
+    std::optional<TimePoint> consistentSince_;
+    TimePoint majoritySince_;
     TimePoint updateAt_;
     bool hasChanged_ = true;
     std::uint64_t round_ = 1;
--- a/libs/tenancy/src/tenantquotas.cpp
+++ b/libs/tenancy/src/tenantquotas.cpp
@@ -33,13 +33,16 @@
 constexpr double leastDemand = 0.05;
 /// Time for which a VM that is no participant reports after a tenant's request.
 constexpr Duration activityTime = std::chrono::seconds(30);
-/// Parts of the tolerance: added to the capacity of the bucket, and divided equally among the participants, so that
-/// each may admit some requests in a round when the level is low. The rest covers errors of the view.
+/// Part of the tolerance that is added to the capacity of the bucket.
 constexpr double capacityShareOfTolerance = 0.2;
-constexpr double reserveShareOfTolerance = 0.6;
+/// The part of the tolerance that covers errors of the view: requests, and seconds of the tenant's rate. A silent VM is
+/// noticed after 0.6 s, and the sides of a partition may disagree on their parts for a short time. What is left of the
+/// tolerance is divided equally among the participants, so that each may admit some requests while the level is low.
+constexpr double errorRequests = 4;
+constexpr double errorSeconds = 1;
 /// Part of the level that is divided equally among the participants; the rest follows their demand. A VM whose demand
 /// the others do not know yet can serve callers that have just moved to it.
-constexpr double equalShareOfLevel = 0.75;
+constexpr double equalShareOfLevel = 0.8;
 /// Time after more than half of the participants are heard for which levels of other VMs are taken over.
 constexpr Duration levelTakeover = std::chrono::seconds(1);
 /// Reports of all levels: interval between two of them, and datagrams at a time.
@@ -117,6 +120,7 @@
     void updateLevelTakeover(TimePoint now);
     TenantState *find(std::uint64_t hash) noexcept;
     double toleranceOf(const TenantQuota &quota) const noexcept;
+    double reserveOf(const TenantQuota &quota) const noexcept;
     double capacityOf(const TenantQuota &quota) const noexcept;
     void updateBuckets(TimePoint now);
     void startRound(TenantState &tenant) const noexcept;
@@ -171,6 +175,12 @@
     return std::max(1.0, quota.burst + toleranceOf(quota) * capacityShareOfTolerance);
 }
 
+double TenantQuotas::Implementation::reserveOf(const TenantQuota &quota) const noexcept
+{
+    const double errors = errorRequests + errorSeconds * quota.requestsPerSecond;
+    return std::max(0.0, toleranceOf(quota) * (1 - capacityShareOfTolerance) - errors);
+}
+
 void TenantQuotas::Implementation::setQuotas(TimePoint now, std::span<const TenantQuota> quotas)
 {
     update(now);
@@ -303,7 +313,7 @@
 double TenantQuotas::Implementation::budgetOf(TimePoint now, TenantState &tenant, double level) const noexcept
 {
     const double count = static_cast<double>(peers_.participantCount());
-    const double reserve = toleranceOf(tenant.quota) * reserveShareOfTolerance * peers_.part();
+    const double reserve = reserveOf(tenant.quota) * peers_.part();
     const double equal = peers_.isListed() ? (equalShareOfLevel * level + reserve) / count : 0;
     const double budget = equal + (1 - equalShareOfLevel) * level * shareByDemand(now, tenant);
     const double whole = std::floor(budget);
--- a/libs/tenancy/tests/quotafleet.cpp
+++ b/libs/tenancy/tests/quotafleet.cpp
@@ -181,7 +181,8 @@
     for (const auto &[other, at] : own.advertisedAt) {
         participants.push_back(idOf(other));
     }
-    for (std::size_t seed = 0; alive == 1 && seed < std::min(seedCount, vms_.size()); ++seed) {
+    const bool hasJustStarted = now_ - own.startedAt < sharerRetention;
+    for (std::size_t seed = 0; (alive == 1 || hasJustStarted) && seed < std::min(seedCount, vms_.size()); ++seed) {
         participants.push_back(idOf(seed));
     }
     own.quotas->setParticipants(now_, participants);
