Quota reports between entry processes; tolerance in the settings

VMs must tell each other what they have admitted. QuotaMessage carries one report in a datagram of the peers' exchange. PeerTask sends the due reports on the tick and passes received ones on; EntryProcess owns TenantQuotas and sets the participants from the advertised members. Settings have the optional quotaWindowS, quotaOverage and quotaSlack.

fleet_test, settings_test and entry_test pass.

--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -83,7 +83,14 @@
     /// Sends new evidence to all other members.
     void broadcastCrashes(std::span<const CrashEntry> entries);
 
-    /// Resends crash evidence, as datagrams may be lost. Must be called several times a second.
+    /// Sets the callbacks for tenants' quotas: \p take receives a peer's report, \p due returns the reports to send
+    /// now, \p recipients the peers to send each of them to.
+    void setQuotaHooks(std::function<void(DaemonId peer, const QuotaReport &report)> take,
+                       std::function<std::vector<QuotaReport>()> due,
+                       std::function<std::vector<DaemonId>()> recipients);
+
+    /// Sends due quota reports, and resends crash evidence, as datagrams may be lost. Must be called several times a
+    /// second.
     void onTick(TimePoint now);
 
     /// Sets the peers to contact first.
@@ -131,6 +138,8 @@
     void handleDatagram(std::string_view bytes);
     void performActions();
     void send(DaemonId to, const FleetMessage &message);
+    void resendCrashes(TimePoint now);
+    void sendQuotaReports();
     void sendCrashes(DaemonId to, std::span<const CrashEntry> entries);
     void sendKnownCrashes(const std::vector<MemberChange> &changes);
     void scheduleTimer(std::optional<TimePoint> at);
@@ -150,6 +159,9 @@
     std::function<void()> onMembers_;
     std::function<void(std::span<const CrashEntry> entries)> onCrashEvidence_;
     std::function<std::vector<CrashEntry>()> knownCrashes_;
+    std::function<void(DaemonId peer, const QuotaReport &report)> onQuotaReport_;
+    std::function<std::vector<QuotaReport>()> dueQuotaReports_;
+    std::function<std::vector<DaemonId>()> quotaRecipients_;
     CrashBroadcaster crashBroadcaster_;
     std::map<DaemonId, TimePoint> advertisedAt_;
     bool isLeaving_ = false;
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -14,6 +14,7 @@
 #include "observe/eventlog.h"
 #include "placement/searcherpool.h"
 #include "settings/settingsfile.h"
+#include "tenancy/tenantquotas.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -64,6 +65,11 @@
     return pool;
 }
 
+QuotaTolerance quotaTolerance(const EntryBounds &bounds)
+{
+    return {bounds.quotaWindow, bounds.quotaOverage, bounds.quotaSlack};
+}
+
 std::size_t memoryBytes(const EntrySettings &settings, double share)
 {
     constexpr double bytesPerMb = 1'048'576;
@@ -100,6 +106,11 @@
         , dispatcher_(context_, searcherMemory_, protocol_, pool_, log_)
         , state_(protocol_, pool_, log_)
         , crashes_(mix(seed_, 3), log_)
+        , quotas_(TenantQuotas::Builder()
+                      .self(daemonId(peerAddressOf(settings)))
+                      .tolerance(quotaTolerance(settings.bounds))
+                      .seed(mix(seed_, 4))
+                      .build(BootClock::now()))
         , entry_(context_, protocol_, pool_, dispatcher_, crashes_, state_, log_, mix(seed_, 2))
         , store_(context_, feedMemory_, protocol_, settings.store, mix(seed_), state_, log_)
         , feedServer_(state_, store_, [this](TimePoint now) { return feed_.confirmedRevision(now); })
@@ -120,6 +131,7 @@
     void answerControl(const ExchangePtr &exchange);
     void answerMetrics(const ExchangePtr &exchange);
     void onMembers();
+    std::vector<DaemonId> quotaParticipants(TimePoint now, const Fleet &fleet) const;
     FeedAssignment assignFeedPeers() const;
     Address controlAddressOf(DaemonId daemon) const;
     Duration startFallbackDelay() const noexcept
@@ -151,6 +163,7 @@
     Dispatcher dispatcher_;
     PublishedState state_;
     CrashWatch crashes_;
+    TenantQuotas quotas_;
     EntryServer entry_;
     StoreTask store_;
     FeedServer feedServer_;
@@ -212,6 +225,10 @@
     });
     peers_->setCrashHooks([this](std::span<const CrashEntry> entries) { crashes_.merge(BootClock::now(), entries); },
                           [this] { return crashes_.entries(BootClock::now()); });
+    peers_->setQuotaHooks(
+        [this](DaemonId peer, const QuotaReport &report) { quotas_.onReport(BootClock::now(), peer, report); },
+        [this] { return quotas_.dueReports(BootClock::now()); },
+        [this] { return quotas_.recipients(BootClock::now()); });
     crashes_.setBroadcastEvidence([this](std::span<const CrashEntry> entries) { peers_->broadcastCrashes(entries); });
     setSeeds();
     peers_->start();
@@ -276,6 +293,7 @@
     const TimePoint now = BootClock::now();
     const AdvertisedMembers advertised = peers_->advertisedMembers(now);
     pool_.setFleet(now, advertised.fleet);
+    quotas_.setParticipants(now, quotaParticipants(now, advertised.fleet));
     isAdvertised_ = advertised.hasSelf;
     // Until peers are known, the process polls the seeds, for at most startFallbackDelay() after the start.
     const bool isAlone = peers_->reachableCount() == 1 && now - startedAt_ < startFallbackDelay();
@@ -287,6 +305,28 @@
     feed_.setPeers(feed.peers, feed.isReader, peers_->reachableCount());
 }
 
+// A process that has just started or is isolated knows only some of the VMs that are advertised. It would take itself
+// for one of a majority if it did not count the seeds too.
+std::vector<DaemonId> EntryProcess::Implementation::quotaParticipants(TimePoint now, const Fleet &fleet) const
+{
+    std::vector<DaemonId> participants;
+    for (const std::string &sharer : fleet.sharers) {
+        const Result<Address> address = Address::parse(sharer);
+        if (address.has_value()) {
+            participants.push_back(daemonId(address.value()));
+        }
+    }
+    if (peers_->reachableCount() == 1 || now - startedAt_ < PeerTask::quotaShareRetention()) {
+        for (const Address &seed : settings_.seeds) {
+            const DaemonId daemon = daemonId({seed.ip, settings_.peerPort});
+            if (daemon != peers_->self()) {
+                participants.push_back(daemon);
+            }
+        }
+    }
+    return participants;
+}
+
 // The first peer delivers the changed items. One in the same failure domain is preferred, because traffic between
 // failure domains is costly.
 FeedAssignment EntryProcess::Implementation::assignFeedPeers() const
@@ -346,6 +386,7 @@
     settings_.seeds = settings.value().seeds;
     settings_.bounds = settings.value().bounds;
     pool_.setBounds(poolBounds(settings_.bounds));
+    quotas_.setTolerance(BootClock::now(), quotaTolerance(settings_.bounds));
     log_.line(EventRank::Important, "settings_reloaded")
         .text("trigger", trigger)
         .count("seeds", settings_.seeds.size());
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -177,6 +177,10 @@
     if (crashes != nullptr && onCrashEvidence_) {
         onCrashEvidence_(crashes->entries);
     }
+    const QuotaMessage *quota = std::get_if<QuotaMessage>(&message.value());
+    if (quota != nullptr && onQuotaReport_) {
+        onQuotaReport_(daemonId(from), quota->report);
+    }
     const GossipMessage *gossip = std::get_if<GossipMessage>(&message.value());
     if (gossip == nullptr) {
         return;
@@ -238,10 +242,40 @@
 {
     const TimePoint now = BootClock::now();
     crashBroadcaster_.add(now, entries);
-    onTick(now);
+    resendCrashes(now);
+}
+
+void PeerTask::setQuotaHooks(std::function<void(DaemonId peer, const QuotaReport &report)> take,
+                             std::function<std::vector<QuotaReport>()> due,
+                             std::function<std::vector<DaemonId>()> recipients)
+{
+    onQuotaReport_ = std::move(take);
+    dueQuotaReports_ = std::move(due);
+    quotaRecipients_ = std::move(recipients);
 }
 
 void PeerTask::onTick(TimePoint now)
+{
+    resendCrashes(now);
+    sendQuotaReports();
+}
+
+void PeerTask::sendQuotaReports()
+{
+    const std::vector<QuotaReport> reports = dueQuotaReports_ ? dueQuotaReports_() : std::vector<QuotaReport>();
+    if (reports.empty()) {
+        return;
+    }
+    const std::vector<DaemonId> recipients = quotaRecipients_();
+    for (const QuotaReport &report : reports) {
+        const QuotaMessage message{report};
+        for (const DaemonId recipient : recipients) {
+            send(recipient, message);
+        }
+    }
+}
+
+void PeerTask::resendCrashes(TimePoint now)
 {
     const std::vector<CrashEntry> entries = crashBroadcaster_.due(now);
     if (entries.empty()) {
--- a/libs/fleet/include/fleet/messages.h
+++ b/libs/fleet/include/fleet/messages.h
@@ -4,6 +4,7 @@
 #include "base/address.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "tenancy/quotareport.h"
 
 #include <array>
 #include <cstddef>
@@ -179,7 +180,14 @@
     bool operator==(const CrashMessage &) const = default;
 };
 
+/// Carries what the sender has admitted of tenants with a quota.
+struct QuotaMessage {
+    QuotaReport report;
+
+    bool operator==(const QuotaMessage &) const = default;
+};
+
 /// The message in one datagram.
-using FleetMessage = std::variant<GossipMessage, ConfigMessage, CrashMessage>;
+using FleetMessage = std::variant<GossipMessage, ConfigMessage, CrashMessage, QuotaMessage>;
 
 } // namespace sassafrasvane
--- a/libs/fleet/src/gossipcodec.cpp
+++ b/libs/fleet/src/gossipcodec.cpp
@@ -28,6 +28,7 @@
     Gossip,
     Config,
     Crash,
+    Quota,
 };
 
 using Hmac = std::array<unsigned char, EVP_MAX_MD_SIZE>;
@@ -119,7 +120,7 @@
     const Incarnation incarnation{reader.number()};
     const std::uint64_t number = reader.number();
     const DaemonId receiver{reader.number()};
-    const MessageType type = static_cast<MessageType>(reader.number(static_cast<std::uint64_t>(MessageType::Crash)));
+    const MessageType type = static_cast<MessageType>(reader.number(static_cast<std::uint64_t>(MessageType::Quota)));
     FleetMessage message;
     switch (type) {
     case MessageType::Gossip: {
@@ -139,6 +140,9 @@
     case MessageType::Crash:
         detail::read(reader, message.emplace<CrashMessage>());
         break;
+    case MessageType::Quota:
+        detail::read(reader, message.emplace<QuotaMessage>());
+        break;
     }
     if (!reader.isComplete()) {
         return error(Errc::BadMessage, from, "undecodable");
--- a/libs/fleet/src/messageformat.cpp
+++ b/libs/fleet/src/messageformat.cpp
@@ -181,4 +181,40 @@
     }
 }
 
+void write(DatagramWriter &writer, const QuotaMessage &message)
+{
+    const QuotaReport &report = message.report;
+    writer.number(report.run);
+    writer.number(report.sequence);
+    writer.number(report.partPermille);
+    writer.number(report.participants);
+    writer.number(report.needsLevels ? 1 : 0);
+    writer.number(report.entries.size());
+    for (const QuotaEntry &entry : report.entries) {
+        writer.number(entry.tenant);
+        writer.number(entry.count);
+        writer.number(entry.demandHundredths);
+        writer.number(entry.totalDemandHundredths);
+        writer.number(entry.levelHundredths);
+    }
+}
+
+void read(DatagramReader &reader, QuotaMessage &message)
+{
+    QuotaReport &report = message.report;
+    report.run = reader.number();
+    report.sequence = reader.number();
+    report.partPermille = static_cast<std::uint32_t>(reader.number(wholeQuotaPermille));
+    report.participants = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
+    report.needsLevels = reader.number(1) == 1;
+    for (std::uint64_t left = reader.number(maxEntriesPerQuotaReport); left > 0 && reader.isGood(); --left) {
+        QuotaEntry &entry = report.entries.emplace_back();
+        entry.tenant = reader.number();
+        entry.count = reader.number();
+        entry.demandHundredths = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
+        entry.totalDemandHundredths = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
+        entry.levelHundredths = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
+    }
+}
+
 } // namespace sassafrasvane::detail
--- a/libs/fleet/tests/gossipcodec_test.cpp
+++ b/libs/fleet/tests/gossipcodec_test.cpp
@@ -82,6 +82,10 @@
     const CrashMessage crashes{{{Fingerprint{7}, 8, true, false, std::chrono::seconds(600)}}};
     BOOST_REQUIRE(sender.encode(daemonId(second), crashes, bytes).has_value());
     BOOST_TEST((std::get<CrashMessage>(receiver.decode(first, bytes).value()) == crashes));
+
+    const QuotaMessage quota{{7, 8, wholeQuotaPermille, 12, true, {{9, 10, 11, 12, 13}}}};
+    BOOST_REQUIRE(sender.encode(daemonId(second), quota, bytes).has_value());
+    BOOST_TEST((std::get<QuotaMessage>(receiver.decode(first, bytes).value()) == quota));
 }
 
 BOOST_AUTO_TEST_CASE(largestMessagesFitADatagram)
@@ -105,6 +109,25 @@
     crashes.entries.assign(maxCrashEntriesPerMessage,
                            {Fingerprint{UINT64_MAX}, UINT64_MAX, true, true, std::chrono::milliseconds(UINT32_MAX)});
     BOOST_TEST(sender.encode(DaemonId{UINT64_MAX}, crashes, bytes).has_value());
+    QuotaMessage quota{{UINT64_MAX, UINT64_MAX, wholeQuotaPermille, UINT32_MAX, true, {}}};
+    quota.report.entries.assign(maxEntriesPerQuotaReport, {UINT64_MAX, UINT64_MAX, UINT32_MAX, UINT32_MAX, UINT32_MAX});
+    BOOST_TEST(sender.encode(DaemonId{UINT64_MAX}, quota, bytes).has_value());
+}
+
+// Guards against memory and parts of the quota that a datagram merely claims.
+BOOST_AUTO_TEST_CASE(quotaMessageBeyondItsLimitsIsRefused)
+{
+    GossipCodec sender = codecOf(first, {"k1"});
+    GossipCodec receiver = codecOf(second, {"k1"});
+    std::string bytes;
+    QuotaMessage quota;
+    quota.report.partPermille = wholeQuotaPermille + 1;
+    BOOST_REQUIRE(sender.encode(daemonId(second), quota, bytes).has_value());
+    BOOST_TEST((reasonOf(receiver.decode(first, bytes)) == Errc::BadMessage));
+    quota.report.partPermille = 1;
+    quota.report.entries.resize(maxEntriesPerQuotaReport + 1);
+    BOOST_REQUIRE(sender.encode(daemonId(second), quota, bytes).has_value());
+    BOOST_TEST((reasonOf(receiver.decode(first, bytes)) == Errc::BadMessage));
 }
 
 BOOST_AUTO_TEST_CASE(foreignReplayedMisdirectedAndOtherVersionsAreRefusedAndCounted)
--- a/libs/settings/include/settings/entrysettings.h
+++ b/libs/settings/include/settings/entrysettings.h
@@ -41,6 +41,11 @@
     double coldSlack = 5;
     /// Longest time for which callers keep a list of entry VMs.
     Duration directoryLifetime = std::chrono::seconds(5);
+    /// In a window, all VMs together admit at most (rate * window + burst) * (1 + overage) + slack requests of a
+    /// tenant.
+    Duration quotaWindow = std::chrono::seconds(5);
+    double quotaOverage = 0;
+    double quotaSlack = 0;
 };
 
 /// The settings of one entry process.
--- a/libs/settings/src/entrysettings.cpp
+++ b/libs/settings/src/entrysettings.cpp
@@ -35,7 +35,10 @@
                             "retrySlack",
                             "coldFactor",
                             "coldSlack",
-                            "directoryLifetimeS"};
+                            "directoryLifetimeS",
+                            "quotaWindowS",
+                            "quotaOverage",
+                            "quotaSlack"};
 
 constexpr detail::NumberRange ports{0, 65'535};
 constexpr detail::NumberRange seconds{0.1, 3'600};
@@ -73,6 +76,10 @@
     bounds.coldFactor = reader.number("coldFactor", {0, 1'000});
     bounds.coldSlack = reader.number("coldSlack", counts);
     bounds.directoryLifetime = fromSeconds(reader.number("directoryLifetimeS", seconds));
+    bounds.quotaWindow
+        = fromSeconds(reader.numberOr("quotaWindowS", seconds, toMilliseconds(bounds.quotaWindow) / 1'000));
+    bounds.quotaOverage = reader.numberOr("quotaOverage", {0, 1'000}, bounds.quotaOverage);
+    bounds.quotaSlack = reader.numberOr("quotaSlack", counts, bounds.quotaSlack);
     reader.rejectUnknown(knownBounds);
     return bounds;
 }
--- a/libs/settings/tests/entrysettings_test.cpp
+++ b/libs/settings/tests/entrysettings_test.cpp
@@ -42,6 +42,21 @@
     BOOST_TEST(settings.value().bounds.retrySlack == 56);
 }
 
+// Guards against a process that does not start where the platform names no tolerance, or ignores the one that it names.
+BOOST_AUTO_TEST_CASE(quotaToleranceIsOptional)
+{
+    const EntryBounds without = readEntrySettings(valid).value().bounds;
+    BOOST_TEST((without.quotaWindow == Duration(std::chrono::seconds(5))));
+    BOOST_TEST(without.quotaSlack == 0);
+    const std::string tolerance = R"("quotaWindowS": 4, "quotaOverage": 0.25, "quotaSlack": 20, "stopGraceS")";
+    const EntryBounds with = readEntrySettings(replaced("\"stopGraceS\"", tolerance)).value().bounds;
+    BOOST_TEST((with.quotaWindow == Duration(std::chrono::seconds(4))));
+    BOOST_TEST(with.quotaOverage == 0.25);
+    BOOST_TEST(with.quotaSlack == 20);
+    BOOST_TEST(faultOf(replaced("\"stopGraceS\"", "\"quotaSlack\": -1, \"stopGraceS\"")).find("/bounds/quotaSlack")
+               != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(faultsAreNamedWithTheirPlace)
 {
     BOOST_TEST(faultOf(replaced("\"10.0.0.1:2\"", "\"nowhere\"")).find("/listeners/readiness") != std::string::npos);
--- a/libs/tenancy/src/tenantquotas.cpp
+++ b/libs/tenancy/src/tenantquotas.cpp
@@ -40,6 +40,8 @@
 /// tolerance is divided equally among the participants, so that each may admit some requests while the level is low.
 constexpr double errorRequests = 4;
 constexpr double errorSeconds = 1;
+/// Part of the reserve that is used while some participants are silent, when errors are larger.
+constexpr double partialReserve = 0.5;
 /// Part of the level that is divided equally among the participants; the rest follows their demand. A VM whose demand
 /// the others do not know yet can serve callers that have just moved to it.
 constexpr double equalShareOfLevel = 0.8;
@@ -313,7 +315,8 @@
 double TenantQuotas::Implementation::budgetOf(TimePoint now, TenantState &tenant, double level) const noexcept
 {
     const double count = static_cast<double>(peers_.participantCount());
-    const double reserve = reserveOf(tenant.quota) * peers_.part();
+    const bool isPartial = peers_.basis() == QuotaBasis::Partial;
+    const double reserve = reserveOf(tenant.quota) * peers_.part() * (isPartial ? partialReserve : 1);
     const double equal = peers_.isListed() ? (equalShareOfLevel * level + reserve) / count : 0;
     const double budget = equal + (1 - equalShareOfLevel) * level * shareByDemand(now, tenant);
     const double whole = std::floor(budget);
