--- a/libs/tenancy/src/quotapeers.h
+++ b/libs/tenancy/src/quotapeers.h
@@ -33,6 +33,11 @@
     std::uint64_t run = 0;
     std::uint64_t sequence = 0;
     std::uint32_t partPermille = 0;
+    /// As in QuotaReport.
+    std::uint32_t participants = 0;
+
+    /// True if the VM is heard and uses a share of the level as a participant does.
+    bool isSharing() const noexcept { return isHeard && (isListed || isVoter || participants > 0); }
 };
 
 /// Judges the other VMs by their reports.
@@ -51,9 +56,15 @@
     /// minority reduces its use before the majority takes over.
     static constexpr Duration minorityTime() noexcept { return std::chrono::seconds(4); }
     static constexpr double minorityShare() noexcept { return 0.25; }
+    /// Share of its part that a minority uses until then. The sides may disagree by some VMs on who the
+    /// voters are, so that their parts together exceed the whole.
+    static constexpr double earlyMinorityShare() noexcept { return 0.5; }
     /// Time after which a minority accepts the present participants as voters. Until then it cannot know whether the
     /// others have ended or are on the other side of a partition.
     static constexpr Duration minorityRetention() noexcept { return std::chrono::minutes(10); }
+    /// Time for which a VM that has started must hear a majority, and no smaller part from the others, until it trusts
+    /// its own view. The others notice a partition later than silenceTime().
+    static constexpr Duration establishTime() noexcept { return std::chrono::seconds(1); }
     /// Time after its last report for which a VM is reported to.
     static constexpr Duration answerTime() noexcept { return std::chrono::seconds(2); }
 
@@ -73,11 +84,15 @@
     /// The part that the silent VMs may use.
     double partOfOthers() const noexcept { return partOfOthers_; }
     QuotaBasis basis() const noexcept { return basis_; }
-    /// True if this VM has heard more than half of the voters at least once.
+    /// True if this VM has once heard more than half of the voters for establishTime().
     bool isEstablished() const noexcept { return isEstablished_; }
     bool isListed() const noexcept { return isSelfListed_; }
-    /// Number of VMs that share the quotas, this one included.
+    /// Number of VMs that share the quotas, this one included, as the VM that hears most of them knows.
     std::size_t participantCount() const noexcept { return participantCount_; }
+    /// Number of participants that this VM hears, itself included; 0 if it is none.
+    std::size_t heardParticipants() const noexcept { return isSelfListed_ ? heardParticipants_ : 0; }
+    /// Number of the heard participants that precede this one in the rendezvous order of \p key.
+    std::size_t rankOf(std::uint64_t key) const noexcept;
     std::uint32_t partPermille() const noexcept;
     /// Number of the present round. A round ends when each VM that is heard has reported since its start.
     std::uint64_t round() const noexcept { return round_; }
@@ -89,6 +104,8 @@
     QuotaPeer *find(DaemonId daemon) noexcept;
     QuotaPeer *findOrAdd(TimePoint now, DaemonId daemon);
     void expire(TimePoint now);
+    /// Since when this VM, as one of a majority, has not heard \p peer.
+    TimePoint silentSince(const QuotaPeer &peer) const noexcept;
     void compute(TimePoint now);
     bool adoptVoters(TimePoint now);
     bool hasEstablishedPeers() const noexcept;
@@ -106,7 +123,10 @@
     double partOfOthers_ = 0;
     QuotaBasis basis_ = QuotaBasis::Alone;
     std::size_t participantCount_ = 1;
+    std::size_t heardParticipants_ = 1;
     std::optional<TimePoint> minoritySince_;
+    std::optional<TimePoint> consistentSince_;
+    TimePoint majoritySince_;
     TimePoint updateAt_;
     bool hasChanged_ = true;
     std::uint64_t round_ = 1;
