Entry process: quotas of tenants in force, test over three processes

Change: EntryServer takes TenantQuotas with its constructor. tenants_test.py checks the tokens of requests that are not run, the explanation of a refusal and one quota over three processes; the tests' processes get the tolerance in their settings.

--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -35,7 +35,7 @@
 /// Matches each request to a route and forwards it to the route's backends.
 ///
 /// \code
-/// EntryServer entry(context, protocol, pool, dispatcher, state, log);
+/// EntryServer entry(context, protocol, pool, dispatcher, crashes, quotas, state, log, seed);
 /// Server::Builder(context).handler([&entry](const std::shared_ptr<Exchange> &exchange) { entry.handle(exchange); });
 /// \endcode
 class EntryServer
@@ -44,12 +44,13 @@
     /// Maximum number of requests in flight; further requests are refused with retry advice.
     static constexpr std::size_t maxOpenRequests() noexcept { return 500; }
 
-    /// \param seed seeds the jitter of the retry advice.
+    /// \param quotas their values follow the configuration. \param seed seeds the jitter of the retry advice.
     EntryServer(boost::asio::io_context &context,
                 const EntryProtocol &protocol,
                 SearcherPool &pool,
                 Dispatcher &dispatcher,
                 CrashWatch &crashes,
+                TenantQuotas &quotas,
                 PublishedState &state,
                 EventLog &log,
                 std::uint64_t seed);
@@ -57,10 +58,6 @@
     EntryServer(const EntryServer &) = delete;
     EntryServer &operator=(const EntryServer &) = delete;
 
-    /// Sets the quotas of tenants, whose values then follow the configuration. Without it, no request is over a quota.
-    /// \param quotas must outlive this object.
-    void setTenantQuotas(TenantQuotas &quotas);
-
     /// Serves one request, or refuses it.
     void handle(const std::shared_ptr<http::Exchange> &exchange);
 
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -111,7 +111,7 @@
                       .tolerance(quotaTolerance(settings.bounds))
                       .seed(mix(seed_, 4))
                       .build(BootClock::now()))
-        , entry_(context_, protocol_, pool_, dispatcher_, crashes_, state_, log_, mix(seed_, 2))
+        , entry_(context_, protocol_, pool_, dispatcher_, crashes_, quotas_, state_, log_, mix(seed_, 2))
         , store_(context_, feedMemory_, protocol_, settings.store, mix(seed_), state_, log_)
         , feedServer_(state_, store_, [this](TimePoint now) { return feed_.confirmedRevision(now); })
         , feed_(context_, feedMemory_, state_, store_, log_, mix(seed_, 1), startFallbackDelay())
--- a/libs/entry/src/entryserver.cpp
+++ b/libs/entry/src/entryserver.cpp
@@ -44,6 +44,7 @@
                          SearcherPool &pool,
                          Dispatcher &dispatcher,
                          CrashWatch &crashes,
+                         TenantQuotas &quotas,
                          PublishedState &state,
                          EventLog &log,
                          std::uint64_t seed)
@@ -62,7 +63,7 @@
                                                  log,
                                                  counters_,
                                                  random_,
-                                                 nullptr,
+                                                 quotas,
                                                  {}})
 {
     requestContext_->release = [this](const detail::RequestTask *request) { requests_.erase(request); };
@@ -185,23 +186,15 @@
     return response;
 }
 
-void EntryServer::setTenantQuotas(TenantQuotas &quotas)
-{
-    requestContext_->quotas = &quotas;
-}
-
 std::vector<TenantUsage> EntryServer::tenantUsage(TimePoint now) const
 {
-    return requestContext_->quotas == nullptr ? std::vector<TenantUsage>() : requestContext_->quotas->usage(now);
+    return requestContext_->quotas.usage(now);
 }
 
 // Requests without a tenant have no quota.
 QuotaDecision EntryServer::admit(const Tenant *tenant)
 {
-    if (tenant == nullptr || requestContext_->quotas == nullptr) {
-        return {};
-    }
-    return requestContext_->quotas->admit(BootClock::now(), tenant->name);
+    return tenant == nullptr ? QuotaDecision() : requestContext_->quotas.admit(BootClock::now(), tenant->name);
 }
 
 void EntryServer::refuseOverQuota(const std::shared_ptr<http::Exchange> &exchange,
@@ -251,9 +244,7 @@
 void EntryServer::onConfiguration(const RouteTable &routes)
 {
     splits_.keepOnly(routes.configuration());
-    if (requestContext_->quotas != nullptr) {
-        requestContext_->quotas->setQuotas(BootClock::now(), tenantQuotas(routes.configuration()));
-    }
+    requestContext_->quotas.setQuotas(BootClock::now(), tenantQuotas(routes.configuration()));
     if (!routes.repeatedKeys().empty()) {
         const RepeatedKey &first = routes.repeatedKeys().front();
         log_.line(EventRank::Important, "api_keys_repeated")
--- a/libs/entry/src/requestend.cpp
+++ b/libs/entry/src/requestend.cpp
@@ -147,8 +147,8 @@
 // Only for requests that have not run.
 void RequestTask::refundQuota()
 {
-    if (caller_.tenant != nullptr && shared_.quotas != nullptr) {
-        shared_.quotas->refund(BootClock::now(), caller_.tenant->name);
+    if (caller_.tenant != nullptr) {
+        shared_.quotas.refund(BootClock::now(), caller_.tenant->name);
     }
 }
 
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -40,8 +40,7 @@
     EventLog &log;
     EntryCounters &counters;
     Random &random;
-    /// Null if there are no quotas.
-    TenantQuotas *quotas = nullptr;
+    TenantQuotas &quotas;
     /// Releases a request that has ended.
     std::function<void(const RequestTask *request)> release;
 };
--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -69,7 +69,8 @@
             "memoryMb": self.world.memory_mb,
             "fileDescriptors": 4100,
             "bounds": {"stopGraceS": GRACE, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 56, "coldFactor": 1.5}
-            | {"coldSlack": 5, "directoryLifetimeS": 5},
+            | {"coldSlack": 5, "directoryLifetimeS": 5}
+            | dict(self.world.more_bounds),
         }
 
     def write_settings(self):
@@ -149,9 +150,10 @@
 
     entry_type = Entry
 
-    def __init__(self, build, entries=1, shards=4, replicas=2, memory_mb=260):
+    def __init__(self, build, entries=1, shards=4, replicas=2, memory_mb=260, more_bounds=()):
         self.build = build
         self.memory_mb = memory_mb
+        self.more_bounds = more_bounds
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="sassafrasvane-entry-"))
         self.loop = standin.Loop()
         names = ("callers", "readiness", "directory", "control", "peers", "metrics")
--- a/tests/entry/load.py
+++ b/tests/entry/load.py
@@ -9,10 +9,12 @@
 class Load:
     """Callers that send one request after the other to each process."""
 
-    def __init__(self, world, target, pause=0.02):
+    def __init__(self, world, target, pause=0.02, more=()):
+        """Sends requests for the target with more headers, and waits between two of one caller."""
         self.world = world
         self.target = target
         self.pause = pause
+        self.more = more
         self.ends = []
         self.is_over = False
         self.threads = [
@@ -26,7 +28,8 @@
         while not self.is_over:
             sent += 1
             begun = time.monotonic()
-            status, headers, _ = entry.ask(f"{self.target}{sent}", request_id=f"{entry.name}-{number}-{sent}")
+            request_id = f"{entry.name}-{number}-{sent}"
+            status, headers, _ = entry.ask(f"{self.target}{sent}", request_id=request_id, more=self.more)
             self.ends.append((begun, time.monotonic() - begun, status, headers))
             time.sleep(self.pause)
 
--- a/tests/entry/tenants_test.py
+++ b/tests/entry/tenants_test.py
@@ -1,15 +1,22 @@
 """Tests of API keys, tenants and their quotas on real entry processes. Usage: tenants_test.py BUILD_DIRECTORY"""
 
-import json
+import bisect
 import pathlib
 import sys
 import threading
 import time
 import unittest
 
-from entryworld import World, free_port
+from entryworld import World
+from load import Load
 
 SHARDS = 4
+# How far a quota may be exceeded, as in the settings.
+WINDOW_S = 5
+OVERAGE = 0.25
+SLACK = 20
+# Time after which a bucket, which is empty at the start, holds some tokens.
+FILL_S = 3
 KEY = "key-of-a-7d1f"
 OTHER_KEY = "key-of-b-93c2"
 TENANT = "X-Sassafrasvane-Tenant"
@@ -23,11 +30,15 @@
     return {"Authorization": f"Bearer {key}"}
 
 
-class KeyTest(unittest.TestCase):
+class TenantWorldTest(unittest.TestCase):
+    """A deployment whose configuration can name tenants."""
+
     entries = 1
 
     def setUp(self):
-        self.world = World(pathlib.Path(sys.argv[1]).resolve(), entries=self.entries, shards=SHARDS)
+        build = pathlib.Path(sys.argv[1]).resolve()
+        tolerance = {"quotaWindowS": WINDOW_S, "quotaOverage": OVERAGE, "quotaSlack": SLACK}
+        self.world = World(build, entries=self.entries, shards=SHARDS, more_bounds=tolerance)
         self.addCleanup(self.world.close)
         self.entry = self.world.entries[0]
         self.version = 1
@@ -71,6 +82,15 @@
         log = (self.world.directory / f"{self.entry.name}.log").read_text()
         return log + self.entry.ask("/metrics", listener="metrics")[2].decode()
 
+    def is_listening(self):
+        try:
+            self.entry.connect_raw().close()
+        except OSError:
+            return False
+        return True
+
+
+class KeyTest(TenantWorldTest):
     def test_key_reaches_no_searcher_and_no_output(self):
         self.configure(tenant("a", KEY))
         forged = {TENANT.lower(): "forged", TENANT.upper(): "forged", "Connection": TENANT}
@@ -182,12 +202,74 @@
         self.assertEqual(self.status("/fetch/1", bearer("unknown")), 503)
         self.assertEqual(self.status("/fetch/1"), 503)
 
-    def is_listening(self):
-        try:
-            self.entry.connect_raw().close()
-        except OSError:
-            return False
-        return True
+
+class QuotaOfOneProcessTest(TenantWorldTest):
+    def test_request_that_is_not_run_gives_its_token_back(self):
+        self.configure(tenant("a", KEY, ratePerS=4, burst=4))
+        time.sleep(FILL_S)
+        for replica in range(2):
+            self.world.searchers[f"i-desk-{replica}"].mode = "shed"
+        # Many more than the tenant's bucket can hold.
+        statuses = {self.status("/book/1", bearer(), request_id=f"shed-{number}") for number in range(100)}
+        self.assertEqual(statuses, {503})
+
+    def test_refused_request_is_explained(self):
+        self.configure(tenant("a", KEY, ratePerS=1, burst=2), tenant("b", OTHER_KEY))
+        time.sleep(FILL_S)
+        ends = [self.entry.ask("/fetch/1", request_id=f"a-{number}", more=bearer()) for number in range(60)]
+        refused = [headers for status, headers, _ in ends if status == 429]
+        self.assertGreater(len(refused), 20)
+        self.assertEqual({status for status, _, _ in ends}, {200, 429})
+        self.assertEqual(ends[-1][0], 429)
+        self.assertGreater(min(float(headers["Retry-After"]) for headers in refused), 0)
+        # Nobody else is refused.
+        self.assertEqual(self.status("/fetch/1", bearer(OTHER_KEY)), 200)
+        self.assertEqual(self.status("/open/1"), 200)
+        time.sleep(0.2)
+        lines = [line for line in self.entry.lines("request_refused") if line["status"] == 429]
+        self.assertEqual(len(lines), len(refused))
+        told = {name: lines[-1][name] for name in ("tenant", "requests_per_second", "burst", "reason", "basis")}
+        self.assertEqual(told, {"tenant": "a", "requests_per_second": 1, "burst": 2, "reason": "over quota", "basis": "shared"})
+        self.assertTrue({"bucket_left", "age_ms", "retry_after_ms"} <= set(lines[-1]))
+        self.assertIn("tenant a is over its quota of 1 requests per second", self.world.why("a-59"))
+        text = self.outputs()
+        self.assertIn(f'sassafrasvane_tenant_requests_total{{tenant="a",end="over_quota"}} {len(refused)}', text)
+        self.assertIn(f'sassafrasvane_requests_refused_total{{reason="over_quota"}} {len(refused)}', text)
+        self.assertIn('sassafrasvane_tenant_quota_level{tenant="a"}', text)
+        # Whoever comes back when told is served.
+        time.sleep(float(refused[-1]["Retry-After"]))
+        self.assertEqual(self.status("/fetch/1", bearer()), 200)
+
+
+class QuotaOfSeveralProcessesTest(TenantWorldTest):
+    entries = 3
+    RATE = 10
+    BURST = 5
+
+    def runs(self, path):
+        """When searchers began to run requests below a path, in order."""
+        runs = [run for searcher in self.world.searchers.values() for run in searcher.ran if run.target.startswith(path)]
+        return sorted(run.at for run in runs)
+
+    def test_quota_holds_over_all_processes(self):
+        self.configure(tenant("a", KEY, ratePerS=self.RATE, burst=self.BURST), tenant("b", OTHER_KEY))
+        with Load(self.world, "/fetch/", more=bearer()) as hot, Load(self.world, "/open/", more=bearer(OTHER_KEY)) as other:
+            time.sleep(9)
+        self.assertEqual({status for _, _, status, _ in other.ends}, {200})
+        self.assertEqual({status for _, _, status, _ in hot.ends}, {200, 429})
+        self.assertGreater(min(float(headers["Retry-After"]) for _, _, status, headers in hot.ends if status == 429), 0)
+        times = self.runs("/fetch/")
+        most = max(bisect.bisect_right(times, at + WINDOW_S) - index for index, at in enumerate(times))
+        self.assertLessEqual(most, (self.RATE * WINDOW_S + self.BURST) * (1 + OVERAGE) + SLACK)
+        # The quota can be used, too.
+        late = [at for at in times if at > times[0] + WINDOW_S]
+        self.assertGreater(len(late), 0.5 * self.RATE * (times[-1] - times[0] - WINDOW_S))
+        # Callers within the quota that move between the processes are not refused.
+        time.sleep(2)
+        for number in range(40):
+            entry = self.world.entries[number % 3]
+            self.assertEqual(entry.ask("/fetch/1", request_id=f"calm-{number}", more=bearer())[0], 200, number)
+            time.sleep(1.6 / self.RATE)
 
 
 if __name__ == "__main__":
