--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -12,11 +12,13 @@
 #include "placement/calltimes.h"
 #include "placement/searcherpool.h"
 #include "routing/weightedsplit.h"
+#include "tenancy/tenantquotas.h"
 
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 /// \file
 /// Accepts and routes callers' requests.
@@ -33,7 +35,7 @@
 /// Matches each request to a route and forwards it to the route's backends.
 ///
 /// \code
-/// EntryServer entry(context, protocol, pool, dispatcher, state, log);
+/// EntryServer entry(context, protocol, pool, dispatcher, crashes, quotas, state, log, seed);
 /// Server::Builder(context).handler([&entry](const std::shared_ptr<Exchange> &exchange) { entry.handle(exchange); });
 /// \endcode
 class EntryServer
@@ -42,12 +44,13 @@
     /// Maximum number of requests in flight; further requests are refused with retry advice.
     static constexpr std::size_t maxOpenRequests() noexcept { return 500; }
 
-    /// \param seed seeds the jitter of the retry advice.
+    /// \param quotas their values follow the configuration. \param seed seeds the jitter of the retry advice.
     EntryServer(boost::asio::io_context &context,
                 const EntryProtocol &protocol,
                 SearcherPool &pool,
                 Dispatcher &dispatcher,
                 CrashWatch &crashes,
+                TenantQuotas &quotas,
                 PublishedState &state,
                 EventLog &log,
                 std::uint64_t seed);
@@ -71,6 +74,9 @@
     /// Retries waiting calls and requests. Must be called several times a second.
     void onTick(TimePoint now);
 
+    /// The state of the tenants with a quota, for metrics.
+    std::vector<TenantUsage> tenantUsage(TimePoint now) const;
+
     const EntryCounters &counters() const noexcept { return counters_; }
     std::size_t openRequests() const noexcept { return requests_.size(); }
     std::size_t waitingRequests() const noexcept { return waitingRequests_.size(); }
@@ -78,10 +84,17 @@
 
 private:
     void onFree(const std::string &backend);
-    void refuse(const std::shared_ptr<http::Exchange> &exchange,
-                const RequestMetadata &metadata,
-                http::Response response,
-                const char *reason);
+    EventLine refuse(const std::shared_ptr<http::Exchange> &exchange,
+                     const RequestMetadata &metadata,
+                     const Tenant *tenant,
+                     http::Response response,
+                     const char *reason);
+    http::Response unauthorizedResponse() const;
+    QuotaDecision admit(const Tenant *tenant);
+    void refuseOverQuota(const std::shared_ptr<http::Exchange> &exchange,
+                         const RequestMetadata &metadata,
+                         const Tenant &tenant,
+                         const QuotaDecision &decision);
     http::Response retryLaterResponse(const RequestMetadata &metadata);
     Duration outageDuration() const;
     std::vector<BackendPool *> backendsOf(const RequestRoute &route);
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -33,6 +33,31 @@
     }
 }
 
+// Requests that were refused because of their tenant.
+void addTenantRefusals(std::string &text, const EntryCounters &counters)
+{
+    MetricWriter writer(text, "sassafrasvane_requests_refused_total", {}, "counter");
+    for (std::size_t fault = 0; fault < counters.keyFaults.size(); ++fault) {
+        writer.line(labelText({{"reason", name(static_cast<KeyFault>(fault))}}), counters.keyFaults.at(fault));
+    }
+    writer.line(labelText({{"reason", "over_quota"}}), counters.overQuota);
+}
+
+// Tenants without series of their own in tenantRequests have none here, which bounds the number of series.
+void addQuotaLevels(std::string &text, const EntryServer &entry)
+{
+    const std::vector<TenantUsage> usage = entry.tenantUsage(BootClock::now());
+    if (usage.empty()) {
+        return;
+    }
+    MetricWriter writer(text, "sassafrasvane_tenant_quota_level", {}, "gauge");
+    for (const TenantUsage &tenant : usage) {
+        if (entry.counters().tenantRequests.hasName(tenant.tenant)) {
+            writer.line(labelText({{"tenant", tenant.tenant}}), tenant.level);
+        }
+    }
+}
+
 } // namespace
 
 std::string metricsText(const MetricsSources &sources)
@@ -42,6 +67,9 @@
     std::string text;
     addEnds(text, counters);
     addLimitedCalls(text, counters);
+    addTenantRefusals(text, counters);
+    counters.tenantRequests.appendText(text);
+    addQuotaLevels(text, sources.entry);
     counters.latencies.appendText(text);
     sources.dispatcher.latencies().appendText(text);
     add(text, "requests_abandoned_total", "counter", counters.abandoned);
--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -69,7 +69,8 @@
             "memoryMb": self.world.memory_mb,
             "fileDescriptors": 4100,
             "bounds": {"stopGraceS": GRACE, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 56, "coldFactor": 1.5}
-            | {"coldSlack": 5, "directoryLifetimeS": 5},
+            | {"coldSlack": 5, "directoryLifetimeS": 5}
+            | dict(self.world.more_bounds),
         }
 
     def write_settings(self):
@@ -149,9 +150,10 @@
 
     entry_type = Entry
 
-    def __init__(self, build, entries=1, shards=4, replicas=2, memory_mb=260):
+    def __init__(self, build, entries=1, shards=4, replicas=2, memory_mb=260, more_bounds=()):
         self.build = build
         self.memory_mb = memory_mb
+        self.more_bounds = more_bounds
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="sassafrasvane-entry-"))
         self.loop = standin.Loop()
         names = ("callers", "readiness", "directory", "control", "peers", "metrics")
@@ -187,7 +189,8 @@
         searcher.register()
         self.searchers[instance] = searcher
 
-    def configure(self, version, shards, desk="desk", extra=()):
+    def configure(self, version, shards, desk="desk", extra=(), more=()):
+        """Publishes a version of the configuration, with extra routes and with more members."""
         def route(name, prefix, **more):
             common = {"name": name, "host": "search.example", "prefix": prefix, "timeoutMs": 2000}
             return common | {"targetLatencyMs": 400, "priority": 1, "maxAttempts": 2} | more
@@ -204,7 +207,7 @@
         ]
         limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
         configuration = {"version": version, "routes": [*routes, *extra], "services": services, "limits": limits}
-        self.store.put("op/config", configuration)
+        self.store.put("op/config", configuration | dict(more))
 
     def wait(self, is_done, seconds, what):
         end = time.monotonic() + seconds
