--- a/libs/tenancy/src/quotapeers.cpp
+++ b/libs/tenancy/src/quotapeers.cpp
@@ -20,7 +20,13 @@
 } // namespace
 
 QuotaPeers::QuotaPeers(TimePoint now, DaemonId self) noexcept
-    : self_(self), minoritySince_(now), updateAt_(now), roundStartedAt_(now), lastConfirmedAt_(now)
+    : self_(self)
+    , startedAt_(now)
+    , minoritySince_(now)
+    , majoritySince_(now)
+    , updateAt_(now)
+    , roundStartedAt_(now)
+    , lastConfirmedAt_(now)
 {
 }
 
@@ -29,10 +35,10 @@
     for (QuotaPeer &peer : peers_) {
         peer.isListed = false;
     }
-    isSelfListed_ = false;
+    isInList_ = false;
     for (const DaemonId daemon : participants) {
         if (daemon == self_) {
-            isSelfListed_ = true;
+            isInList_ = true;
             continue;
         }
         QuotaPeer *peer = findOrAdd(now, daemon);
@@ -40,6 +46,8 @@
             peer->isListed = true;
         }
     }
+    const bool isConfirmed = !minoritySince_ || hasEstablishedPeers() || now - startedAt_ < startTime();
+    isSelfListed_ = isInList_ && (isSelfListed_ || isConfirmed);
     hasChanged_ = true;
 }
 
--- a/libs/tenancy/src/quotapeers.h
+++ b/libs/tenancy/src/quotapeers.h
@@ -65,6 +65,8 @@
     /// Time for which a VM that has started must hear a majority, and no smaller part from the others, until it trusts
     /// its own view. The others notice a partition later than silenceTime().
     static constexpr Duration establishTime() noexcept { return std::chrono::seconds(1); }
+    /// Time after the start in which a VM is a participant though it hears no other yet.
+    static constexpr Duration startTime() noexcept { return std::chrono::seconds(30); }
     /// Time after its last report for which a VM is reported to.
     static constexpr Duration answerTime() noexcept { return std::chrono::seconds(2); }
 
@@ -86,7 +88,11 @@
     QuotaBasis basis() const noexcept { return basis_; }
     /// True if this VM has once heard more than half of the voters for establishTime().
     bool isEstablished() const noexcept { return isEstablished_; }
+    /// True if this VM is a participant.
     bool isListed() const noexcept { return isSelfListed_; }
+    /// True if this VM reports as a participant. On its own side of a partition a VM may be advertised that the others
+    /// do not count; it becomes a participant when it hears them.
+    bool isInList() const noexcept { return isInList_; }
     /// Number of VMs that share the quotas, this one included, as the VM that hears most of them knows.
     std::size_t participantCount() const noexcept { return participantCount_; }
     /// Number of participants that this VM hears, itself included; 0 if it is none.
@@ -115,7 +121,9 @@
     void scheduleUpdate(TimePoint now);
 
     DaemonId self_;
+    TimePoint startedAt_;
     std::vector<QuotaPeer> peers_;
+    bool isInList_ = false;
     bool isSelfListed_ = false;
     bool isSelfVoter_ = true;
     bool isEstablished_ = false;
--- a/libs/tenancy/src/sharedbucket.cpp
+++ b/libs/tenancy/src/sharedbucket.cpp
@@ -8,8 +8,9 @@
 namespace
 {
 
-/// Time for which the reserve outlives the silence, so that the first reports of all VMs can use it.
-constexpr Duration reserveRetention = std::chrono::milliseconds(1'500);
+/// Time for which the reserve outlives the silence, so that the first report of each VM of a tenant with traffic can
+/// use it.
+constexpr Duration reserveRetention = std::chrono::milliseconds(700);
 /// Longest silence whose withheld tokens are kept in the reserve, in seconds of the whole rate.
 constexpr double maxReserveSeconds = 60;
 
--- a/libs/tenancy/src/tenantquotas.cpp
+++ b/libs/tenancy/src/tenantquotas.cpp
@@ -467,7 +467,7 @@
     update(now);
     const bool hasTraffic = activeAt_ != TimePoint() && now - activeAt_ < activityTime;
     const Duration sinceReport = now - reportedAt_;
-    if (tenants_.empty() || (!peers_.isListed() && !hasTraffic)
+    if (tenants_.empty() || (!peers_.isInList() && !hasTraffic)
         || sinceReport < (isUrgent_ ? urgentPeriod : reportPeriod)) {
         return {};
     }
