Tenancy: a majority must be one of the former voters too

Two sides of a partition replaced silent VMs by others of their own before they noticed the partition; both then heard more than half of their voters and used the whole quota. For 5 s after a change the former voters must agree.

--- a/libs/tenancy/src/quotapeers.cpp
+++ b/libs/tenancy/src/quotapeers.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace sassafrasvane::detail
 {
@@ -104,57 +103,99 @@
     if (!isEstablished_) {
         adoptVoters(now);
     }
-    std::size_t voters = isSelfVoter_ ? 1 : 0;
-    std::size_t heard = voters;
+    VoterCount count = countVoters(now);
+    judgeMajority(now, count);
+    const bool acceptsList = !minoritySince_ || now - *minoritySince_ >= minorityRetention();
+    if (isEstablished_ && acceptsList && adoptVoters(now)) {
+        count = countVoters(now);
+        judgeMajority(now, count);
+    }
+    countParticipants();
+    computePart(now, count);
+}
+
+QuotaPeers::VoterCount QuotaPeers::countVoters(TimePoint now) const noexcept
+{
+    VoterCount count;
+    const auto add = [this, now, &count](bool isHeard, TimePoint votesSince) {
+        const bool isOld = !isEstablished_ || votesSince <= establishedAt_ || now - votesSince >= newVoterTime();
+        ++count.voters;
+        count.heard += isHeard ? 1 : 0;
+        count.oldVoters += isOld ? 1 : 0;
+        count.oldHeard += isOld && isHeard ? 1 : 0;
+    };
+    if (isSelfVoter_) {
+        add(true, votesSince_);
+    }
     for (const QuotaPeer &peer : peers_) {
-        voters += peer.isVoter ? 1 : 0;
-        heard += peer.isVoter && peer.isHeard ? 1 : 0;
+        if (peer.isVoter) {
+            add(peer.isHeard, peer.addedAt);
+            count.excluded += !peer.isHeard && now - silentSince(peer) >= exclusionTime() ? 1 : 0;
+        }
     }
-    const bool isMajority = 2 * heard > voters;
-    const double partOfPeers = isEstablished_ ? 1 : partOfEstablishedPeers();
-    const double ownPart = voters == 0 ? 0 : static_cast<double>(heard) / static_cast<double>(voters);
-    const bool isConsistent = isMajority && partOfPeers > ownPart - partTolerance;
+    return count;
+}
+
+void QuotaPeers::judgeMajority(TimePoint now, const VoterCount &count)
+{
+    const bool isMajority = 2 * count.heard > count.voters && 2 * count.oldHeard > count.oldVoters;
+    const double ownPart = count.voters == 0 ? 0 : static_cast<double>(count.heard) / static_cast<double>(count.voters);
+    const bool isConsistent = isMajority && (isEstablished_ || partOfEstablishedPeers() > ownPart - partTolerance);
     consistentSince_ = isConsistent ? std::optional(consistentSince_.value_or(now)) : std::nullopt;
-    isEstablished_ = isEstablished_ || (isConsistent && now - *consistentSince_ >= establishTime());
-    const std::optional<TimePoint> formerMinority = std::exchange(minoritySince_, std::nullopt);
-    if (!isMajority) {
-        minoritySince_ = formerMinority.value_or(now);
+    if (!isEstablished_ && isConsistent && now - *consistentSince_ >= establishTime()) {
+        isEstablished_ = true;
+        establishedAt_ = now;
+    }
+    if (isMajority) {
+        minoritySince_.reset();
+    } else {
+        minoritySince_ = minoritySince_.value_or(now);
+        keepNewVotersNew(now);
     }
     if (!isMajority || !isEstablished_) {
         majoritySince_ = now;
     }
-    const bool acceptsList = isMajority || now - *minoritySince_ >= minorityRetention();
-    if (isEstablished_ && acceptsList && adoptVoters(now)) {
-        compute(now);
-        return;
+}
+
+void QuotaPeers::keepNewVotersNew(TimePoint now) noexcept
+{
+    const auto isNew = [this, now](TimePoint since) { return since > establishedAt_ && now - since < newVoterTime(); };
+    for (QuotaPeer &peer : peers_) {
+        peer.addedAt = peer.isVoter && isNew(peer.addedAt) ? now : peer.addedAt;
     }
-    std::size_t excluded = 0;
-    std::size_t sharing = isSelfListed_ ? 1 : 0;
-    std::size_t most = 1;
+    votesSince_ = isNew(votesSince_) ? now : votesSince_;
+}
+
+void QuotaPeers::countParticipants() noexcept
+{
+    heardParticipants_ = isSelfListed_ ? 1 : 0;
+    participantCount_ = 1;
     for (const QuotaPeer &peer : peers_) {
-        const bool isLost = !peer.isHeard && now - silentSince(peer) >= exclusionTime();
-        excluded += peer.isVoter && isLost ? 1 : 0;
-        sharing += peer.isSharing() ? 1 : 0;
-        most = peer.isHeard ? std::max<std::size_t>(most, peer.participants) : most;
+        heardParticipants_ += peer.isSharing() ? 1 : 0;
+        participantCount_
+            = peer.isHeard ? std::max<std::size_t>(participantCount_, peer.participants) : participantCount_;
     }
-    heardParticipants_ = sharing;
-    participantCount_ = std::max(most, sharing);
-    const std::size_t counted = voters - excluded;
-    part_ = counted == 0 ? 0 : static_cast<double>(heard) / static_cast<double>(counted);
-    if (!isMajority) {
+    participantCount_ = std::max(participantCount_, heardParticipants_);
+}
+
+void QuotaPeers::computePart(TimePoint now, const VoterCount &count)
+{
+    const std::size_t counted = count.voters - count.excluded;
+    part_ = counted == 0 ? 0 : static_cast<double>(count.heard) / static_cast<double>(counted);
+    if (minoritySince_) {
         const bool isLasting = now - *minoritySince_ >= minorityTime();
         part_ *= isLasting ? minorityShare() : earlyMinorityShare();
     }
-    part_ = std::min(part_, partOfPeers);
-    if (!isSelfListed_ && !isMajority && !hasEstablishedPeers()) {
+    part_ = isEstablished_ ? part_ : std::min(part_, partOfEstablishedPeers());
+    if (!isSelfListed_ && minoritySince_ && !hasEstablishedPeers()) {
         // This VM is none of those that the parts were computed for, and many such VMs may be alone at once.
         part_ = 0;
     }
-    const double partOfExcluded
-        = voters == 0 ? 0 : minorityShare() * static_cast<double>(excluded) / static_cast<double>(voters);
-    partOfOthers_ = 1 - part_ + partOfExcluded;
-    const bool hasAll = heard >= counted && part_ > 0;
-    const bool isAlone = heard <= (isSelfVoter_ ? 1U : 0U);
+    const double lost
+        = static_cast<double>(count.excluded) / static_cast<double>(std::max<std::size_t>(1, count.voters));
+    partOfOthers_ = 1 - part_ + minorityShare() * lost;
+    const bool hasAll = count.heard >= counted && part_ > 0;
+    const bool isAlone = count.heard <= (isSelfVoter_ ? 1U : 0U);
     basis_ = hasAll ? QuotaBasis::Shared : isAlone ? QuotaBasis::Alone : QuotaBasis::Partial;
 }
 
@@ -166,6 +207,7 @@
 bool QuotaPeers::adoptVoters(TimePoint now)
 {
     bool hasChanged = isSelfVoter_ != isSelfListed_;
+    votesSince_ = hasChanged ? now : votesSince_;
     isSelfVoter_ = isSelfListed_;
     for (QuotaPeer &peer : peers_) {
         if (peer.isVoter != peer.isListed) {
--- a/libs/tenancy/src/quotapeers.h
+++ b/libs/tenancy/src/quotapeers.h
@@ -56,6 +56,9 @@
     /// minority reduces its use before the majority takes over.
     static constexpr Duration minorityTime() noexcept { return std::chrono::seconds(4); }
     static constexpr double minorityShare() noexcept { return 0.25; }
+    /// Time for which a majority must also be one of the former voters. Two sides may each replace silent VMs by others
+    /// of their own before they notice that they are sides.
+    static constexpr Duration newVoterTime() noexcept { return std::chrono::seconds(5); }
     /// Share of its part that a minority uses until then. The sides may disagree by some VMs on who the
     /// voters are, so that their parts together exceed the whole.
     static constexpr double earlyMinorityShare() noexcept { return 0.5; }
@@ -107,12 +110,27 @@
     std::vector<DaemonId> recipients(TimePoint now) const;
 
 private:
+    struct VoterCount {
+        std::size_t voters = 0;
+        std::size_t heard = 0;
+        /// Those that have been voters for newVoterTime(), this time not counted while this VM was in a minority.
+        std::size_t oldVoters = 0;
+        std::size_t oldHeard = 0;
+        /// Voters that have been silent for exclusionTime().
+        std::size_t excluded = 0;
+    };
+
     QuotaPeer *find(DaemonId daemon) noexcept;
     QuotaPeer *findOrAdd(TimePoint now, DaemonId daemon);
     void expire(TimePoint now);
     /// Since when this VM, as one of a majority, has not heard \p peer.
     TimePoint silentSince(const QuotaPeer &peer) const noexcept;
     void compute(TimePoint now);
+    VoterCount countVoters(TimePoint now) const noexcept;
+    void judgeMajority(TimePoint now, const VoterCount &count);
+    void keepNewVotersNew(TimePoint now) noexcept;
+    void countParticipants() noexcept;
+    void computePart(TimePoint now, const VoterCount &count);
     bool adoptVoters(TimePoint now);
     bool hasEstablishedPeers() const noexcept;
     /// The least part that a VM which is heard and established has reported; 1 if there is none.
@@ -135,6 +153,9 @@
     std::optional<TimePoint> minoritySince_;
     std::optional<TimePoint> consistentSince_;
     TimePoint majoritySince_;
+    TimePoint establishedAt_;
+    /// When this VM became a voter.
+    TimePoint votesSince_;
     TimePoint updateAt_;
     bool hasChanged_ = true;
     std::uint64_t round_ = 1;
