--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -115,6 +115,9 @@
     /// The entry VMs advertised to callers now; also tracks those advertised recently.
     AdvertisedMembers advertisedMembers(TimePoint now);
 
+    /// True if \p daemon has stopped as planned.
+    bool hasLeft(DaemonId daemon) const;
+
     /// The members that should read the store, possibly this process among them. \param count number of readers.
     std::vector<SubsetCandidate> readers(std::size_t count) const;
 
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -312,7 +312,7 @@
     std::vector<DaemonId> participants;
     for (const std::string &sharer : fleet.sharers) {
         const Result<Address> address = Address::parse(sharer);
-        if (address.has_value()) {
+        if (address.has_value() && !peers_->hasLeft(daemonId(address.value()))) {
             participants.push_back(daemonId(address.value()));
         }
     }
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -398,6 +398,13 @@
     return advertised;
 }
 
+bool PeerTask::hasLeft(DaemonId daemon) const
+{
+    return std::any_of(members_.begin(), members_.end(), [daemon](const Member &member) {
+        return member.record.daemon == daemon && member.record.state == MemberState::Left;
+    });
+}
+
 std::vector<SubsetCandidate> PeerTask::readers(std::size_t count) const
 {
     const std::vector<SubsetCandidate> all = candidates();
