--- a/fuzz/bytes/feedcodec_bytes.cpp
+++ b/fuzz/bytes/feedcodec_bytes.cpp
@@ -13,13 +13,13 @@
     if (response.has_value()) {
         const Result<FeedResponse> again = decodeFeedResponse(encodeFeedResponse(response.value()));
         check(again.has_value() && again.value().items.size() == response.value().items.size());
-        check(again.value().revision == response.value().revision
+        check(again.value().position == response.value().position
               && again.value().isSnapshot == response.value().isSnapshot);
     }
     const std::optional<FeedRequest> request = parseFeedTarget(bytes);
     if (request) {
         const std::optional<FeedRequest> again = parseFeedTarget(feedTarget(*request));
-        check(again && again->afterRevision == request->afterRevision && again->wantsItems == request->wantsItems);
+        check(again && again->after == request->after && again->wantsItems == request->wantsItems);
     }
     return 0;
 }
--- a/libs/catalog/include/catalog/searchercatalog.h
+++ b/libs/catalog/include/catalog/searchercatalog.h
@@ -63,8 +63,10 @@
     static constexpr Duration tombstoneLifetime() noexcept { return std::chrono::seconds(60); }
 
     /// Adds or updates a searcher and appends the change to \p notices.
+    /// \param isOfNewEpoch true if the store has lost the searcher's removal by going back to an older copy: the last
+    /// registration of a removed searcher is then as old as that copy and does not add it again.
     /// \return false if the registration is older than the known one; it is then ignored.
-    bool put(TimePoint now, const SearcherEntry &entry, Notices &notices);
+    bool put(TimePoint now, const SearcherEntry &entry, Notices &notices, bool isOfNewEpoch = false);
 
     /// Removes \p instance, or defers the removal after an outage. To be called when its registration is deleted or
     /// unreadable.
@@ -98,6 +100,7 @@
         TimePoint removedAt;
     };
 
+    bool isBeforeRemoval(TimePoint now, const SearcherEntry &entry, bool isOfNewEpoch) const;
     void removeNow(TimePoint now, const std::string &instance, Notices &notices);
 
     std::map<std::string, SearcherEntry, std::less<>> entries_;
--- a/libs/catalog/include/catalog/storefollower.h
+++ b/libs/catalog/include/catalog/storefollower.h
@@ -2,7 +2,9 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "catalog/storeposition.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -19,9 +21,9 @@
 struct StoreItem {
     std::string key;
     std::string value;
-    /// The store's revision at the item's last change.
-    std::uint64_t revision = 0;
-    /// True if the item was removed at that revision.
+    /// The store's position at the item's last change.
+    StorePosition position;
+    /// True if the item was removed at that position.
     bool isRemoved = false;
 };
 
@@ -30,15 +32,19 @@
     std::vector<StoreItem> items;
     /// True if more pages follow.
     bool hasMore = false;
-    /// The store's revision when the page was read.
-    std::uint64_t asOf = 0;
+    /// The store's position when the page was read.
+    StorePosition asOf;
+    /// False if the answer states no epoch or one that cannot be read; asOf and the items have epoch 0 then.
+    bool isEpochStated = false;
 };
 
 /// The answer to a watch.
 struct StoreChanges {
     std::vector<StoreItem> items;
-    /// The revision after which the next watch continues.
-    std::uint64_t asOf = 0;
+    /// The position after which the next watch continues.
+    StorePosition asOf;
+    /// See StorePage::isEpochStated.
+    bool isEpochStated = false;
 };
 
 /// Why a call to the store failed.
@@ -49,6 +55,7 @@
     HistoryLost, ///< The watched revision is no longer available.
     BadAnswer,   ///< The answer could not be parsed.
     TooLarge,    ///< The answer needs more memory than there is for it.
+    OldEpoch,    ///< The answer is of an epoch that has ended.
 };
 
 /// Stable lower-case name of \p failure, for log lines.
@@ -65,7 +72,7 @@
     std::string prefix;
     /// List: the last key of the previous page; empty for the first page.
     std::string afterKey;
-    /// Watch: only changes after this revision are returned.
+    /// Watch: only changes after this revision, in the epoch that the store has then, are returned.
     std::uint64_t afterRevision = 0;
     /// Watch: how long the store may hold the call while there is no change.
     Duration wait{0};
@@ -88,6 +95,8 @@
     std::set<std::string> listedKeys;
     /// True if the store answered for the first time, or after an outage in which entries may have expired.
     bool hasStoreReturned = false;
+    /// Why an answer that could be read counts as none, if so.
+    std::optional<StoreFailure> rejection;
 };
 
 /// Decides which call to the store to make next; does no I/O itself.
@@ -97,6 +106,10 @@
 /// the same watch would be answered in the same way, while a listing comes in pages. Failed calls are retried with
 /// exponential backoff and jitter; the first connection that is lost or silent after an answer is replaced at once.
 ///
+/// An answer of a newer epoch is not applied: the store is listed again in that epoch. An answer of an older epoch than
+/// the newest known one counts as none. So does one that states no epoch, if an earlier one did: it may be of any
+/// epoch.
+///
 /// \code
 /// StoreFollower follower({"configuration/", "searchers/"}, seed);
 /// follower.onTimer(now, actions);
@@ -143,22 +156,27 @@
     /// follow the store.
     void setSlowRetry(bool isSlowRetry) noexcept { isSlowRetry_ = isSlowRetry; }
 
-    /// Declares all items up to \p revision as known from another source, so that the next call watches from there.
+    /// Declares all items up to \p position as known from another source, so that the next call watches from there.
     /// Has an effect only while paused.
-    void adoptRevision(std::uint64_t revision) noexcept;
+    void adoptPosition(const StorePosition &position) noexcept;
+
+    /// Declares that the store has reached \p epoch, as another source says. The next call lists if the items are of
+    /// an older one.
+    void noteEpoch(std::uint64_t epoch) noexcept { knownEpoch_ = std::max(knownEpoch_, epoch); }
 
     /// Abandons the call in flight and makes none until resume().
     void pause() noexcept;
 
-    /// Continues after pause(): watches from the last or adopted revision, or restarts an incomplete listing.
+    /// Continues after pause(): watches from the last or adopted position, or restarts an incomplete listing.
     /// \param confirmedAt when another source last confirmed the items; nothing if there was none, or if the store may
     /// have had an outage since. Decides with minOutageTime() whether the next answer is the store's return.
     void resume(TimePoint now, std::optional<TimePoint> confirmedAt, StoreActions &actions);
 
-    /// The revision up to which all items are known; nothing while a listing is incomplete.
-    std::optional<std::uint64_t> completeAsOf() const noexcept
+    /// The position up to which all items are known; nothing while a listing is incomplete or due because of a newer
+    /// epoch.
+    std::optional<StorePosition> completeAsOf() const noexcept
     {
-        return isListing_ ? std::nullopt : std::optional<std::uint64_t>(revision_);
+        return isListing_ || position_.epoch < knownEpoch_ ? std::nullopt : std::optional<StorePosition>(position_);
     }
 
     /// True if the last call was answered.
@@ -166,7 +184,10 @@
 
 private:
     void onAnswered(TimePoint now, StoreActions &actions);
+    bool checkEpoch(TimePoint now, const StorePosition &asOf, bool isEpochStated, StoreActions &actions);
+    std::optional<StoreFailure> epochFailure(std::uint64_t epoch, bool isEpochStated) const noexcept;
     void startList();
+    void startListSoon(TimePoint now, StoreActions &actions);
     void schedule(TimePoint at, StoreActions &actions);
     StoreCall nextCall() const;
 
@@ -178,8 +199,12 @@
     std::string lastKey_;
     /// The keys that the listing has reported so far.
     std::set<std::string> listedKeys_;
-    /// Revision from which to watch; 0 until the first page of a listing is read.
-    std::uint64_t revision_ = 0;
+    /// Position from which to watch; revision 0 until the first page of a listing is read.
+    StorePosition position_;
+    /// The newest epoch that any source has stated.
+    std::uint64_t knownEpoch_ = 0;
+    /// True once an answer has stated its epoch.
+    bool areEpochsStated_ = false;
     bool isCallOpen_ = false;
     bool isPaused_ = false;
     bool isSlowRetry_ = false;
--- a/libs/catalog/src/searchercatalog.cpp
+++ b/libs/catalog/src/searchercatalog.cpp
@@ -1,6 +1,7 @@
 #include "catalog/searchercatalog.h"
 
 #include <array>
+#include <compare>
 #include <tuple>
 
 namespace sassafrasvane
@@ -12,14 +13,23 @@
     return names.at(static_cast<std::size_t>(change));
 }
 
-bool SearcherCatalog::put(TimePoint now, const SearcherEntry &entry, Notices &notices)
+bool SearcherCatalog::isBeforeRemoval(TimePoint now, const SearcherEntry &entry, bool isOfNewEpoch) const
+{
+    const std::unordered_map<std::string, Tombstone>::const_iterator found = tombstones_.find(entry.instance);
+    if (found == tombstones_.end() || now - found->second.removedAt >= tombstoneLifetime()) {
+        return false;
+    }
+    const Tombstone &tombstone = found->second;
+    const std::strong_ordering order
+        = std::tie(entry.startedAtMs, entry.sequence) <=> std::tie(tombstone.startedAtMs, tombstone.sequence);
+    return isOfNewEpoch ? order <= 0 : order < 0;
+}
+
+bool SearcherCatalog::put(TimePoint now, const SearcherEntry &entry, Notices &notices, bool isOfNewEpoch)
 {
     const auto known = entries_.find(entry.instance);
     if (known == entries_.end()) {
-        const auto tombstone = tombstones_.find(entry.instance);
-        if (tombstone != tombstones_.end() && now - tombstone->second.removedAt < tombstoneLifetime()
-            && std::tie(entry.startedAtMs, entry.sequence)
-                < std::tie(tombstone->second.startedAtMs, tombstone->second.sequence)) {
+        if (isBeforeRemoval(now, entry, isOfNewEpoch)) {
             return false;
         }
         tombstones_.erase(entry.instance);
--- a/libs/catalog/src/storefollower.cpp
+++ b/libs/catalog/src/storefollower.cpp
@@ -9,8 +9,8 @@
 
 const char *name(StoreFailure failure) noexcept
 {
-    constexpr std::array<const char *, 6> names{
-        "unreachable", "silent", "refused", "history_lost", "bad_answer", "too_large"};
+    constexpr std::array<const char *, 7> names{
+        "unreachable", "silent", "refused", "history_lost", "bad_answer", "too_large", "old_epoch"};
     return names.at(static_cast<std::size_t>(failure));
 }
 
@@ -22,9 +22,12 @@
 void StoreFollower::onPage(TimePoint now, StorePage page, StoreActions &actions)
 {
     isCallOpen_ = false;
+    if (!checkEpoch(now, page.asOf, page.isEpochStated, actions)) {
+        return;
+    }
     onAnswered(now, actions);
-    if (revision_ == 0) {
-        revision_ = page.asOf;
+    if (position_.revision == 0) {
+        position_ = page.asOf;
     }
     const bool isAdvancing = !page.items.empty() && page.items.back().key > lastKey_;
     if (page.hasMore && isAdvancing) {
@@ -48,13 +51,43 @@
 void StoreFollower::onChanges(TimePoint now, StoreChanges changes, StoreActions &actions)
 {
     isCallOpen_ = false;
+    if (!checkEpoch(now, changes.asOf, changes.isEpochStated, actions)) {
+        return;
+    }
     onAnswered(now, actions);
-    revision_ = std::max(revision_, changes.asOf);
+    position_ = std::max(position_, changes.asOf);
     const bool hasChanges = !changes.items.empty();
     actions.items = std::move(changes.items);
     schedule(hasChanges ? now + watchPause() : now, actions);
 }
 
+std::optional<StoreFailure> StoreFollower::epochFailure(std::uint64_t epoch, bool isEpochStated) const noexcept
+{
+    if (!isEpochStated && areEpochsStated_) {
+        return StoreFailure::BadAnswer;
+    }
+    return epoch < knownEpoch_ ? std::optional(StoreFailure::OldEpoch) : std::nullopt;
+}
+
+// Returns whether the answer can be applied. One that is not handled as a failure or starts a listing.
+bool StoreFollower::checkEpoch(TimePoint now, const StorePosition &asOf, bool isEpochStated, StoreActions &actions)
+{
+    actions.rejection = epochFailure(asOf.epoch, isEpochStated);
+    if (actions.rejection) {
+        onFailure(now, *actions.rejection, actions);
+        return false;
+    }
+    areEpochsStated_ = areEpochsStated_ || isEpochStated;
+    knownEpoch_ = asOf.epoch;
+    const bool isFirstPage = isListing_ && position_.revision == 0;
+    if (isFirstPage || asOf.epoch == position_.epoch) {
+        return true;
+    }
+    onAnswered(now, actions);
+    startListSoon(now, actions);
+    return false;
+}
+
 void StoreFollower::onAnswered(TimePoint now, StoreActions &actions)
 {
     const bool isLongOutage = failedSince_ && now - *failedSince_ >= minOutageTime();
@@ -71,8 +104,7 @@
     const bool isWatchTooLarge = failure == StoreFailure::TooLarge && !isListing_;
     if (failure == StoreFailure::HistoryLost || isWatchTooLarge) {
         onAnswered(now, actions);
-        startList();
-        schedule(now, actions);
+        startListSoon(now, actions);
         return;
     }
     const bool isFirstFailure = retryPause_ == initialRetryPause();
@@ -105,16 +137,20 @@
     dueAt_.reset();
     isCallOpen_ = true;
     callStartedAt_ = now;
+    if (!isListing_ && position_.epoch < knownEpoch_) {
+        startList();
+    }
     actions.call = nextCall();
 }
 
-void StoreFollower::adoptRevision(std::uint64_t revision) noexcept
+void StoreFollower::adoptPosition(const StorePosition &position) noexcept
 {
     if (!isPaused_) {
         return;
     }
     isListing_ = false;
-    revision_ = revision;
+    position_ = position;
+    noteEpoch(position.epoch);
 }
 
 void StoreFollower::pause() noexcept
@@ -144,7 +180,21 @@
     prefixIndex_ = 0;
     lastKey_.clear();
     listedKeys_.clear();
-    revision_ = 0;
+    position_ = {};
+}
+
+// A process that is not the only one to follow the store waits for the others: all of them lose a history at the same
+// moment, and can follow the first that has listed the store.
+void StoreFollower::startListSoon(TimePoint now, StoreActions &actions)
+{
+    startList();
+    if (!isSlowRetry_) {
+        schedule(now, actions);
+        return;
+    }
+    const Duration pause = initialRetryPause() * slowRetryFactor();
+    const Duration jitter(static_cast<Duration::rep>(random_.below(static_cast<std::uint64_t>(pause.count()))));
+    schedule(now + pause / 2 + jitter, actions);
 }
 
 void StoreFollower::schedule(TimePoint at, StoreActions &actions)
@@ -164,7 +214,7 @@
         return call;
     }
     call.kind = StoreCall::Kind::Watch;
-    call.afterRevision = revision_;
+    call.afterRevision = position_.revision;
     call.wait = failedSince_ ? checkWait() : watchWait();
     call.timeout = watchWait() + watchTimeoutMargin();
     return call;
--- a/libs/catalog/tests/storefollower_test.cpp
+++ b/libs/catalog/tests/storefollower_test.cpp
@@ -29,9 +29,9 @@
         return next;
     }
 
-    void answerPage(std::vector<StoreItem> items, bool hasMore, std::uint64_t asOf)
+    void answerPage(std::vector<StoreItem> items, bool hasMore, std::uint64_t asOf, std::uint64_t epoch = 0)
     {
-        follower.onPage(now, StorePage{std::move(items), hasMore, asOf}, actions);
+        follower.onPage(now, StorePage{std::move(items), hasMore, {epoch, asOf}, epoch > 0}, actions);
     }
 
     void completeList()
@@ -50,12 +50,12 @@
     FollowerFixture fixture;
     StoreCall call = fixture.nextCall();
     BOOST_TEST(call.prefix == "a/");
-    fixture.answerPage({{"a/1", "x", 3, false}}, true, 10);
+    fixture.answerPage({{"a/1", "x", {0, 3}, false}}, true, 10);
     BOOST_TEST(fixture.actions.hasStoreReturned);
     call = fixture.nextCall();
     BOOST_TEST(call.prefix == "a/");
     BOOST_TEST(call.afterKey == "a/1");
-    fixture.answerPage({{"a/2", "x", 4, false}}, false, 11);
+    fixture.answerPage({{"a/2", "x", {0, 4}, false}}, false, 11);
     BOOST_TEST(!fixture.actions.isListComplete);
     call = fixture.nextCall();
     BOOST_TEST(call.prefix == "b/");
@@ -72,11 +72,11 @@
 {
     FollowerFixture fixture;
     fixture.nextCall();
-    fixture.answerPage({{"a/1", "x", 3, false}}, true, 10);
+    fixture.answerPage({{"a/1", "x", {0, 3}, false}}, true, 10);
     fixture.nextCall();
     fixture.follower.onFailure(fixture.now, StoreFailure::Refused, fixture.actions);
     BOOST_TEST(fixture.nextCall().afterKey == "");
-    fixture.answerPage({{"a/2", "x", 4, false}}, false, 12);
+    fixture.answerPage({{"a/2", "x", {0, 4}, false}}, false, 12);
     fixture.nextCall();
     fixture.answerPage({}, false, 13);
     BOOST_TEST(fixture.actions.isListComplete);
@@ -87,9 +87,9 @@
 {
     FollowerFixture fixture;
     fixture.nextCall();
-    fixture.answerPage({{"a/1", "x", 3, false}}, true, 10);
+    fixture.answerPage({{"a/1", "x", {0, 3}, false}}, true, 10);
     fixture.nextCall();
-    fixture.answerPage({{"a/1", "x", 3, false}}, true, 10);
+    fixture.answerPage({{"a/1", "x", {0, 3}, false}}, true, 10);
     BOOST_TEST(fixture.nextCall().prefix == "b/");
 }
 
@@ -98,7 +98,7 @@
     FollowerFixture fixture;
     fixture.completeList();
     fixture.nextCall();
-    fixture.follower.onChanges(fixture.now, StoreChanges{{{"a/1", "", 20, true}}, 21}, fixture.actions);
+    fixture.follower.onChanges(fixture.now, StoreChanges{{{"a/1", "", {0, 20}, true}}, {0, 21}}, fixture.actions);
     BOOST_TEST(fixture.actions.items.size() == 1U);
     const TimePoint before = fixture.now;
     const StoreCall call = fixture.nextCall();
@@ -151,7 +151,7 @@
     const StoreCall call = fixture.nextCall();
     BOOST_TEST((fixture.now == before));
     BOOST_TEST((call.kind == StoreCall::Kind::Watch));
-    fixture.follower.onChanges(fixture.now, StoreChanges{{}, 12}, fixture.actions);
+    fixture.follower.onChanges(fixture.now, StoreChanges{{}, {0, 12}}, fixture.actions);
     BOOST_TEST(!fixture.actions.hasStoreReturned);
 }
 
@@ -167,7 +167,7 @@
     BOOST_TEST((fixture.nextCall().kind == StoreCall::Kind::Watch));
     BOOST_TEST((fixture.now == before));
     fixture.now += 50ms;
-    fixture.follower.onChanges(fixture.now, StoreChanges{{{"a/1", "", 20, true}}, 20}, fixture.actions);
+    fixture.follower.onChanges(fixture.now, StoreChanges{{{"a/1", "", {0, 20}, true}}, {0, 20}}, fixture.actions);
     BOOST_TEST(!fixture.actions.hasStoreReturned);
     BOOST_TEST(fixture.actions.items.size() == 1U);
 }
@@ -184,7 +184,7 @@
     BOOST_TEST((check.kind == StoreCall::Kind::Watch));
     BOOST_TEST((check.wait == StoreFollower::checkWait()));
     fixture.now += check.wait + 50ms;
-    fixture.follower.onChanges(fixture.now, StoreChanges{{}, 12}, fixture.actions);
+    fixture.follower.onChanges(fixture.now, StoreChanges{{}, {0, 12}}, fixture.actions);
     BOOST_TEST(!fixture.actions.hasStoreReturned);
     BOOST_TEST((fixture.nextCall().wait == StoreFollower::watchWait()));
 }
@@ -202,7 +202,7 @@
             fixture.follower.onFailure(fixture.now, failure, fixture.actions);
         }
         fixture.nextCall();
-        fixture.follower.onChanges(fixture.now, StoreChanges{{}, 12}, fixture.actions);
+        fixture.follower.onChanges(fixture.now, StoreChanges{{}, {0, 12}}, fixture.actions);
         BOOST_TEST(fixture.actions.hasStoreReturned, name(failure));
     }
 }
@@ -213,20 +213,20 @@
     for (const Duration silence : {Duration(1s), StoreFollower::minOutageTime()}) {
         FollowerFixture fixture;
         fixture.follower.pause();
-        fixture.follower.adoptRevision(40);
+        fixture.follower.adoptPosition({0, 40});
         const TimePoint confirmedAt = fixture.now;
         fixture.now += silence;
         fixture.follower.resume(fixture.now, confirmedAt, fixture.actions);
         BOOST_TEST(fixture.nextCall().afterRevision == 40U);
-        fixture.follower.onChanges(fixture.now, StoreChanges{{}, 41}, fixture.actions);
+        fixture.follower.onChanges(fixture.now, StoreChanges{{}, {0, 41}}, fixture.actions);
         BOOST_TEST(fixture.actions.hasStoreReturned == (silence >= StoreFollower::minOutageTime()));
     }
     FollowerFixture unconfirmed;
     unconfirmed.follower.pause();
-    unconfirmed.follower.adoptRevision(40);
+    unconfirmed.follower.adoptPosition({0, 40});
     unconfirmed.follower.resume(unconfirmed.now, std::nullopt, unconfirmed.actions);
     unconfirmed.nextCall();
-    unconfirmed.follower.onChanges(unconfirmed.now, StoreChanges{{}, 41}, unconfirmed.actions);
+    unconfirmed.follower.onChanges(unconfirmed.now, StoreChanges{{}, {0, 41}}, unconfirmed.actions);
     BOOST_TEST(unconfirmed.actions.hasStoreReturned);
 }
 
@@ -238,7 +238,7 @@
     fixture.follower.onFailure(fixture.now, StoreFailure::Refused, fixture.actions);
     BOOST_TEST(!fixture.follower.isConnected());
     fixture.nextCall();
-    fixture.follower.onChanges(fixture.now, StoreChanges{{}, 12}, fixture.actions);
+    fixture.follower.onChanges(fixture.now, StoreChanges{{}, {0, 12}}, fixture.actions);
     BOOST_TEST(fixture.actions.hasStoreReturned);
 }
 
@@ -255,6 +255,96 @@
     }
     BOOST_TEST((fixture.now - TimePoint(1'000s) > 4s));
     fixture.nextCall();
-    fixture.follower.onChanges(fixture.now, StoreChanges{{}, 12}, fixture.actions);
+    fixture.follower.onChanges(fixture.now, StoreChanges{{}, {0, 12}}, fixture.actions);
     BOOST_TEST(fixture.actions.hasStoreReturned);
 }
+
+// Guards against changes of two histories in one, and against a follower that waits until revisions overtake its own.
+BOOST_AUTO_TEST_CASE(answerOfANewerEpochMeansANewList)
+{
+    FollowerFixture fixture;
+    fixture.completeList();
+    fixture.nextCall();
+    fixture.follower.onChanges(fixture.now, StoreChanges{{{"a/1", "x", {1, 8}, false}}, {1, 8}, true}, fixture.actions);
+    BOOST_TEST(fixture.actions.items.empty());
+    BOOST_TEST(!fixture.follower.completeAsOf().has_value());
+    BOOST_TEST(fixture.follower.isConnected());
+    const TimePoint before = fixture.now;
+    BOOST_TEST((fixture.nextCall().kind == StoreCall::Kind::List));
+    BOOST_TEST((fixture.now == before));
+    fixture.answerPage({{"a/1", "x", {1, 8}, false}}, false, 8, 1);
+    BOOST_TEST(fixture.actions.items.size() == 1U);
+    fixture.nextCall();
+    fixture.answerPage({}, false, 9, 1);
+    BOOST_TEST((*fixture.follower.completeAsOf() == StorePosition(1, 8)));
+    BOOST_TEST(fixture.nextCall().afterRevision == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(listWhosePagesAreOfTwoEpochsStartsAgain)
+{
+    FollowerFixture fixture;
+    fixture.nextCall();
+    fixture.answerPage({{"a/1", "x", {1, 3}, false}}, true, 10, 1);
+    BOOST_TEST(fixture.nextCall().afterKey == "a/1");
+    fixture.answerPage({{"a/2", "x", {2, 3}, false}}, false, 5, 2);
+    BOOST_TEST(fixture.actions.items.empty());
+    const StoreCall call = fixture.nextCall();
+    BOOST_TEST(call.prefix == "a/");
+    BOOST_TEST(call.afterKey == "");
+    fixture.answerPage({{"a/2", "x", {2, 3}, false}}, false, 6, 2);
+    fixture.nextCall();
+    fixture.answerPage({}, false, 7, 2);
+    BOOST_TEST((fixture.actions.listedKeys == std::set<std::string>{"a/2"}));
+    BOOST_TEST((*fixture.follower.completeAsOf() == StorePosition(2, 6)));
+}
+
+// Guards against a part of the store that still serves the lost history.
+BOOST_AUTO_TEST_CASE(answerOfAnOlderEpochCountsAsNone)
+{
+    FollowerFixture fixture;
+    fixture.completeList();
+    fixture.follower.noteEpoch(1);
+    BOOST_TEST(!fixture.follower.completeAsOf().has_value());
+    BOOST_TEST((fixture.nextCall().kind == StoreCall::Kind::List));
+    fixture.answerPage({{"a/1", "x", {0, 30}, false}}, false, 30);
+    BOOST_TEST((fixture.actions.rejection == StoreFailure::OldEpoch));
+    BOOST_TEST(fixture.actions.items.empty());
+    BOOST_TEST(!fixture.follower.isConnected());
+    fixture.nextCall();
+    fixture.answerPage({}, false, 5, 1);
+    fixture.nextCall();
+    fixture.answerPage({}, false, 5, 1);
+    fixture.nextCall();
+    fixture.follower.onChanges(fixture.now, StoreChanges{{{"a/1", "", {0, 40}, true}}, {0, 40}, true}, fixture.actions);
+    BOOST_TEST((fixture.actions.rejection == StoreFailure::OldEpoch));
+    BOOST_TEST(fixture.actions.items.empty());
+    BOOST_TEST((*fixture.follower.completeAsOf() == StorePosition(1, 5)));
+}
+
+// Guards against an answer of the lost history whose epoch cannot be read; epoch 0 counts as stated, too.
+BOOST_AUTO_TEST_CASE(answerWithoutAnEpochAfterOneThatStatedItIsUnreadable)
+{
+    FollowerFixture fixture;
+    fixture.nextCall();
+    fixture.follower.onPage(fixture.now, StorePage{{}, false, {0, 10}, true}, fixture.actions);
+    fixture.nextCall();
+    fixture.answerPage({{"b/1", "x", {0, 30}, false}}, false, 30);
+    BOOST_TEST((fixture.actions.rejection == StoreFailure::BadAnswer));
+    BOOST_TEST(fixture.actions.items.empty());
+    BOOST_TEST(fixture.nextCall().prefix == "a/");
+}
+
+// Guards against all processes that list the store at the moment at which it comes back from a copy.
+BOOST_AUTO_TEST_CASE(processThatIsNotTheOnlyOneWaitsBeforeItListsANewEpoch)
+{
+    for (const bool isSlow : {false, true}) {
+        FollowerFixture fixture;
+        fixture.follower.setSlowRetry(isSlow);
+        fixture.completeList();
+        fixture.nextCall();
+        fixture.follower.onChanges(fixture.now, StoreChanges{{}, {1, 8}, true}, fixture.actions);
+        const TimePoint before = fixture.now;
+        BOOST_TEST((fixture.nextCall().kind == StoreCall::Kind::List));
+        BOOST_TEST((fixture.now - before >= StoreFollower::initialRetryPause()) == isSlow);
+    }
+}
--- a/libs/entry/include/entry/feedclient.h
+++ b/libs/entry/include/entry/feedclient.h
@@ -18,7 +18,7 @@
 
 /// Polls one peer for changes of the store's items until stop() is called.
 ///
-/// A peer is polled either for the changed items or only for its revision. Polling further peers for their revision
+/// A peer is polled either for the changed items or only for its position. Polling further peers for their position
 /// shows cheaply whether the peer that delivers the items has fallen behind.
 class FeedClient : public std::enable_shared_from_this<FeedClient>
 {
@@ -39,15 +39,15 @@
 
     /// Callbacks into the client's owner.
     struct Hooks {
-        /// Returns the revision up to which this process has applied all items.
-        std::function<std::uint64_t()> revision;
+        /// Returns the position up to which this process has applied all items.
+        std::function<StorePosition()> position;
         /// True if this process knows no items and cannot read the store: it takes what the peer knew last.
         std::function<bool()> acceptsUnconfirmed;
         /// Applies the changed items of a response.
         std::function<void(const FeedResponse &response)> onResponse;
     };
 
-    /// \param wantsItems true to poll for changed items, false to poll only for the revision.
+    /// \param wantsItems true to poll for changed items, false to poll only for the position.
     FeedClient(boost::asio::io_context &context,
                http::ResponseMemory &memory,
                const Address &peer,
@@ -65,17 +65,19 @@
 
     const Address &peer() const noexcept { return peer_; }
 
-    /// True if the peer has responded with confirmed data within maxSilence() and the data is younger than maxAge().
-    bool isHealthy(TimePoint now) const noexcept
+    /// True if the peer has responded with confirmed data within maxSilence(), the data is younger than maxAge(), and
+    /// this process knows no newer epoch of the store than the peer.
+    bool isHealthy(TimePoint now) const
     {
-        return respondedAt_ && now - *respondedAt_ < maxSilence() && age(now) < maxAge();
+        return respondedAt_ && now - *respondedAt_ < maxSilence() && age(now) < maxAge()
+            && isSource(hooks_.position(), peerPosition_);
     }
 
     /// True if the peer has served items and has responded since that it has no fresh ones: it has lost the store. A
     /// peer that was restarted doesn't count.
     bool hasPeerLostStore() const noexcept { return hasPeerLostStore_; }
 
-    /// Time since the store confirmed the last response's revision; Duration::max() without a response.
+    /// Time since the store confirmed the last response's position; Duration::max() without a response.
     Duration age(TimePoint now) const noexcept
     {
         return respondedAt_ ? now - *respondedAt_ + ageAtResponse_ : Duration::max();
@@ -97,8 +99,8 @@
     Hooks hooks_;
     boost::asio::steady_timer timer_;
     std::shared_ptr<http::ClientConnection> connection_;
-    /// The revision of the last response.
-    std::uint64_t peerRevision_ = 0;
+    /// The position of the last response.
+    StorePosition peerPosition_;
     /// True if the next request asks for items although wantsItems_ is false, because this process is behind the peer.
     bool isCatchingUp_ = false;
     bool isStopped_ = false;
--- a/libs/entry/include/entry/feedcodec.h
+++ b/libs/entry/include/entry/feedcodec.h
@@ -14,27 +14,34 @@
 namespace sassafrasvane
 {
 
-/// The items that changed after a revision, or a snapshot of all items.
+/// The items that changed after a position, or a snapshot of all items.
 struct FeedResponse {
     std::vector<StoreItem> items;
-    /// Revision of the store up to which the items are complete.
-    std::uint64_t revision = 0;
+    /// Position of the store up to which the items are complete.
+    StorePosition position;
     /// True if the response holds all items of the store.
     bool isSnapshot = false;
-    /// Time since the store confirmed the revision to the process that read it.
+    /// Time since the store confirmed the position to the process that read it.
     Duration age{0};
     /// False if the sender has lost the store: a snapshot of what it knew last.
     bool isConfirmed = true;
 };
 
-/// The revision up to which a process knows the store.
-struct ConfirmedRevision {
-    /// Revision up to which the process has applied all items.
-    std::uint64_t revision = 0;
-    /// Time since the store confirmed the revision.
+/// The position up to which a process knows the store.
+struct ConfirmedPosition {
+    /// Position up to which the process has applied all items.
+    StorePosition position;
+    /// Time since the store confirmed the position.
     Duration age{0};
 };
 
+/// True if a peer at \p peer is a source for a process at \p own. One that still knows an earlier epoch is none: it
+/// cannot tell what the store holds.
+constexpr bool isSource(const StorePosition &own, const StorePosition &peer) noexcept
+{
+    return peer.epoch >= own.epoch;
+}
+
 /// Encodes \p response as MessagePack.
 std::string encodeFeedResponse(const FeedResponse &response);
 
@@ -46,10 +53,10 @@
 /// A process that knows nothing and cannot read the store accepts items that are not confirmed. The response is then a
 /// snapshot.
 struct FeedRequest {
-    std::uint64_t afterRevision = 0;
+    StorePosition after;
     /// How long the server may hold the request while there are no changes.
     Duration wait{0};
-    /// False if only the revision is requested.
+    /// False if only the position is requested.
     bool wantsItems = true;
     /// True if items that are not confirmed are better than none; includes wantsItems.
     bool acceptsUnconfirmed = false;
--- a/libs/entry/include/entry/feedserver.h
+++ b/libs/entry/include/entry/feedserver.h
@@ -16,9 +16,9 @@
 namespace sassafrasvane
 {
 
-/// The response to \p request: the items that changed after the requested revision, or a snapshot if \p state doesn't
-/// know all removals since then. \param confirmed the revision up to which \p state is complete.
-FeedResponse feedResponse(const PublishedState &state, const ConfirmedRevision &confirmed, const FeedRequest &request);
+/// The response to \p request: the items that changed after the requested position, or a snapshot if \p state doesn't
+/// know all removals since then. \param confirmed the position up to which \p state is complete.
+FeedResponse feedResponse(const PublishedState &state, const ConfirmedPosition &confirmed, const FeedRequest &request);
 
 /// A snapshot of what \p state knows, not confirmed by the store.
 FeedResponse lastKnownResponse(const PublishedState &state);
@@ -31,10 +31,10 @@
     /// Maximum number of held requests; further ones get status 503.
     static constexpr std::size_t maxWaitingRequests() noexcept { return 500; }
 
-    /// \param confirmedRevision returns the revision that this process can serve, or nothing if its data is not fresh.
+    /// \param confirmedPosition returns the position that this process can serve, or nothing if its data is not fresh.
     FeedServer(const PublishedState &state,
                const StoreTask &store,
-               std::function<std::optional<ConfirmedRevision>(TimePoint now)> confirmedRevision);
+               std::function<std::optional<ConfirmedPosition>(TimePoint now)> confirmedPosition);
 
     /// Handles a feed request. \return false if the exchange is not a feed request; it is left unanswered then.
     bool handle(const std::shared_ptr<http::Exchange> &exchange);
@@ -55,7 +55,7 @@
 
     const PublishedState &state_;
     const StoreTask &store_;
-    std::function<std::optional<ConfirmedRevision>(TimePoint now)> confirmedRevision_;
+    std::function<std::optional<ConfirmedPosition>(TimePoint now)> confirmedPosition_;
     std::list<WaitingRequest> waitingRequests_;
 };
 
--- a/libs/entry/include/entry/feedtask.h
+++ b/libs/entry/include/entry/feedtask.h
@@ -19,7 +19,7 @@
 /// Keeps the published items up to date with a bounded number of calls to the store.
 ///
 /// A few processes in different failure domains, the readers, read the store itself. Every other process polls one peer
-/// for the changed items (a reader, or a relay in its own failure domain) and the readers for their revision, so that a
+/// for the changed items (a reader, or a relay in its own failure domain) and the readers for their position, so that a
 /// change arrives unless all of them miss it. A process that reaches none of its peers falls back to the store. One
 /// that knows no items and cannot read the store either begins with those that its peers knew last.
 class FeedTask
@@ -50,15 +50,15 @@
 
     /// Sets the peers to follow.
     /// \param peers control addresses without that of this process. The first peer is polled for the changed items, the
-    /// others for their revision.
+    /// others for their position.
     /// \param isReader true if this process reads the store itself.
     /// \param processCount number of known entry processes.
     void setPeers(std::span<const Address> peers, bool isReader, std::size_t processCount);
 
-    /// The revision that this process can serve to peers, confirmed by the store if it reads the store, otherwise by
+    /// The position that this process can serve to peers, confirmed by the store if it reads the store, otherwise by
     /// the peer that it polls for items. A reader doesn't relay data of peers. \return nothing if the data is not
     /// fresh.
-    std::optional<ConfirmedRevision> confirmedRevision(TimePoint now) const;
+    std::optional<ConfirmedPosition> confirmedPosition(TimePoint now) const;
 
     /// Switches between the store and the peers if due. Must be called several times a second.
     void onTick(TimePoint now);
--- a/libs/entry/include/entry/publishedstate.h
+++ b/libs/entry/include/entry/publishedstate.h
@@ -24,14 +24,18 @@
 
 /// Applies the store's items to the routes, the searcher pool and the failure domains, and logs each change.
 ///
-/// The configuration version never decreases. An item is applied once per revision, so that lists and changes may
-/// overlap, and nothing that an item or a list of an earlier revision says undoes a later change. A searcher whose
+/// The configuration version never decreases. An item is applied once per position, so that lists and changes may
+/// overlap, and nothing that an item or a list of an earlier position says undoes a later change. A searcher whose
 /// registration cannot be parsed is not used; a configuration that cannot be parsed leaves the previous one in force.
 /// Other items are not affected.
 ///
+/// A complete list or snapshot of a newer epoch replaces what was known before. The store has gone back to an older
+/// copy then, and what that copy lacks is written again soon: searchers that it lacks are kept as after an outage, and
+/// failure domains that were taken out for domainKeepTime(), unless a later change of their item brings them back.
+///
 /// \code
 /// state.apply(now, items);
-/// state.onListComplete(now, listedKeys, revision);
+/// state.onListComplete(now, listedKeys, position);
 /// const std::shared_ptr<const RouteTable> routes = state.routes();
 /// \endcode
 class PublishedState
@@ -40,6 +44,10 @@
     /// Time for which removals are kept, so that changesAfter() can report them.
     static constexpr Duration removalRetention() noexcept { return std::chrono::seconds(60); }
 
+    /// Time for which a failure domain stays out that the store no longer names after it has gone back to an older
+    /// copy.
+    static constexpr Duration domainKeepTime() noexcept { return std::chrono::seconds(30); }
+
     PublishedState(const EntryProtocol &protocol, SearcherPool &pool, EventLog &log);
 
     /// Sets the callback for a new configuration that has come into force.
@@ -55,21 +63,22 @@
     void apply(TimePoint now, const std::vector<StoreItem> &items);
 
     /// Applies a snapshot of the store and removes the items that are missing from it. Items that have changed after
-    /// \p revision stay. \param revision the store's revision up to which the snapshot is complete.
-    void applySnapshot(TimePoint now, const std::vector<StoreItem> &items, std::uint64_t revision);
+    /// \p position stay. \param position the store's position up to which the snapshot is complete.
+    void applySnapshot(TimePoint now, const std::vector<StoreItem> &items, const StorePosition &position);
 
     /// Ends a list whose pages were applied: removes the items that are missing from it, as applySnapshot() does.
-    /// \param listedKeys all keys of the list. \param revision the store's revision when the list began.
-    void onListComplete(TimePoint now, const std::set<std::string> &listedKeys, std::uint64_t revision);
+    /// \param listedKeys all keys of the list. \param position the store's position when the list began.
+    void onListComplete(TimePoint now, const std::set<std::string> &listedKeys, const StorePosition &position);
 
-    /// Notes that all changes up to \p revision are applied.
-    void setCompleteRevision(std::uint64_t revision) noexcept
+    /// Notes that all changes up to \p position are applied.
+    void setCompletePosition(const StorePosition &position) noexcept
     {
-        completeRevision_ = std::max(completeRevision_, revision);
+        completePosition_ = std::max(completePosition_, position);
     }
 
-    /// The revision up to which all changes are applied; 0 before the first list or snapshot. It never decreases.
-    std::uint64_t completeRevision() const noexcept { return completeRevision_; }
+    /// The position up to which all changes are applied; the first one of epoch 0 before the first list or snapshot. It
+    /// never decreases.
+    const StorePosition &completePosition() const noexcept { return completePosition_; }
 
     /// Called when the store responds again after an outage.
     void onStoreReturned(TimePoint now);
@@ -86,29 +95,45 @@
     /// The current items.
     std::vector<StoreItem> items() const;
 
-    /// The items that changed after \p revision, including removed ones. \p revision must be at least historyBegin().
-    std::vector<StoreItem> changesAfter(std::uint64_t revision) const;
+    /// The items that changed after \p position, including removed ones. \p position must be at least historyBegin().
+    std::vector<StoreItem> changesAfter(const StorePosition &position) const;
 
-    /// The revision since which all removals are kept.
-    std::uint64_t historyBegin() const noexcept { return historyBegin_; }
+    /// The position since which all removals are kept.
+    const StorePosition &historyBegin() const noexcept { return historyBegin_; }
 
-    /// The highest revision applied.
-    std::uint64_t revision() const noexcept { return revision_; }
+    /// The highest position applied.
+    const StorePosition &position() const noexcept { return position_; }
 
     std::size_t searcherCount() const noexcept { return catalog_.size(); }
 
 private:
     /// An item that was removed.
     struct Removal {
-        std::uint64_t revision = 0;
+        StorePosition position;
         TimePoint removedAt;
     };
 
+    /// A failure domain that stays out although its item is gone.
+    struct KeptDomain {
+        std::string failureDomain;
+        TimePoint keptUntil;
+    };
+
     bool isOutdated(const StoreItem &item) const;
-    std::vector<StoreItem> itemsMissingFrom(const std::set<std::string> &listedKeys, std::uint64_t revision) const;
+    bool isUnchangedInNewEpoch(const StoreItem &item) const;
+    std::vector<StoreItem> itemsMissingFrom(const std::set<std::string> &listedKeys,
+                                            const StorePosition &position) const;
     void applyItem(TimePoint now, const StoreItem &item);
+    void applyContent(TimePoint now, const StoreItem &item, bool isRemovalLost);
+    void applySearcher(TimePoint now,
+                       const SearcherEntry &entry,
+                       const StoreItem &item,
+                       bool isRemovalLost,
+                       SearcherCatalog::Notices &notices);
+    void keepDomain(TimePoint now, const std::string &key);
     void remove(TimePoint now, const StoreItem &item);
-    void applyConfiguration(RoutingConfiguration configuration);
+    void applyConfiguration(RoutingConfiguration configuration, const StoreItem &item);
+    bool isRewritten(const RoutingConfiguration &configuration, const StoreItem &item) const;
     void applyNotices(const SearcherCatalog::Notices &notices, TimePoint now);
     void updateDomainsOut();
 
@@ -117,16 +142,20 @@
     EventLog &log_;
     SearcherCatalog catalog_;
     std::shared_ptr<const RouteTable> routes_;
+    /// The item of the configuration in force.
+    StoreItem configurationItem_;
     /// Current items by key.
     std::unordered_map<std::string, StoreItem> items_;
     /// Failure domains taken out of service, by item key.
     std::unordered_map<std::string, std::string> domainsOut_;
+    /// Failure domains that the store has lost by going back to an older copy, by item key.
+    std::unordered_map<std::string, KeptDomain> keptDomains_;
     /// Recent removals by key.
     std::unordered_map<std::string, Removal> removals_;
-    std::uint64_t historyBegin_ = 1;
-    std::uint64_t completeRevision_ = 0;
+    StorePosition historyBegin_{0, 1};
+    StorePosition completePosition_;
     bool isComplete_ = false;
-    std::uint64_t revision_ = 0;
+    StorePosition position_;
     std::function<void(const RouteTable &routes)> onConfiguration_;
     std::function<void(const std::string &instance)> onSearcherRemoved_;
 };
--- a/libs/entry/include/entry/storetask.h
+++ b/libs/entry/include/entry/storetask.h
@@ -42,8 +42,8 @@
     /// Sets whether failed calls are retried after long delays only.
     void setSlowRetry(bool isSlow) noexcept { follower_.setSlowRetry(isSlow); }
 
-    /// Continues from \p revision, up to which all changes are applied; has an effect only while paused.
-    void adoptRevision(std::uint64_t revision) noexcept { follower_.adoptRevision(revision); }
+    /// Continues from \p position, up to which all changes are applied; has an effect only while paused.
+    void adoptPosition(const StorePosition &position) noexcept { follower_.adoptPosition(position); }
 
     /// True if the store responds and this process has read all its items.
     bool isUpToDate() const noexcept { return isConnected() && follower_.completeAsOf().has_value(); }
@@ -67,6 +67,7 @@
     void onTimeout();
     void rejectResponse(const Error &error);
     void handleFailure(StoreFailure failure);
+    void logFailure(StoreFailure failure);
     void handleResponse(const StoreCall &call, const http::Response &response);
     void scheduleTimer(TimePoint at);
 
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -102,7 +102,7 @@
         , crashes_(mix(seed_, 3), log_)
         , entry_(context_, protocol_, pool_, dispatcher_, crashes_, state_, log_, mix(seed_, 2))
         , store_(context_, feedMemory_, protocol_, settings.store, mix(seed_), state_, log_)
-        , feedServer_(state_, store_, [this](TimePoint now) { return feed_.confirmedRevision(now); })
+        , feedServer_(state_, store_, [this](TimePoint now) { return feed_.confirmedPosition(now); })
         , feed_(context_, feedMemory_, state_, store_, log_, mix(seed_, 1), startFallbackDelay())
         , signals_(context_, SIGTERM, SIGINT, SIGHUP)
         , ticker_(context_)
--- a/libs/entry/src/feedclient.cpp
+++ b/libs/entry/src/feedclient.cpp
@@ -71,7 +71,7 @@
     FeedRequest feedRequest;
     feedRequest.acceptsUnconfirmed = hooks_.acceptsUnconfirmed();
     feedRequest.wantsItems = wantsItems_ || isCatchingUp_ || feedRequest.acceptsUnconfirmed;
-    feedRequest.afterRevision = feedRequest.wantsItems ? hooks_.revision() : std::max(hooks_.revision(), peerRevision_);
+    feedRequest.after = feedRequest.wantsItems ? hooks_.position() : std::max(hooks_.position(), peerPosition_);
     feedRequest.wait = longPollWait();
     http::Request request;
     request.version(11);
@@ -113,11 +113,15 @@
     hasPeerLostStore_ = false;
     respondedAt_ = BootClock::now();
     ageAtResponse_ = response.value().age;
-    peerRevision_ = response.value().revision;
+    peerPosition_ = response.value().position;
+    if (!isSource(hooks_.position(), peerPosition_)) {
+        schedulePoll(retryDelay());
+        return;
+    }
     if (requestedItems) {
         hooks_.onResponse(response.value());
     }
-    isCatchingUp_ = !wantsItems_ && peerRevision_ > hooks_.revision();
+    isCatchingUp_ = !wantsItems_ && peerPosition_ > hooks_.position();
     schedulePoll(isCatchingUp_ ? catchUpDelay() : Duration{0});
 }
 
@@ -135,7 +139,7 @@
 
 void FeedClient::pollAfterDelay()
 {
-    isCatchingUp_ = isCatchingUp_ && peerRevision_ > hooks_.revision();
+    isCatchingUp_ = isCatchingUp_ && peerPosition_ > hooks_.position();
     poll();
 }
 
--- a/libs/entry/src/feedserver.cpp
+++ b/libs/entry/src/feedserver.cpp
@@ -12,14 +12,14 @@
 
 } // namespace
 
-FeedResponse feedResponse(const PublishedState &state, const ConfirmedRevision &confirmed, const FeedRequest &request)
+FeedResponse feedResponse(const PublishedState &state, const ConfirmedPosition &confirmed, const FeedRequest &request)
 {
     FeedResponse response;
-    response.revision = confirmed.revision;
+    response.position = confirmed.position;
     response.age = confirmed.age;
     if (request.wantsItems) {
-        response.isSnapshot = request.afterRevision < state.historyBegin();
-        response.items = response.isSnapshot ? state.items() : state.changesAfter(request.afterRevision);
+        response.isSnapshot = request.after < state.historyBegin();
+        response.items = response.isSnapshot ? state.items() : state.changesAfter(request.after);
     }
     return response;
 }
@@ -28,7 +28,7 @@
 {
     FeedResponse response;
     response.items = state.items();
-    response.revision = state.completeRevision();
+    response.position = state.completePosition();
     response.isSnapshot = true;
     response.isConfirmed = false;
     return response;
@@ -36,8 +36,8 @@
 
 FeedServer::FeedServer(const PublishedState &state,
                        const StoreTask &store,
-                       std::function<std::optional<ConfirmedRevision>(TimePoint now)> confirmedRevision)
-    : state_(state), store_(store), confirmedRevision_(std::move(confirmedRevision))
+                       std::function<std::optional<ConfirmedPosition>(TimePoint now)> confirmedPosition)
+    : state_(state), store_(store), confirmedPosition_(std::move(confirmedPosition))
 {
 }
 
@@ -69,8 +69,8 @@
 
 bool FeedServer::tryRespond(const WaitingRequest &waiting, TimePoint now) const
 {
-    const std::optional<ConfirmedRevision> confirmed = confirmedRevision_(now);
-    const bool hasChanges = confirmed && confirmed->revision > waiting.request.afterRevision;
+    const std::optional<ConfirmedPosition> confirmed = confirmedPosition_(now);
+    const bool hasChanges = confirmed && confirmed->position > waiting.request.after;
     // While this process is still listing the store, the request waits for the list.
     const bool mayWait = confirmed || store_.isConnected() || store_.isStarting();
     if (!hasChanges && now < waiting.deadline && mayWait) {
--- a/libs/entry/src/feedtask.cpp
+++ b/libs/entry/src/feedtask.cpp
@@ -108,7 +108,7 @@
         if (!followsPeers || clients_.contains(peer)) {
             continue;
         }
-        const FeedClient::Hooks hooks{[this] { return state_.completeRevision(); },
+        const FeedClient::Hooks hooks{[this] { return state_.completePosition(); },
                                       [this] { return acceptsUnconfirmed(); },
                                       [this](const FeedResponse &response) { applyResponse(response); }};
         const std::shared_ptr<FeedClient> client
@@ -118,17 +118,17 @@
     }
 }
 
-std::optional<ConfirmedRevision> FeedTask::confirmedRevision(TimePoint now) const
+std::optional<ConfirmedPosition> FeedTask::confirmedPosition(TimePoint now) const
 {
-    const std::uint64_t revision = state_.completeRevision();
+    const StorePosition position = state_.completePosition();
     if (store_.isUpToDate()) {
-        return ConfirmedRevision{revision, Duration{0}};
+        return ConfirmedPosition{position, Duration{0}};
     }
     const ClientMap::const_iterator primary = peers_.empty() ? clients_.end() : clients_.find(peers_.front());
-    if (isReader_ || revision == 0 || primary == clients_.end() || !primary->second->isHealthy(now)) {
+    if (isReader_ || position == StorePosition() || primary == clients_.end() || !primary->second->isHealthy(now)) {
         return std::nullopt;
     }
-    return ConfirmedRevision{revision, primary->second->age(now)};
+    return ConfirmedPosition{position, primary->second->age(now)};
 }
 
 bool FeedTask::hasHealthyPeer(TimePoint now) const
@@ -147,7 +147,7 @@
 // When the items were last confirmed; nothing if there are none, or if the store may have had an outage since.
 std::optional<TimePoint> FeedTask::confirmedAt() const
 {
-    const bool isKnown = state_.completeRevision() > 0 && !isOutageAssumed_;
+    const bool isKnown = state_.completePosition() > StorePosition() && !isOutageAssumed_;
     return isKnown ? std::optional<TimePoint>(lastContactAt_) : std::nullopt;
 }
 
@@ -160,7 +160,8 @@
     log_.line(EventRank::Important, "source_changed")
         .text("source", isFollowing ? "store" : "other processes")
         .text("reason", reason)
-        .count("revision", state_.revision());
+        .count("epoch", state_.position().epoch)
+        .count("revision", state_.position().revision);
     if (isFollowing) {
         store_.resume(confirmedAt());
     } else {
@@ -191,9 +192,10 @@
         return;
     }
     log_.line(EventRank::Important, "unconfirmed_items_taken")
-        .count("revision", response.revision)
+        .count("epoch", response.position.epoch)
+        .count("revision", response.position.revision)
         .count("items", response.items.size());
-    state_.applySnapshot(BootClock::now(), response.items, response.revision);
+    state_.applySnapshot(BootClock::now(), response.items, response.position);
     isOutageAssumed_ = true;
 }
 
@@ -206,12 +208,12 @@
     const TimePoint now = BootClock::now();
     onContact(now);
     if (response.isSnapshot) {
-        state_.applySnapshot(now, response.items, response.revision);
+        state_.applySnapshot(now, response.items, response.position);
     } else {
         state_.apply(now, response.items);
     }
-    state_.setCompleteRevision(response.revision);
-    store_.adoptRevision(state_.completeRevision());
+    state_.setCompletePosition(response.position);
+    store_.adoptPosition(state_.completePosition());
 }
 
 } // namespace sassafrasvane
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -66,7 +66,8 @@
     add(text, "searchers_leaving", "gauge", sources.pool.leavingCount());
     add(text, "searchers_paused", "gauge", sources.pool.pausedCount(BootClock::now()));
     add(text, "configuration_version", "gauge", sources.state.routes() ? sources.state.routes()->version() : 0);
-    add(text, "store_revision", "gauge", sources.state.revision());
+    add(text, "store_epoch", "gauge", sources.state.position().epoch);
+    add(text, "store_revision", "gauge", sources.state.position().revision);
     add(text, "store_calls_total", "counter", sources.store.calls());
     add(text, "store_connected", "gauge", sources.store.isConnected() ? 1 : 0);
     add(text, "members_reachable", "gauge", sources.peers.reachableCount());
--- a/libs/entry/src/publishedstate.cpp
+++ b/libs/entry/src/publishedstate.cpp
@@ -17,7 +17,9 @@
             applyItem(now, item);
         } catch (const std::exception &exception) {
             // The others must not be lost with it: they are not reported again.
-            log_.line(EventRank::Important, "item_failed").text("key", item.key).count("revision", item.revision);
+            log_.line(EventRank::Important, "item_failed")
+                .text("key", item.key)
+                .count("revision", item.position.revision);
             log_.unexpectedError(exception);
         }
     }
@@ -28,13 +30,22 @@
 {
     const std::unordered_map<std::string, StoreItem>::const_iterator known = items_.find(item.key);
     if (known != items_.end()) {
-        return known->second.revision >= item.revision;
+        return known->second.position >= item.position;
     }
-    // All changes up to completeRevision_ are applied, so an unknown item of such a revision has been removed since.
+    // All changes up to completePosition_ are applied, so an unknown item of such a position has been removed since.
     // Not every removal is kept.
     const std::unordered_map<std::string, Removal>::const_iterator removed = removals_.find(item.key);
-    return item.revision <= completeRevision_
-        || (removed != removals_.end() && removed->second.revision >= item.revision);
+    return item.position <= completePosition_
+        || (removed != removals_.end() && removed->second.position >= item.position);
+}
+
+// An older copy of the store holds most items as they were. Applied again, a registration would begin its cold time
+// again.
+bool PublishedState::isUnchangedInNewEpoch(const StoreItem &item) const
+{
+    const std::unordered_map<std::string, StoreItem>::const_iterator known = items_.find(item.key);
+    return known != items_.end() && known->second.position.epoch < item.position.epoch && !item.isRemoved
+        && known->second.value == item.value;
 }
 
 void PublishedState::applyItem(TimePoint now, const StoreItem &item)
@@ -42,45 +53,65 @@
     if (isOutdated(item)) {
         return;
     }
-    revision_ = std::max(revision_, item.revision);
+    position_ = std::max(position_, item.position);
+    keptDomains_.erase(item.key);
     if (item.isRemoved) {
         remove(now, item);
         return;
     }
+    const std::unordered_map<std::string, Removal>::const_iterator removed = removals_.find(item.key);
+    const bool isRemovalLost = removed != removals_.end() && removed->second.position.epoch < item.position.epoch;
+    const bool isUnchanged = isUnchangedInNewEpoch(item);
     removals_.erase(item.key);
     items_[item.key] = item;
+    if (!isUnchanged) {
+        applyContent(now, item, isRemovalLost);
+    }
+}
+
+void PublishedState::applyContent(TimePoint now, const StoreItem &item, bool isRemovalLost)
+{
     PublishedItem published = protocol_.readItem(item);
     SearcherCatalog::Notices notices;
     if (RoutingConfiguration *configuration = std::get_if<RoutingConfiguration>(&published)) {
-        applyConfiguration(std::move(*configuration));
+        applyConfiguration(std::move(*configuration), item);
     } else if (const SearcherEntry *entry = std::get_if<SearcherEntry>(&published)) {
-        if (!catalog_.put(now, *entry, notices)) {
-            log_.line(EventRank::Important, "searcher_ignored")
-                .text("searcher", entry->instance)
-                .text("reason", "older than the known registration")
-                .count("sequence", entry->sequence)
-                .count("revision", item.revision);
-        }
+        applySearcher(now, *entry, item, isRemovalLost, notices);
     } else if (const DomainOut *domain = std::get_if<DomainOut>(&published)) {
         domainsOut_[item.key] = domain->failureDomain;
     } else if (const UnreadableSearcher *unreadable = std::get_if<UnreadableSearcher>(&published)) {
         log_.line(EventRank::Important, "searcher_unreadable")
             .text("searcher", unreadable->instance)
             .text("reason", unreadable->reason)
-            .count("revision", item.revision);
+            .count("revision", item.position.revision);
         catalog_.remove(now, unreadable->instance, notices);
     } else if (const UnreadableConfiguration *bad = std::get_if<UnreadableConfiguration>(&published)) {
         log_.line(EventRank::Important, "configuration_refused")
             .text("reason", bad->reason)
-            .count("revision", item.revision)
+            .count("revision", item.position.revision)
             .count("in_force", routes_ ? routes_->version() : 0);
     }
     applyNotices(notices, now);
 }
 
+void PublishedState::applySearcher(TimePoint now,
+                                   const SearcherEntry &entry,
+                                   const StoreItem &item,
+                                   bool isRemovalLost,
+                                   SearcherCatalog::Notices &notices)
+{
+    if (!catalog_.put(now, entry, notices, isRemovalLost)) {
+        log_.line(EventRank::Important, "searcher_ignored")
+            .text("searcher", entry.instance)
+            .text("reason", isRemovalLost ? "removed since" : "older than the known registration")
+            .count("sequence", entry.sequence)
+            .count("revision", item.position.revision);
+    }
+}
+
 void PublishedState::remove(TimePoint now, const StoreItem &item)
 {
-    removals_[item.key] = {item.revision, now};
+    removals_[item.key] = {item.position, now};
     const std::unordered_map<std::string, StoreItem>::iterator known = items_.find(item.key);
     if (known == items_.end()) {
         return;
@@ -95,10 +126,17 @@
     applyNotices(notices, now);
 }
 
-void PublishedState::applyConfiguration(RoutingConfiguration configuration)
+// An operator whose version is lost may give its number to another configuration in the new epoch.
+bool PublishedState::isRewritten(const RoutingConfiguration &configuration, const StoreItem &item) const
+{
+    return routes_ && configuration.version == routes_->version()
+        && configurationItem_.position.epoch < item.position.epoch && configurationItem_.value != item.value;
+}
+
+void PublishedState::applyConfiguration(RoutingConfiguration configuration, const StoreItem &item)
 {
     const std::uint64_t before = routes_ ? routes_->version() : 0;
-    if (configuration.version <= before) {
+    if (configuration.version <= before && !isRewritten(configuration, item)) {
         if (configuration.version < before) {
             log_.line(EventRank::Important, "configuration_ignored")
                 .count("version", configuration.version)
@@ -107,6 +145,7 @@
         return;
     }
     routes_ = RouteTable::create(std::move(configuration));
+    configurationItem_ = item;
     pool_.setBackendLimits(routes_->configuration().backends);
     log_.line(EventRank::Important, "configuration_in_force")
         .count("version", routes_->version())
@@ -145,6 +184,9 @@
     for (const auto &[key, domain] : domainsOut_) {
         domains.insert(domain);
     }
+    for (const auto &[key, kept] : keptDomains_) {
+        domains.insert(kept.failureDomain);
+    }
     if (pool_.setExcludedDomains(domains)) {
         EventLine line = log_.line(EventRank::Important, "failure_domains_out");
         line.count("domains", domains.size());
@@ -154,11 +196,12 @@
     }
 }
 
-void PublishedState::applySnapshot(TimePoint now, const std::vector<StoreItem> &items, std::uint64_t revision)
+void PublishedState::applySnapshot(TimePoint now, const std::vector<StoreItem> &items, const StorePosition &position)
 {
     log_.line(EventRank::Important, "snapshot_received")
-        .count("revision", revision)
-        .count("complete", completeRevision_)
+        .count("epoch", position.epoch)
+        .count("revision", position.revision)
+        .count("complete", completePosition_.revision)
         .count("items", items.size())
         .count("items_before", items_.size());
     std::set<std::string> listedKeys;
@@ -166,36 +209,63 @@
         listedKeys.insert(item.key);
     }
     apply(now, items);
-    onListComplete(now, listedKeys, revision);
+    onListComplete(now, listedKeys, position);
 }
 
-void PublishedState::onListComplete(TimePoint now, const std::set<std::string> &listedKeys, std::uint64_t revision)
+void PublishedState::onListComplete(TimePoint now,
+                                    const std::set<std::string> &listedKeys,
+                                    const StorePosition &position)
 {
+    const bool isNewEpoch = isComplete_ && position.epoch > completePosition_.epoch;
+    if (isNewEpoch) {
+        log_.line(EventRank::Important, "store_epoch_changed")
+            .count("epoch", position.epoch)
+            .count("epoch_before", completePosition_.epoch)
+            .count("revision", position.revision)
+            .count("revision_before", completePosition_.revision);
+        onStoreReturned(now);
+    }
     isComplete_ = true;
-    std::vector<StoreItem> missing = itemsMissingFrom(listedKeys, revision);
+    std::vector<StoreItem> missing = itemsMissingFrom(listedKeys, position);
     for (StoreItem &item : missing) {
-        item.revision = revision;
+        if (item.position.epoch < position.epoch) {
+            keepDomain(now, item.key);
+        }
+        item.position = position;
         remove(now, item);
     }
     updateDomainsOut();
     // What was removed between the applied changes and the list is known only of the items that this process had.
-    if (revision > completeRevision_) {
-        historyBegin_ = std::max(historyBegin_, revision);
+    if (position > completePosition_) {
+        historyBegin_ = std::max(historyBegin_, position);
     }
-    setCompleteRevision(revision);
+    setCompletePosition(position);
 }
 
-// A list says nothing of items that have changed after its revision, and one that is older than the applied changes
+void PublishedState::keepDomain(TimePoint now, const std::string &key)
+{
+    const std::unordered_map<std::string, std::string>::const_iterator out = domainsOut_.find(key);
+    if (out == domainsOut_.end()) {
+        return;
+    }
+    keptDomains_[key] = {out->second, now + domainKeepTime()};
+    log_.line(EventRank::Important, "failure_domain_kept_out")
+        .text("domain", out->second)
+        .text("reason", "the store has lost its item by going back to an older copy")
+        .milliseconds("kept_ms", domainKeepTime());
+}
+
+// A list says nothing of items that have changed after its position, and one that is older than the applied changes
 // says nothing new.
 std::vector<StoreItem> PublishedState::itemsMissingFrom(const std::set<std::string> &listedKeys,
-                                                        std::uint64_t revision) const
+                                                        const StorePosition &position) const
 {
     std::vector<StoreItem> missing;
-    if (revision < completeRevision_) {
+    if (position < completePosition_) {
         return missing;
     }
     for (const auto &[key, item] : items_) {
-        if (item.revision <= revision && !listedKeys.contains(key)) {
+        if (item.position <= position && !listedKeys.contains(key)) {
             missing.push_back(item);
         }
     }
@@ -214,26 +284,29 @@
     applyNotices(notices, now);
     std::erase_if(removals_, [this, now](const auto &entry) {
         const bool isOld = now - entry.second.removedAt >= removalRetention();
-        historyBegin_ = isOld ? std::max(historyBegin_, entry.second.revision) : historyBegin_;
+        historyBegin_ = isOld ? std::max(historyBegin_, entry.second.position) : historyBegin_;
         return isOld;
     });
+    if (std::erase_if(keptDomains_, [now](const auto &entry) { return now >= entry.second.keptUntil; }) > 0) {
+        updateDomainsOut();
+    }
 }
 
-std::vector<StoreItem> PublishedState::changesAfter(std::uint64_t revision) const
+std::vector<StoreItem> PublishedState::changesAfter(const StorePosition &position) const
 {
     std::vector<StoreItem> changes;
     for (const auto &[key, item] : items_) {
-        if (item.revision > revision) {
+        if (item.position > position) {
             changes.push_back(item);
         }
     }
     for (const auto &[key, removal] : removals_) {
-        if (removal.revision > revision) {
-            changes.push_back({key, {}, removal.revision, true});
+        if (removal.position > position) {
+            changes.push_back({key, {}, removal.position, true});
         }
     }
     std::sort(changes.begin(), changes.end(), [](const StoreItem &left, const StoreItem &right) {
-        return left.revision < right.revision;
+        return left.position < right.position;
     });
     return changes;
 }
--- a/libs/entry/src/storetask.cpp
+++ b/libs/entry/src/storetask.cpp
@@ -93,9 +93,9 @@
     }
     state_.apply(now, actions.items);
     if (actions.isListComplete) {
-        state_.onListComplete(now, actions.listedKeys, follower_.completeAsOf().value_or(0));
+        state_.onListComplete(now, actions.listedKeys, follower_.completeAsOf().value_or(StorePosition()));
     }
-    state_.setCompleteRevision(follower_.completeAsOf().value_or(0));
+    state_.setCompletePosition(follower_.completeAsOf().value_or(StorePosition()));
     if (actions.call) {
         startCall(*actions.call);
     }
@@ -182,6 +182,8 @@
     isStarting_ = false;
     const TimePoint now = BootClock::now();
     StoreActions actions;
+    // A reader that has lost the store may have learned of an epoch from its peers.
+    follower_.noteEpoch(state_.completePosition().epoch);
     if (call.kind == StoreCall::Kind::List) {
         Result<StorePage> page = protocol_.readStorePage(response);
         if (page.has_error()) {
@@ -197,7 +199,9 @@
         }
         follower_.onChanges(now, std::move(changes.value()), actions);
     }
-    if (isStoreLost_) {
+    if (actions.rejection) {
+        logFailure(*actions.rejection);
+    } else if (isStoreLost_) {
         isStoreLost_ = false;
         log_.line(EventRank::Important, "store_regained")
             .text("peer", store_.toString())
@@ -221,14 +225,19 @@
         connection_->close();
         connection_.reset();
     }
+    logFailure(failure);
+    StoreActions actions;
+    follower_.onFailure(BootClock::now(), failure, actions);
+    performActions(std::move(actions));
+}
+
+void StoreTask::logFailure(StoreFailure failure)
+{
     log_.line(EventRank::Important, "store_call_failed")
         .text("peer", store_.toString())
         .text("failure", name(failure))
         .flag("first", !isStoreLost_);
     isStoreLost_ = isStoreLost_ || (failure != StoreFailure::HistoryLost && failure != StoreFailure::TooLarge);
-    StoreActions actions;
-    follower_.onFailure(BootClock::now(), failure, actions);
-    performActions(std::move(actions));
 }
 
 } // namespace sassafrasvane
