Entry tests: a store that goes back to an older copy

Cause: nothing showed how real processes follow a store whose history is lost.

A newcomer that takes what its peers knew last takes a newer position of another peer that answers in the same round.

--- a/libs/entry/include/entry/feedtask.h
+++ b/libs/entry/include/entry/feedtask.h
@@ -92,6 +92,8 @@
     bool hadHealthyPeer_ = false;
     /// True if all peers have lost the store since the last response: registrations may have expired.
     bool isOutageAssumed_ = false;
+    /// True if the items are those that a peer knew last, and nobody has confirmed any since.
+    bool areItemsUnconfirmed_ = false;
 };
 
 } // namespace sassafrasvane
--- a/libs/entry/src/feedtask.cpp
+++ b/libs/entry/src/feedtask.cpp
@@ -176,6 +176,7 @@
         state_.onStoreReturned(now);
     }
     isOutageAssumed_ = false;
+    areItemsUnconfirmed_ = false;
     lastContactAt_ = now;
 }
 
@@ -188,7 +189,9 @@
 // Not a contact with the store: what has changed or expired since is unknown.
 void FeedTask::applyUnconfirmed(const FeedResponse &response)
 {
-    if (!acceptsUnconfirmed() || !response.isSnapshot) {
+    // All peers are asked at the same time, and the first to respond may have missed what the store held last.
+    const bool isNewer = areItemsUnconfirmed_ && response.position > state_.completePosition();
+    if ((!acceptsUnconfirmed() && !isNewer) || !response.isSnapshot) {
         return;
     }
     log_.line(EventRank::Important, "unconfirmed_items_taken")
@@ -197,6 +200,7 @@
         .count("items", response.items.size());
     state_.applySnapshot(BootClock::now(), response.items, response.position);
     isOutageAssumed_ = true;
+    areItemsUnconfirmed_ = true;
 }
 
 void FeedTask::applyResponse(const FeedResponse &response)
--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -183,6 +183,12 @@
         self.revision = 10
         self.calls = 0
         self.refusing = False
+        # Number of times that the store went back to a copy; None leaves the header out.
+        self.era = None
+        # A text that is sent in place of the era.
+        self.era_text = None
+        # Lists that were begun.
+        self.lists = 0
         # Time that each page of a range takes, in seconds.
         self.page_delay = 0.0
         self.changed = asyncio.Event()
@@ -197,6 +203,26 @@
     def forget_history(self):
         self.loop.call(self.history.clear)
 
+    def copy(self):
+        """What the store holds now, for go_back()."""
+        return self.loop.call(lambda: (dict(self.items), list(self.history), self.revision))
+
+    def go_back(self, copy):
+        """Goes back to a copy: what was written since is lost, and its revisions are given out again."""
+
+        def replace():
+            items, history, self.revision = copy
+            self.items, self.history = dict(items), list(history)
+            self.era = (self.era or 0) + 1
+            self.changed.set()
+            self.changed = asyncio.Event()
+
+        self.loop.call(replace)
+
+    def headers(self):
+        era = self.era if self.era_text is None else self.era_text
+        return {} if era is None else {"Store-Era": str(era)}
+
     def _record(self, key, raw):
         self.revision += 1
         if raw is None:
@@ -213,17 +239,19 @@
     async def handle(self, request, reader, writer):
         self.calls += 1
         if self.refusing:
-            writer.write(response(503, {}, b""))
+            writer.write(response(503, self.headers(), b""))
             return True
         parts = urlsplit(request.target)
         query = {name: unquote(values[0]) for name, values in parse_qs(parts.query, keep_blank_values=True).items()}
         status, body = 404, {}
         if parts.path == "/-/kv-range":
+            self.lists += "after" not in query
             await asyncio.sleep(self.page_delay)
             status, body = 200, self.range(query.get("prefix", ""), query.get("after", ""))
         elif parts.path == "/-/kv-watch":
             status, body = await self.watch(int(query["after"]), int(query["waitMs"]) / 1000)
-        writer.write(response(status, {"Content-Type": "application/json"}, json.dumps(body).encode()))
+        headers = {"Content-Type": "application/json"} | self.headers()
+        writer.write(response(status, headers, json.dumps(body).encode()))
         return True
 
     def range(self, prefix, after):
@@ -236,7 +264,7 @@
         deadline = self.loop.loop.time() + wait
         while True:
             first = self.history[0]["revision"] if self.history else self.revision + 1
-            if after + 1 < first and after < self.revision:
+            if after > self.revision or (after + 1 < first and after < self.revision):
                 return 410, {}
             events = [event for event in self.history if event["revision"] > after]
             if events or self.loop.loop.time() >= deadline:
