--- a/libs/catalog/include/catalog/searchercatalog.h
+++ b/libs/catalog/include/catalog/searchercatalog.h
@@ -63,14 +63,14 @@
     static constexpr Duration tombstoneLifetime() noexcept { return std::chrono::seconds(60); }
 
     /// Adds or updates a searcher and appends the change to \p notices.
-    /// \param isOfNewEpoch true if the store has lost the searcher's removal by going back to an older copy: the last
-    /// registration of a removed searcher is then as old as that copy and does not add it again.
+    /// \param epoch the store's epoch. In a newer one than that of its removal, the last registration of a removed
+    /// searcher does not add it again: it comes from a copy of the store that is older than the removal.
     /// \return false if the registration is older than the known one; it is then ignored.
-    bool put(TimePoint now, const SearcherEntry &entry, Notices &notices, bool isOfNewEpoch = false);
+    bool put(TimePoint now, const SearcherEntry &entry, Notices &notices, std::uint64_t epoch = 0);
 
     /// Removes \p instance, or defers the removal after an outage. To be called when its registration is deleted or
-    /// unreadable.
-    void remove(TimePoint now, std::string_view instance, Notices &notices);
+    /// unreadable. \param epoch the store's epoch.
+    void remove(TimePoint now, std::string_view instance, Notices &notices, std::uint64_t epoch = 0);
 
     /// Removes all searchers that are not in \p present, as remove() does. To be called when the full list was read
     /// again.
@@ -97,16 +97,17 @@
     struct Tombstone {
         std::uint64_t startedAtMs = 0;
         std::uint64_t sequence = 0;
+        std::uint64_t epoch = 0;
         TimePoint removedAt;
     };
 
-    bool isBeforeRemoval(TimePoint now, const SearcherEntry &entry, bool isOfNewEpoch) const;
-    void removeNow(TimePoint now, const std::string &instance, Notices &notices);
+    bool isBeforeRemoval(TimePoint now, const SearcherEntry &entry, std::uint64_t epoch) const;
+    void removeNow(TimePoint now, const std::string &instance, std::uint64_t epoch, Notices &notices);
 
     std::map<std::string, SearcherEntry, std::less<>> entries_;
     std::unordered_map<std::string, Tombstone> tombstones_;
-    /// Searchers whose removal is deferred to the time in deferRemovalsUntil_.
-    std::set<std::string, std::less<>> deferredRemovals_;
+    /// Searchers whose removal is deferred to the time in deferRemovalsUntil_, with the epoch of the removal.
+    std::map<std::string, std::uint64_t, std::less<>> deferredRemovals_;
     /// Removals are deferred until then; nothing while they take effect at once.
     std::optional<TimePoint> deferRemovalsUntil_;
 };
--- a/libs/catalog/src/searchercatalog.cpp
+++ b/libs/catalog/src/searchercatalog.cpp
@@ -13,7 +13,7 @@
     return names.at(static_cast<std::size_t>(change));
 }
 
-bool SearcherCatalog::isBeforeRemoval(TimePoint now, const SearcherEntry &entry, bool isOfNewEpoch) const
+bool SearcherCatalog::isBeforeRemoval(TimePoint now, const SearcherEntry &entry, std::uint64_t epoch) const
 {
     const std::unordered_map<std::string, Tombstone>::const_iterator found = tombstones_.find(entry.instance);
     if (found == tombstones_.end() || now - found->second.removedAt >= tombstoneLifetime()) {
@@ -22,14 +22,14 @@
     const Tombstone &tombstone = found->second;
     const std::strong_ordering order
         = std::tie(entry.startedAtMs, entry.sequence) <=> std::tie(tombstone.startedAtMs, tombstone.sequence);
-    return isOfNewEpoch ? order <= 0 : order < 0;
+    return epoch > tombstone.epoch ? order <= 0 : order < 0;
 }
 
-bool SearcherCatalog::put(TimePoint now, const SearcherEntry &entry, Notices &notices, bool isOfNewEpoch)
+bool SearcherCatalog::put(TimePoint now, const SearcherEntry &entry, Notices &notices, std::uint64_t epoch)
 {
     const auto known = entries_.find(entry.instance);
     if (known == entries_.end()) {
-        if (isBeforeRemoval(now, entry, isOfNewEpoch)) {
+        if (isBeforeRemoval(now, entry, epoch)) {
             return false;
         }
         tombstones_.erase(entry.instance);
@@ -48,26 +48,26 @@
     return true;
 }
 
-void SearcherCatalog::remove(TimePoint now, std::string_view instance, Notices &notices)
+void SearcherCatalog::remove(TimePoint now, std::string_view instance, Notices &notices, std::uint64_t epoch)
 {
     const auto known = entries_.find(instance);
     if (known == entries_.end()) {
         return;
     }
     if (deferRemovalsUntil_ && now < *deferRemovalsUntil_ && !known->second.isLeaving) {
-        deferredRemovals_.insert(known->first);
+        deferredRemovals_.insert_or_assign(known->first, epoch);
         return;
     }
-    removeNow(now, std::string(instance), notices);
+    removeNow(now, std::string(instance), epoch, notices);
 }
 
-void SearcherCatalog::removeNow(TimePoint now, const std::string &instance, Notices &notices)
+void SearcherCatalog::removeNow(TimePoint now, const std::string &instance, std::uint64_t epoch, Notices &notices)
 {
     const auto known = entries_.find(instance);
     if (known == entries_.end()) {
         return;
     }
-    tombstones_[instance] = {known->second.startedAtMs, known->second.sequence, now};
+    tombstones_[instance] = {known->second.startedAtMs, known->second.sequence, epoch, now};
     notices.push_back({SearcherChange::Removed, known->second});
     entries_.erase(known);
 }
@@ -94,8 +94,8 @@
 {
     if (deferRemovalsUntil_ && now >= *deferRemovalsUntil_) {
         deferRemovalsUntil_.reset();
-        for (const std::string &instance : deferredRemovals_) {
-            removeNow(now, instance, notices);
+        for (const auto &[instance, epoch] : deferredRemovals_) {
+            removeNow(now, instance, epoch, notices);
         }
         deferredRemovals_.clear();
     }
--- a/libs/catalog/tests/searchercatalog_test.cpp
+++ b/libs/catalog/tests/searchercatalog_test.cpp
@@ -85,3 +85,15 @@
     fixture.catalog.remove(fixture.now, "a", fixture.notices);
     BOOST_TEST(fixture.lastChange() == "removed");
 }
+
+// Guards against a searcher that is gone and used again because the store went back to a copy that still lists it.
+BOOST_AUTO_TEST_CASE(lastRegistrationDoesNotAddASearcherThatWasRemovedInAnEarlierEpoch)
+{
+    CatalogFixture fixture;
+    fixture.catalog.put(fixture.now, entry("a", 100, 3), fixture.notices);
+    fixture.catalog.remove(fixture.now, "a", fixture.notices, 1);
+    BOOST_TEST(!fixture.catalog.put(fixture.now, entry("a", 100, 3), fixture.notices, 2));
+    BOOST_TEST(fixture.catalog.put(fixture.now, entry("a", 100, 4), fixture.notices, 2));
+    fixture.catalog.remove(fixture.now, "a", fixture.notices, 2);
+    BOOST_TEST(fixture.catalog.put(fixture.now, entry("a", 100, 4), fixture.notices, 2));
+}
--- a/libs/entry/include/entry/publishedstate.h
+++ b/libs/entry/include/entry/publishedstate.h
@@ -124,11 +124,10 @@
     std::vector<StoreItem> itemsMissingFrom(const std::set<std::string> &listedKeys,
                                             const StorePosition &position) const;
     void applyItem(TimePoint now, const StoreItem &item);
-    void applyContent(TimePoint now, const StoreItem &item, bool isRemovalLost);
+    void applyContent(TimePoint now, const StoreItem &item);
     void applySearcher(TimePoint now,
                        const SearcherEntry &entry,
-                       const StoreItem &item,
-                       bool isRemovalLost,
+                       const StorePosition &position,
                        SearcherCatalog::Notices &notices);
     void keepDomain(TimePoint now, const std::string &key);
     void remove(TimePoint now, const StoreItem &item);
@@ -142,8 +141,8 @@
     EventLog &log_;
     SearcherCatalog catalog_;
     std::shared_ptr<const RouteTable> routes_;
-    /// The item of the configuration in force.
-    StoreItem configurationItem_;
+    /// The configuration in force, as the store held it.
+    std::string configurationText_;
     /// Current items by key.
     std::unordered_map<std::string, StoreItem> items_;
     /// Failure domains taken out of service, by item key.
--- a/libs/entry/src/publishedstate.cpp
+++ b/libs/entry/src/publishedstate.cpp
@@ -59,24 +59,22 @@
         remove(now, item);
         return;
     }
-    const std::unordered_map<std::string, Removal>::const_iterator removed = removals_.find(item.key);
-    const bool isRemovalLost = removed != removals_.end() && removed->second.position.epoch < item.position.epoch;
     const bool isUnchanged = isUnchangedInNewEpoch(item);
     removals_.erase(item.key);
     items_[item.key] = item;
     if (!isUnchanged) {
-        applyContent(now, item, isRemovalLost);
+        applyContent(now, item);
     }
 }
 
-void PublishedState::applyContent(TimePoint now, const StoreItem &item, bool isRemovalLost)
+void PublishedState::applyContent(TimePoint now, const StoreItem &item)
 {
     PublishedItem published = protocol_.readItem(item);
     SearcherCatalog::Notices notices;
     if (RoutingConfiguration *configuration = std::get_if<RoutingConfiguration>(&published)) {
         applyConfiguration(std::move(*configuration), item);
     } else if (const SearcherEntry *entry = std::get_if<SearcherEntry>(&published)) {
-        applySearcher(now, *entry, item, isRemovalLost, notices);
+        applySearcher(now, *entry, item.position, notices);
     } else if (const DomainOut *domain = std::get_if<DomainOut>(&published)) {
         domainsOut_[item.key] = domain->failureDomain;
     } else if (const UnreadableSearcher *unreadable = std::get_if<UnreadableSearcher>(&published)) {
@@ -84,7 +82,7 @@
             .text("searcher", unreadable->instance)
             .text("reason", unreadable->reason)
             .count("revision", item.position.revision);
-        catalog_.remove(now, unreadable->instance, notices);
+        catalog_.remove(now, unreadable->instance, notices, item.position.epoch);
     } else if (const UnreadableConfiguration *bad = std::get_if<UnreadableConfiguration>(&published)) {
         log_.line(EventRank::Important, "configuration_refused")
             .text("reason", bad->reason)
@@ -96,16 +94,15 @@
 
 void PublishedState::applySearcher(TimePoint now,
                                    const SearcherEntry &entry,
-                                   const StoreItem &item,
-                                   bool isRemovalLost,
+                                   const StorePosition &position,
                                    SearcherCatalog::Notices &notices)
 {
-    if (!catalog_.put(now, entry, notices, isRemovalLost)) {
+    if (!catalog_.put(now, entry, notices, position.epoch)) {
         log_.line(EventRank::Important, "searcher_ignored")
             .text("searcher", entry.instance)
-            .text("reason", isRemovalLost ? "removed since" : "older than the known registration")
+            .text("reason", "older than the known registration")
             .count("sequence", entry.sequence)
-            .count("revision", item.position.revision);
+            .count("revision", position.revision);
     }
 }
 
@@ -121,16 +118,17 @@
     domainsOut_.erase(item.key);
     SearcherCatalog::Notices notices;
     if (const SearcherEntry *entry = std::get_if<SearcherEntry>(&before)) {
-        catalog_.remove(now, entry->instance, notices);
+        catalog_.remove(now, entry->instance, notices, item.position.epoch);
     }
     applyNotices(notices, now);
 }
 
-// An operator whose version is lost may give its number to another configuration in the new epoch.
+// An operator whose version is lost may give its number to another configuration. Once the store has gone back, a
+// number no longer names one content.
 bool PublishedState::isRewritten(const RoutingConfiguration &configuration, const StoreItem &item) const
 {
-    return routes_ && configuration.version == routes_->version()
-        && configurationItem_.position.epoch < item.position.epoch && configurationItem_.value != item.value;
+    return item.position.epoch > 0 && routes_ && configuration.version == routes_->version()
+        && configurationText_ != item.value;
 }
 
 void PublishedState::applyConfiguration(RoutingConfiguration configuration, const StoreItem &item)
@@ -145,7 +143,7 @@
         return;
     }
     routes_ = RouteTable::create(std::move(configuration));
-    configurationItem_ = item;
+    configurationText_ = item.value;
     pool_.setBackendLimits(routes_->configuration().backends);
     log_.line(EventRank::Important, "configuration_in_force")
         .count("version", routes_->version())
--- a/standins/platform/standin.py
+++ b/standins/platform/standin.py
@@ -308,6 +308,8 @@
         # Ids of the requests that were turned away, each with the time of the answer and the seconds asked for.
         self.turned_away = {}
         self.sequence = 0
+        # What the last registration said.
+        self.state = "ready"
         self.born = 1_700_000_000_000
         # A request whose target holds this text crashes the searcher, which is back after a while.
         self.crashes_on = None
@@ -320,6 +322,7 @@
 
     def register(self, state="ready"):
         self.sequence += 1
+        self.state = state
         self.is_registered = True
         entry = {"service": self.service, "address": self.published or self.address, "zone": self.zone, "version": "v1", "slots": 2}
         entry |= {"state": state, "coldRemainingMs": 0, "sequence": self.sequence, "born": self.born}
--- a/tests/soak/soakworld.py
+++ b/tests/soak/soakworld.py
@@ -155,13 +155,25 @@
     def publish(self, desk="desk", extra=()):
         """Publishes the next version of the configuration."""
         version = self.current.version + 1 if self.current else 2
+        sent_at = time.monotonic()
+        self._configure(version, desk, extra)
+        self.current = Configuration(version, sent_at, time.monotonic(), desk, tuple(extra))
+        self.history.configurations.append(self.current)
+
+    def _configure(self, version, desk, extra):
         route = {"host": "search.example", "routeType": "idempotent", "timeoutMs": 2000, "targetLatencyMs": 400}
         route |= {"priority": 1, "maxAttempts": 2, "service": desk}
         routes = [route | {"name": name, "prefix": f"/{name}/"} for name in extra]
-        sent_at = time.monotonic()
         self.configure(version, SHARDS, desk, routes)
-        self.current = Configuration(version, sent_at, time.monotonic(), desk, tuple(extra))
-        self.history.configurations.append(self.current)
+
+    def write_again(self):
+        """What a store that went back to a copy has lost is written again."""
+        self._configure(self.current.version, self.current.desk, self.current.extra)
+        for searcher in list(self.searchers.values()):
+            if searcher.is_registered:
+                searcher.register(searcher.state)
+            else:
+                searcher.unregister()
 
     def note_stall(self, began):
         """The stand-ins themselves stood still, so that times that they saw say little."""
