Placement: calls with time to spare stay in the VM's failure domain

Cause: choose() compared all replicas with a cost factor of 1.2 for other failure domains, while two random factors of up to 1.3 outweigh it. Nearly every part of a query crossed failure domains, although each shard has a searcher in each domain and half of the latency target is unused.

Change: chooseReplica() is a module of its own. A first call goes to a sound local searcher unless its expected time there is too large a part of the time left until the request's target (CallParameters::timeLeft, filled by the entry process). Cold, limited, overdue and failing searchers are not preferred. Retries and hedges compete as before, and so do calls without a target.

--- a/libs/entry/src/requestcalls.cpp
+++ b/libs/entry/src/requestcalls.cpp
@@ -38,7 +38,7 @@
         return Placement::Declined;
     }
     const Choice choice
-        = shared_.pool.choose(now, *part.backend, part.tried, callParameters(purpose == CallPurpose::Hedge));
+        = shared_.pool.choose(now, *part.backend, part.tried, callParameters(now, purpose == CallPurpose::Hedge));
     std::optional<CallHandle> handle;
     if (choice.searcher) {
         handle = send(index, choice.searcher);
@@ -96,9 +96,12 @@
         .number("budget_left", part.backend->budget().available());
 }
 
-CallParameters RequestTask::callParameters(bool isHedge) const
+CallParameters RequestTask::callParameters(TimePoint now, bool isHedge) const
 {
-    return {times_.typicalDuration(), shareOf(route_.latencyTarget, congestedShare), isHedge};
+    return {times_.typicalDuration(),
+            shareOf(route_.latencyTarget, congestedShare),
+            isHedge,
+            std::max(Duration{0}, gatherParameters_.targetAt - now)};
 }
 
 bool RequestTask::spendBudget(Part &part, CallPurpose purpose)
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -102,7 +102,8 @@
 {
     const TimePoint now = BootClock::now();
     const BackendPool &backend = *parts_[part].backend;
-    return shared_.pool.room(now, backend, callParameters(false), shared_.waiting.hasTimelyCall(now, backend.name()));
+    return shared_.pool.room(
+        now, backend, callParameters(now, false), shared_.waiting.hasTimelyCall(now, backend.name()));
 }
 
 void RequestTask::start()
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -92,7 +92,7 @@
     Placement place(std::size_t part, CallPurpose purpose, bool mayWait);
     std::optional<CallHandle> send(std::size_t part, const std::shared_ptr<TrackedSearcher> &searcher);
     void recordSent(const Part &part, CallPurpose purpose);
-    CallParameters callParameters(bool isHedge) const;
+    CallParameters callParameters(TimePoint now, bool isHedge) const;
     bool spendBudget(Part &part, CallPurpose purpose);
     Placement wait(std::size_t part, CallPurpose purpose);
     void onCallEnded(std::size_t part, SearcherCallResult outcome);
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 #include "catalog/searcherentry.h"
 #include "placement/limitshare.h"
+#include "placement/replicachoice.h"
 #include "placement/retrybudget.h"
 #include "placement/trackedsearcher.h"
 #include "routing/configuration.h"
@@ -58,6 +59,9 @@
     /// True if another call for the same part is open. A hedge is not sent to a searcher with a long queue: places in
     /// such queues are for parts that have no other call.
     bool isHedge = false;
+    /// Time until the target of the request. A call with time to spare goes to a searcher in the failure domain of this
+    /// VM. Nothing if the request has no target.
+    std::optional<Duration> timeLeft{};
 };
 
 /// How a reply changed what a searcher asks of this VM.
@@ -72,6 +76,10 @@
 struct Choice {
     std::shared_ptr<TrackedSearcher> searcher;
     PlacementFailure reason = PlacementFailure::None;
+    /// Why the searcher was chosen.
+    ChoiceReason basis = ChoiceReason::Unrestricted;
+    /// True if the searcher is in the failure domain of this VM.
+    bool isLocal = false;
 };
 
 /// The searchers and the retry budget of one backend.
@@ -218,6 +226,11 @@
     bool mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendLimits &limits) const;
     std::size_t connectionLimit(const BackendLimits &limits) const;
     std::size_t callLimit(const TrackedSearcher &searcher, const BackendLimits &limits) const;
+    ReplicaCandidate candidate(TimePoint now, const TrackedSearcher &searcher, const CallParameters &parameters);
+    void recordChoice(TimePoint now,
+                      BackendPool &backend,
+                      TrackedSearcher &searcher,
+                      const CallParameters &parameters) const;
     void updateBudgets();
     void updateLimitShare(TimePoint now, TrackedSearcher &searcher);
     static Room roomWithinLimit(TimePoint now,
@@ -229,6 +242,9 @@
     std::string failureDomain_;
     PoolBounds bounds_;
     Random random_;
+    /// The searchers among which choose() chooses; members to avoid an allocation per call.
+    std::vector<ReplicaCandidate> candidates_;
+    std::vector<std::shared_ptr<TrackedSearcher>> candidateSearchers_;
     std::map<std::string, std::unique_ptr<BackendPool>, std::less<>> backends_;
     std::unordered_map<std::string, std::shared_ptr<TrackedSearcher>> searchers_;
     RetainedIncarnations retained_;
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -139,6 +139,9 @@
     /// Number of consecutive failures.
     std::uint32_t failuresInRow() const noexcept { return failuresInRow_; }
 
+    /// Moving average of the share of calls that fail. Decays towards 0 over time.
+    double failureShare(TimePoint now) const noexcept;
+
     /// Moving average of the call durations, in multiples of the typical duration. Decays towards 1 over time.
     double slowness(TimePoint now) const noexcept;
 
@@ -157,7 +160,6 @@
     void addServiceTime(double relativeTime, const LoadReport &load) noexcept;
     void addSlownessSample(TimePoint now, double sample);
     void addFailureSample(TimePoint now, double sample);
-    double failureShare(TimePoint now) const noexcept;
     double expectedCalls(TimePoint now) const noexcept;
     double relativeSlotWait(TimePoint now) const noexcept;
 
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -33,8 +33,6 @@
 constexpr double usableColdRateShare = 0.45;
 /// Range of the random cost factor, which keeps entry VMs from choosing the same searcher at the same time.
 constexpr double costJitter = 0.3;
-/// Cost factor of a searcher in a failure domain other than that of this VM.
-constexpr double remoteCostFactor = 1.2;
 
 double retryBurst(const PoolBounds &bounds, std::size_t fleet)
 {
@@ -157,8 +155,8 @@
                             std::span<const std::shared_ptr<TrackedSearcher>> tried,
                             const CallParameters &parameters)
 {
-    std::shared_ptr<TrackedSearcher> best;
-    double bestCost = 0;
+    candidates_.clear();
+    candidateSearchers_.clear();
     PlacementFailure reason = PlacementFailure::Unknown;
     for (const std::shared_ptr<TrackedSearcher> &searcher : backend.searchers_) {
         if (!isUsable(*searcher) || contains(tried, searcher)) {
@@ -172,29 +170,51 @@
             reason = PlacementFailure::Saturated;
             continue;
         }
-        double cost = searcher->cost(now) * (1 + costJitter * random_.unit());
-        if (searcher->entry().failureDomain != failureDomain_) {
-            cost *= remoteCostFactor;
-        }
-        if (!best || cost < bestCost) {
-            best = searcher;
-            bestCost = cost;
-        }
+        candidates_.push_back(candidate(now, *searcher, parameters));
+        candidateSearchers_.push_back(searcher);
     }
-    if (!best) {
+    // Retries and hedges go wherever they are answered soonest.
+    const bool isFirst = tried.empty() && !parameters.isHedge;
+    const std::optional<Duration> timeLeft = isFirst ? parameters.timeLeft : std::nullopt;
+    const std::optional<ReplicaChoice> choice = chooseReplica(candidates_, timeLeft, timeLeft ? random_.unit() : 0);
+    if (!choice) {
         return {nullptr, reason};
     }
+    const std::shared_ptr<TrackedSearcher> best = std::move(candidateSearchers_[choice->index]);
+    candidateSearchers_.clear();
+    recordChoice(now, backend, *best, parameters);
+    return {best, PlacementFailure::None, choice->reason, candidates_[choice->index].isLocal};
+}
+
+ReplicaCandidate SearcherPool::candidate(TimePoint now,
+                                         const TrackedSearcher &searcher,
+                                         const CallParameters &parameters)
+{
+    ReplicaCandidate candidate;
+    candidate.cost = searcher.cost(now) * (1 + costJitter * random_.unit());
+    candidate.expectedTime = shareOf(parameters.typicalDuration, searcher.relativeExpectedTime(now));
+    candidate.failureShare = searcher.failureShare(now);
+    candidate.isLocal = searcher.entry().failureDomain == failureDomain_;
+    candidate.isSound = !searcher.isCold(now) && !searcher.isOverdue(now) && !searcher.statedLimit().isInForce()
+        && searcher.failuresInRow() == 0;
+    return candidate;
+}
+
+void SearcherPool::recordChoice(TimePoint now,
+                                BackendPool &backend,
+                                TrackedSearcher &searcher,
+                                const CallParameters &parameters) const
+{
     backend.lastChosenAt_ = now;
-    if (best->isCold(now) && backend.limits_.coldCallsPerSecond > 0) {
+    if (searcher.isCold(now) && backend.limits_.coldCallsPerSecond > 0) {
         const double rate = backend.limits_.coldCallsPerSecond * bounds_.coldFactor + bounds_.coldSlack;
-        best->incarnationState()->nextColdCallAt = now + fromMilliseconds(1'000 / (rate * usableColdRateShare));
+        searcher.incarnationState()->nextColdCallAt = now + fromMilliseconds(1'000 / (rate * usableColdRateShare));
     }
-    best->takeTurn(now, turnInterval(*best, parameters));
-    if (best->statedLimit().isInForce()) {
-        best->statedLimit().countCall();
-        best->pacedShare().onCall(now);
+    searcher.takeTurn(now, turnInterval(searcher, parameters));
+    if (searcher.statedLimit().isInForce()) {
+        searcher.statedLimit().countCall();
+        searcher.pacedShare().onCall(now);
     }
-    return {best, PlacementFailure::None};
 }
 
 Room SearcherPool::room(TimePoint now,
