--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -222,7 +222,7 @@
                  const CallParameters &parameters) const;
     static bool isCongested(TimePoint now, const TrackedSearcher &searcher, const CallParameters &parameters);
     static bool hasLongQueue(TimePoint now, const TrackedSearcher &searcher, const CallParameters &parameters);
-    Duration turnInterval(const TrackedSearcher &searcher, const CallParameters &parameters) const;
+    Duration turnInterval(TimePoint now, const TrackedSearcher &searcher, const CallParameters &parameters) const;
     bool mayCallCold(TimePoint now, const TrackedSearcher &searcher, const BackendLimits &limits) const;
     std::size_t connectionLimit(const BackendLimits &limits) const;
     std::size_t callLimit(const TrackedSearcher &searcher, const BackendLimits &limits) const;
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -15,11 +15,13 @@
 namespace sassafrasvane
 {
 
-/// Load that a searcher reports about itself. All members count calls.
+/// Load that a searcher reports about itself. The first three members count calls.
 struct LoadReport {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// How long work takes at the searcher at this moment, in multiples of what is usual there.
+    std::optional<double> relativeWorkTime{};
 };
 
 /// How a call to a searcher ended.
@@ -126,12 +128,20 @@
         return !statedLimit().isInForce() || pacedShare().headroom(now) >= 1;
     }
 
-    /// Average time that a call occupies a slot, without the wait for the slot, in multiples of the typical duration.
-    double relativeServiceTime() const noexcept { return relativeServiceTime_; }
+    /// Expected time that a call occupies a slot, without the wait for the slot, in multiples of the typical duration.
+    double relativeServiceTime(TimePoint now) const noexcept { return relativeServiceTime_ * workTime(now); }
+
+    /// Expected relative work time (LoadReport::relativeWorkTime): the last report counts less the older it is, and the
+    /// average of the reports counts instead. 1 if there are no reports.
+    double workTime(TimePoint now) const noexcept;
 
     /// Expected duration of one more call including its wait for a slot, in multiples of the typical duration.
     double relativeExpectedTime(TimePoint now) const noexcept;
 
+    /// The same as far as the last report and the calls of this process tell. Unlike the mean of earlier reports, these
+    /// are reason enough to hold a call back.
+    double relativeReportedTime(TimePoint now) const noexcept;
+
     /// Expected cost of one more call, in multiples of the typical duration: its expected duration plus penalties for
     /// recent failures and for an overdue call.
     double cost(TimePoint now) const noexcept;
@@ -142,7 +152,8 @@
     /// Moving average of the share of calls that fail. Decays towards 0 over time.
     double failureShare(TimePoint now) const noexcept;
 
-    /// Moving average of the call durations, in multiples of the typical duration. Decays towards 1 over time.
+    /// Expected call duration in multiples of the typical duration: the moving average of the call durations, which
+    /// decays towards 1, times workTime().
     double slowness(TimePoint now) const noexcept;
 
 private:
@@ -153,21 +164,31 @@
         TimePoint overdueAt;
     };
 
-    void onSuccess(TimePoint now, Duration elapsed, Duration typicalDuration);
+    void onSuccess(TimePoint now, double relativeTime);
+    double usualSlowness(TimePoint now) const noexcept;
+    void addWorkTime(TimePoint now, double workTime) noexcept;
     void onFailure(TimePoint now, const OpenCall &call, CallEnd end);
     void block(TimePoint now, std::uint32_t doublings, Duration maxTime);
     void addLoad(TimePoint now, const LoadReport &load);
+    void addOtherCalls(TimePoint now, double calls) noexcept;
     void addServiceTime(double relativeTime, const LoadReport &load) noexcept;
     void addSlownessSample(TimePoint now, double sample);
     void addFailureSample(TimePoint now, double sample);
+    double reportedCalls(TimePoint now) const noexcept;
     double expectedCalls(TimePoint now) const noexcept;
-    double relativeSlotWait(TimePoint now) const noexcept;
+    double relativeSlotWait(double calls) const noexcept;
 
     SearcherEntry entry_;
     std::vector<OpenCall> calls_;
     std::uint64_t lastNumber_ = 0;
+    /// Moving average of the call durations, each divided by the relative work time that came with it.
     double slowness_ = 1;
     TimePoint slownessAt_;
+    /// Relative work time in the last report that had one, and the moving average of all.
+    double workTime_ = 1;
+    double meanWorkTime_ = 1;
+    TimePoint workTimeAt_;
+    bool hasWorkTime_ = false;
     double failureShare_ = 0;
     TimePoint failureAt_;
     std::uint32_t failuresInRow_ = 0;
@@ -178,6 +199,8 @@
     TimePoint coldUntil_;
     /// Calls of other processes at the searcher, according to the last load report.
     double otherProcessCalls_ = 0;
+    /// Moving average of the calls of other processes.
+    double meanOtherCalls_ = 0;
     TimePoint loadReportedAt_;
     double relativeQueueWait_ = 0;
     TimePoint queueReportValidUntil_;
--- a/libs/placement/src/replicachoice.cpp
+++ b/libs/placement/src/replicachoice.cpp
@@ -9,24 +9,51 @@
 namespace
 {
 
-/// Parts of the time left that a call may take at a local searcher. Below the first, it always stays local; above the
-/// second, it always competes.
-constexpr double spareTimePart = 0.2;
-constexpr double shortTimePart = 0.4;
+/// Parts of the time left by which a call may take longer at a local searcher than at the soonest other one. Below the
+/// first, it stays local; above the second, it competes. Lower values move calls out of a domain for the noise in the
+/// averages of exponential call times; higher ones keep calls at a searcher in a slow phase.
+constexpr double spareExcessPart = 0.2;
+constexpr double shortExcessPart = 0.4;
+/// The same for the whole expected time of the call.
+constexpr double spareTimePart = 0.5;
+constexpr double shortTimePart = 1;
 /// Failure share from which on a searcher is never preferred for being local.
 constexpr double maxLocalFailureShare = 0.1;
 /// Cost factor of a searcher in another failure domain when all candidates compete.
 constexpr double remoteCostFactor = 1.2;
 
+// Position of part between spare (0) and tooMuch (1); below 0 or above 1 if it is outside.
+constexpr double pressure(double part, double spare, double tooMuch) noexcept
+{
+    return (part - spare) / (tooMuch - spare);
+}
+
 // From 0, if the call has time to spare at the candidate and no failures are expected, to 1.
-double urgency(const ReplicaCandidate &candidate, Duration timeLeft) noexcept
+double urgency(const ReplicaCandidate &candidate, Duration soonestElsewhere, Duration timeLeft) noexcept
 {
     if (timeLeft <= Duration{0}) {
         return 1;
     }
-    const double part = static_cast<double>(candidate.expectedTime.count()) / static_cast<double>(timeLeft.count());
-    const double pressure = (part - spareTimePart) / (shortTimePart - spareTimePart);
-    return std::clamp(std::max(pressure, candidate.failureShare / maxLocalFailureShare), 0.0, 1.0);
+    const auto partOf = [timeLeft](Duration time) {
+        return static_cast<double>(time.count()) / static_cast<double>(timeLeft.count());
+    };
+    const double byExcess
+        = pressure(partOf(candidate.expectedTime - std::min(soonestElsewhere, candidate.expectedTime)),
+                   spareExcessPart,
+                   shortExcessPart);
+    const double byTime = pressure(partOf(candidate.expectedTime), spareTimePart, shortTimePart);
+    return std::max({byExcess, byTime, candidate.failureShare / maxLocalFailureShare});
+}
+
+Duration soonestElsewhere(std::span<const ReplicaCandidate> candidates) noexcept
+{
+    Duration soonest = Duration::max();
+    for (const ReplicaCandidate &candidate : candidates) {
+        if (!candidate.isLocal && candidate.isSound) {
+            soonest = std::min(soonest, candidate.expectedTime);
+        }
+    }
+    return soonest;
 }
 
 double competingCost(const ReplicaCandidate &candidate) noexcept
@@ -50,6 +77,7 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
+    const Duration soonest = soonestElsewhere(candidates);
     const ReplicaCandidate *cheapest = nullptr;
     const ReplicaCandidate *local = nullptr;
     ChoiceReason reason = timeLeft ? ChoiceReason::NoneLocal : ChoiceReason::Unrestricted;
@@ -62,7 +90,7 @@
         }
         if (!candidate.isSound) {
             reason = reason == ChoiceReason::NoneLocal ? ChoiceReason::LocalImpaired : reason;
-        } else if (urgency(candidate, *timeLeft) > caution) {
+        } else if (urgency(candidate, soonest, *timeLeft) > caution) {
             reason = ChoiceReason::TimeShort;
         } else if (!local || candidate.cost < local->cost) {
             local = &candidate;
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -210,7 +210,7 @@
         const double rate = backend.limits_.coldCallsPerSecond * bounds_.coldFactor + bounds_.coldSlack;
         searcher.incarnationState()->nextColdCallAt = now + fromMilliseconds(1'000 / (rate * usableColdRateShare));
     }
-    searcher.takeTurn(now, turnInterval(searcher, parameters));
+    searcher.takeTurn(now, turnInterval(now, searcher, parameters));
     if (searcher.statedLimit().isInForce()) {
         searcher.statedLimit().countCall();
         searcher.pacedShare().onCall(now);
@@ -301,7 +301,7 @@
 
 bool SearcherPool::isCongested(TimePoint now, const TrackedSearcher &searcher, const CallParameters &parameters)
 {
-    const double expected = searcher.relativeExpectedTime(now) * toMilliseconds(parameters.typicalDuration);
+    const double expected = searcher.relativeReportedTime(now) * toMilliseconds(parameters.typicalDuration);
     return searcher.openCalls() > 0 && expected > toMilliseconds(parameters.maxWait);
 }
 
@@ -314,11 +314,13 @@
 
 // Interval between two calls of this process to a searcher with a long queue: the process gets an equal share of the
 // rate that the searcher sustains.
-Duration SearcherPool::turnInterval(const TrackedSearcher &searcher, const CallParameters &parameters) const
+Duration SearcherPool::turnInterval(TimePoint now,
+                                    const TrackedSearcher &searcher,
+                                    const CallParameters &parameters) const
 {
     const double slots = std::max<double>(1, searcher.entry().slots);
     return shareOf(parameters.typicalDuration,
-                   searcher.relativeServiceTime()
+                   searcher.relativeServiceTime(now)
                        * static_cast<double>(std::max<std::size_t>(1, fleet_.advertisedCount))
                        / (slots * turnOvercommitFactor));
 }
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -27,8 +27,22 @@
 constexpr double failureCost = 8;
 /// Share of a call's duration that is added to the cost if all slots are busy; proportionally less if some are free.
 constexpr double busySlotCost = 0.4;
-/// Time constant, in milliseconds, of the exponential decay of the other calls in a load report.
+/// Time constant, in milliseconds, with which the other calls in a load report decay towards their mean.
 constexpr double loadDecayMs = 60;
+/// Time constants, in seconds, of the mean of the other calls and of its decay towards 0 while no report comes.
+constexpr double otherCallsMeanSeconds = 2;
+constexpr double otherCallsDecaySeconds = 30;
+/// Bounds of the weight of a report in the mean of the other calls. Where reports are rare, each is a sample of one
+/// moment only.
+constexpr double minOtherCallsWeight = 0.02;
+constexpr double maxOtherCallsWeight = 0.25;
+/// Bounds of a relative work time, and the weight of a new one in its average.
+constexpr double minWorkTime = 0.1;
+constexpr double maxWorkTime = 20;
+constexpr double workTimeWeight = 0.05;
+/// Time constant, in milliseconds, with which a relative work time decays towards its average. A slow phase of a
+/// searcher lasts about 600 ms.
+constexpr double workTimeDecayMs = 500;
 /// Time for which the queue length in a load report is valid.
 constexpr Duration queueReportLifetime = std::chrono::milliseconds(500);
 /// Cost factor of a cold searcher, as it is slower.
@@ -58,6 +72,13 @@
     return target + (value - target) * std::exp2(-secondsBetween(since, now) / halfLife);
 }
 
+// Share of a value that is left after the time since it was measured.
+double remaining(TimePoint since, TimePoint now, double decayMs)
+{
+    constexpr double millisecondsPerSecond = 1'000;
+    return std::exp(-secondsBetween(since, now) * millisecondsPerSecond / decayMs);
+}
+
 double ratio(Duration elapsed, Duration typicalDuration)
 {
     return static_cast<double>(elapsed.count())
@@ -120,20 +141,24 @@
     const OpenCall call = *found;
     calls_.erase(found);
     const Duration elapsed = now - call.startedAt;
+    if (load && load->relativeWorkTime) {
+        addWorkTime(now, *load->relativeWorkTime);
+    }
+    const double relativeTime = ratio(elapsed, call.typicalDuration) / workTime(now);
     if (load && end == CallEnd::Answered) {
-        addServiceTime(ratio(elapsed, call.typicalDuration), *load);
+        addServiceTime(relativeTime, *load);
     }
     if (load) {
         addLoad(now, *load);
     }
     switch (end) {
     case CallEnd::Answered:
-        onSuccess(now, elapsed, call.typicalDuration);
+        onSuccess(now, relativeTime);
         break;
     case CallEnd::Cancelled:
         // The elapsed time is a lower bound of the duration, so it counts only if it is above the average.
-        if (ratio(elapsed, call.typicalDuration) > slowness(now)) {
-            addSlownessSample(now, ratio(elapsed, call.typicalDuration));
+        if (relativeTime > usualSlowness(now)) {
+            addSlownessSample(now, relativeTime);
         }
         break;
     default:
@@ -144,14 +169,38 @@
 
 void TrackedSearcher::addLoad(TimePoint now, const LoadReport &load)
 {
-    const double otherCalls = static_cast<double>(load.running + load.waiting) - static_cast<double>(calls_.size());
-    otherProcessCalls_ = std::max(0.0, otherCalls);
-    loadReportedAt_ = now;
+    addOtherCalls(now, static_cast<double>(load.running + load.waiting) - static_cast<double>(calls_.size()));
     const double slots = std::max<double>(1, load.slots);
-    relativeQueueWait_ = static_cast<double>(load.waiting) / slots * relativeServiceTime_;
+    relativeQueueWait_ = static_cast<double>(load.waiting) / slots * relativeServiceTime(now);
     queueReportValidUntil_ = now + queueReportLifetime;
 }
 
+void TrackedSearcher::addOtherCalls(TimePoint now, double calls) noexcept
+{
+    const double left = remaining(loadReportedAt_, now, otherCallsMeanSeconds * 1'000);
+    meanOtherCalls_ *= remaining(loadReportedAt_, now, otherCallsDecaySeconds * 1'000);
+    otherProcessCalls_ = std::max(0.0, calls);
+    meanOtherCalls_
+        += (otherProcessCalls_ - meanOtherCalls_) * std::clamp(1 - left, minOtherCallsWeight, maxOtherCallsWeight);
+    loadReportedAt_ = now;
+}
+
+void TrackedSearcher::addWorkTime(TimePoint now, double workTime) noexcept
+{
+    workTime_ = std::clamp(workTime, minWorkTime, maxWorkTime);
+    meanWorkTime_ += (workTime_ - meanWorkTime_) * workTimeWeight;
+    workTimeAt_ = now;
+    hasWorkTime_ = true;
+}
+
+double TrackedSearcher::workTime(TimePoint now) const noexcept
+{
+    if (!hasWorkTime_) {
+        return 1;
+    }
+    return meanWorkTime_ + (workTime_ - meanWorkTime_) * remaining(workTimeAt_, now, workTimeDecayMs);
+}
+
 // Estimates the queue length at the arrival of the call by the length that is reported now.
 void TrackedSearcher::addServiceTime(double relativeTime, const LoadReport &load) noexcept
 {
@@ -166,14 +215,14 @@
     nextTurnAt_ = std::max(nextTurnAt_, now - turn) + turn;
 }
 
-void TrackedSearcher::onSuccess(TimePoint now, Duration elapsed, Duration typicalDuration)
+void TrackedSearcher::onSuccess(TimePoint now, double relativeTime)
 {
     failuresInRow_ = 0;
     blockedUntil_ = now;
     isUnreachable_ = false;
     lastReplyAt_ = now;
     addFailureSample(now, 0);
-    addSlownessSample(now, ratio(elapsed, typicalDuration));
+    addSlownessSample(now, relativeTime);
 }
 
 void TrackedSearcher::onFailure(TimePoint now, const OpenCall &call, CallEnd end)
@@ -233,7 +282,7 @@
 
 void TrackedSearcher::addSlownessSample(TimePoint now, double sample)
 {
-    const double before = slowness(now);
+    const double before = usualSlowness(now);
     slowness_ = before + (std::min(sample, maxSlowness) - before) * slownessWeight;
     slownessAt_ = now;
 }
@@ -245,11 +294,16 @@
     failureAt_ = now;
 }
 
-double TrackedSearcher::slowness(TimePoint now) const noexcept
+double TrackedSearcher::usualSlowness(TimePoint now) const noexcept
 {
     return decayed(slowness_, 1, slownessAt_, now, slownessHalfLife);
 }
 
+double TrackedSearcher::slowness(TimePoint now) const noexcept
+{
+    return usualSlowness(now) * workTime(now);
+}
+
 double TrackedSearcher::failureShare(TimePoint now) const noexcept
 {
     return decayed(failureShare_, 0, failureAt_, now, failureHalfLife);
@@ -260,28 +314,39 @@
     return std::any_of(calls_.begin(), calls_.end(), [now](const OpenCall &call) { return now >= call.overdueAt; });
 }
 
+double TrackedSearcher::reportedCalls(TimePoint now) const noexcept
+{
+    return static_cast<double>(calls_.size()) + otherProcessCalls_ * remaining(loadReportedAt_, now, loadDecayMs);
+}
+
 double TrackedSearcher::expectedCalls(TimePoint now) const noexcept
 {
-    const double age = secondsBetween(loadReportedAt_, now) * 1'000;
-    return static_cast<double>(calls_.size()) + otherProcessCalls_ * std::exp(-age / loadDecayMs);
+    const double mean = meanOtherCalls_ * remaining(loadReportedAt_, now, otherCallsDecaySeconds * 1'000);
+    return reportedCalls(now) + mean * (1 - remaining(loadReportedAt_, now, loadDecayMs));
 }
 
-double TrackedSearcher::relativeSlotWait(TimePoint now) const noexcept
+double TrackedSearcher::relativeSlotWait(double calls) const noexcept
 {
     const double slots = std::max<double>(1, entry_.slots);
-    return std::max(0.0, expectedCalls(now) + 1 - slots) / slots;
+    return std::max(0.0, calls + 1 - slots) / slots;
 }
 
 double TrackedSearcher::relativeExpectedTime(TimePoint now) const noexcept
 {
-    return slowness(now) * (1 + relativeSlotWait(now));
+    return slowness(now) * (1 + relativeSlotWait(expectedCalls(now)));
+}
+
+double TrackedSearcher::relativeReportedTime(TimePoint now) const noexcept
+{
+    return slowness(now) * (1 + relativeSlotWait(reportedCalls(now)));
 }
 
 double TrackedSearcher::cost(TimePoint now) const noexcept
 {
     const double slots = std::max<double>(1, entry_.slots);
-    const double runningCost = std::min(expectedCalls(now), slots) / slots * busySlotCost;
-    double cost = slowness(now) * (1 + relativeSlotWait(now) + runningCost) + failureShare(now) * failureCost;
+    const double calls = expectedCalls(now);
+    const double runningCost = std::min(calls, slots) / slots * busySlotCost;
+    double cost = slowness(now) * (1 + relativeSlotWait(calls) + runningCost) + failureShare(now) * failureCost;
     if (isCold(now)) {
         cost *= coldSlowness;
     }
--- a/libs/placement/tests/load_test.cpp
+++ b/libs/placement/tests/load_test.cpp
@@ -148,3 +148,65 @@
     // Without refusals the queues grow until hardly any request is answered in time.
     BOOST_TEST(baseline.inTimeShare() <= 0.3);
 }
+
+namespace
+{
+
+// The searcher answers ten calls, one in each 100 ms, that take \p elapsed and report \p workTime.
+void answerCalls(TrackedSearcher &searcher, TimePoint &now, Duration elapsed, std::optional<double> workTime)
+{
+    for (int call = 0; call < 10; ++call) {
+        const std::uint64_t number = searcher.beginCall(now, 10ms);
+        now += elapsed;
+        searcher.endCall(now, number, CallEnd::Answered, LoadReport{1, 0, 2, workTime});
+        now += 100ms;
+    }
+}
+
+} // namespace
+
+// Load: a searcher works 2.5 times as slowly for 600 ms. Guards against taking the slow phase for its lasting speed.
+BOOST_AUTO_TEST_CASE(workTimeIsKeptApartFromTheLastingSpeed)
+{
+    TimePoint now{1'000s};
+    TrackedSearcher searcher(now, SearcherEntry());
+    answerCalls(searcher, now, 10ms, 1);
+    answerCalls(searcher, now, 25ms, 2.5);
+    BOOST_TEST(searcher.slowness(now) > 2);
+    BOOST_TEST(searcher.slowness(now) / searcher.workTime(now) < 1.05);
+    BOOST_TEST(searcher.slowness(now) / searcher.workTime(now) > 0.95);
+    // The figure says much about the next 200 ms and little after two seconds.
+    BOOST_TEST(searcher.workTime(now + 100ms) > 2);
+    BOOST_TEST(searcher.workTime(now + 2s) < 1.7);
+}
+
+// Guards against a searcher that states a work time of any size and never gets a call again.
+BOOST_AUTO_TEST_CASE(workTimeIsBounded)
+{
+    TimePoint now{1'000s};
+    TrackedSearcher searcher(now, SearcherEntry());
+    for (const double workTime : {1e300, 0.0, -5.0}) {
+        answerCalls(searcher, now, 10ms, workTime);
+        BOOST_TEST(searcher.workTime(now) >= 0.1);
+        BOOST_TEST(searcher.workTime(now) <= 20.0);
+    }
+}
+
+// Load: other VMs keep four calls at a searcher. Guards against taking it for idle soon after the last report.
+BOOST_AUTO_TEST_CASE(callsOfOtherVmsDecayTowardsTheirMean)
+{
+    TimePoint now{1'000s};
+    SearcherEntry entry;
+    entry.slots = 2;
+    TrackedSearcher busy(now, entry);
+    TrackedSearcher idle(now, entry);
+    for (int call = 0; call < 40; ++call) {
+        for (TrackedSearcher *searcher : {&busy, &idle}) {
+            const std::uint32_t calls = searcher == &busy || call == 39 ? 4 : 0;
+            searcher->endCall(
+                now, searcher->beginCall(now, 10ms), CallEnd::Answered, LoadReport{std::min(calls, 2U), calls / 2, 2});
+        }
+        now += 400ms;
+    }
+    BOOST_TEST(busy.cost(now) > 1.5 * idle.cost(now));
+}
