Placement: load returns by degrees after a stated limit

Cause: when a searcher's stated limit ended, the fleet's full load returned at once, although the searcher is probably still recovering.

Change: LimitRecovery allows the former limit, rising to 1.3 times in 4 s, then doubling every half second, and no limit after 6 s. The rate is divided among the VMs as a stated limit is. The factor is below 1.5 because senders catch up on unused time. Metrics, log and StatedLimit say as before that the limit has ended.

limit_test (two new cases; 8, 80 and 300 VMs, limits of 1, 6 and 60 calls per second), placement_test, entry_test and limit_fuzz are green.

--- a/libs/placement/include/placement/incarnationstate.h
+++ b/libs/placement/include/placement/incarnationstate.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "catalog/searcherentry.h"
 #include "placement/callpause.h"
+#include "placement/limitrecovery.h"
 #include "placement/pacedshare.h"
 #include "placement/statedlimit.h"
 
@@ -25,7 +26,9 @@
 struct IncarnationState {
     /// The rate limit that the searcher states for all VMs together.
     StatedLimit statedLimit;
-    /// This VM's share of the stated limit.
+    /// The rate after the stated limit has ended.
+    LimitRecovery recovery;
+    /// This VM's share of the stated limit or of the rate during the recovery.
     PacedShare pacedShare;
     /// While the searcher is cold: when this VM may call it next. In the distant past if it has not called it cold.
     TimePoint nextColdCallAt;
--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -106,7 +106,10 @@
     StatedLimit &statedLimit() noexcept { return state_->statedLimit; }
     const StatedLimit &statedLimit() const noexcept { return state_->statedLimit; }
 
-    /// This VM's share of the stated limit; meaningful while the limit is in force.
+    /// True if the rate of calls is limited: the searcher states a limit, or recovers from one.
+    bool isLimited(TimePoint now) const noexcept { return statedLimit().isInForce() || state_->recovery.isActive(now); }
+
+    /// This VM's share of the limited rate; meaningful while isLimited().
     PacedShare &pacedShare() noexcept { return state_->pacedShare; }
     const PacedShare &pacedShare() const noexcept { return state_->pacedShare; }
 
@@ -119,14 +122,11 @@
     /// What the searcher asks of its callers.
     const std::shared_ptr<IncarnationState> &incarnationState() const noexcept { return state_; }
 
-    /// True if the stated limit, if there is one, lets this VM send a call now.
-    bool isWithinLimit(TimePoint now) const noexcept { return !statedLimit().isInForce() || pacedShare().mayCall(now); }
+    /// True if the limited rate, if there is one, lets this VM send a call now.
+    bool isWithinLimit(TimePoint now) const noexcept { return !isLimited(now) || pacedShare().mayCall(now); }
 
-    /// True if this VM's share of the stated limit, if there is one, is not used up by the calls that come.
-    bool hasSpareCalls(TimePoint now) const noexcept
-    {
-        return !statedLimit().isInForce() || pacedShare().headroom(now) >= 1;
-    }
+    /// True if this VM's share of the limited rate, if there is one, is not used up by the calls that come.
+    bool hasSpareCalls(TimePoint now) const noexcept { return !isLimited(now) || pacedShare().headroom(now) >= 1; }
 
     /// Expected time that a call occupies a slot, without the wait for the slot, in multiples of the typical duration.
     double relativeServiceTime(TimePoint now) const noexcept { return relativeServiceTime_ * workTime(now); }
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -121,8 +121,10 @@
     callers_ = fleet.sharers;
     callers_.insert(self_);
     updateBudgets();
-    for (const std::shared_ptr<TrackedSearcher> &searcher : limitedSearchers()) {
-        updateLimitShare(now, *searcher);
+    for (const auto &[instance, searcher] : searchers_) {
+        if (searcher->isLimited(now)) {
+            updateLimitShare(now, *searcher);
+        }
     }
 }
 
@@ -162,6 +164,9 @@
         if (!isUsable(*searcher) || contains(tried, searcher)) {
             continue;
         }
+        if (searcher->incarnationState()->recovery.advance(now)) {
+            updateLimitShare(now, *searcher);
+        }
         if (!isAvailable(now, *searcher)) {
             reason = std::max(reason, PlacementFailure::Blocked);
             continue;
@@ -195,7 +200,7 @@
     candidate.expectedTime = shareOf(parameters.typicalDuration, searcher.relativeExpectedTime(now));
     candidate.failureShare = searcher.failureShare(now);
     candidate.isLocal = searcher.entry().failureDomain == failureDomain_;
-    candidate.isSound = !searcher.isCold(now) && !searcher.isOverdue(now) && !searcher.statedLimit().isInForce()
+    candidate.isSound = !searcher.isCold(now) && !searcher.isOverdue(now) && !searcher.isLimited(now)
         && searcher.failuresInRow() == 0;
     return candidate;
 }
@@ -211,7 +216,7 @@
         searcher.incarnationState()->nextColdCallAt = now + fromMilliseconds(1'000 / (rate * usableColdRateShare));
     }
     searcher.takeTurn(now, turnInterval(now, searcher, parameters));
-    if (searcher.statedLimit().isInForce()) {
+    if (searcher.isLimited(now)) {
         searcher.statedLimit().countCall();
         searcher.pacedShare().onCall(now);
     }
@@ -238,7 +243,7 @@
                           const CallParameters &parameters,
                           bool hasWaitingCalls) const
 {
-    if (searcher.statedLimit().isInForce() && (hasWaitingCalls || !searcher.isWithinLimit(now))) {
+    if (searcher.isLimited(now) && (hasWaitingCalls || !searcher.isWithinLimit(now))) {
         return roomWithinLimit(now, searcher, parameters, hasWaitingCalls);
     }
     const bool isQueueLong = hasLongQueue(now, searcher, parameters);
@@ -275,8 +280,8 @@
             continue;
         }
         const TimePoint resumesAt = std::max(now, searcher->incarnationState()->pause.endsAt());
-        const bool isLimited = searcher->statedLimit().isInForce();
-        const TimePoint callAt = isLimited ? searcher->pacedShare().nextCallAt(resumesAt) : resumesAt;
+        const TimePoint callAt
+            = searcher->isLimited(resumesAt) ? searcher->pacedShare().nextCallAt(resumesAt) : resumesAt;
         if (callAt <= now) {
             return std::nullopt;
         }
@@ -415,7 +420,13 @@
     SelfReportChanges changes;
     changes.hasBegunToLeave = report.isLeaving && !std::exchange(state.isLeaving, true);
     changes.pause = state.pause.apply(now, report, report.pause ? random_.unit() : 0);
+    const double limitBefore = state.statedLimit.callsPerSecond();
     changes.limit = state.statedLimit.apply(now, sentAt, report, hasRun);
+    if (changes.limit == LimitChange::Ended) {
+        state.recovery.start(now, limitBefore);
+    } else if (changes.limit == LimitChange::Stated) {
+        state.recovery.cancel();
+    }
     if (changes.limit != LimitChange::None) {
         updateLimitShare(now, searcher);
     }
@@ -425,12 +436,13 @@
 void SearcherPool::updateLimitShare(TimePoint now, TrackedSearcher &searcher)
 {
     const StatedLimit &limit = searcher.statedLimit();
-    if (!limit.isInForce()) {
+    if (!searcher.isLimited(now)) {
         searcher.pacedShare().clear();
         return;
     }
-    searcher.pacedShare().setShare(
-        now, limitShare(limit.callsPerSecond(), searcher.entry().instance, self_, fleet_), random_.unit());
+    const double rate
+        = limit.isInForce() ? limit.callsPerSecond() : searcher.incarnationState()->recovery.callsPerSecond();
+    searcher.pacedShare().setShare(now, limitShare(rate, searcher.entry().instance, self_, fleet_), random_.unit());
 }
 
 std::vector<std::shared_ptr<TrackedSearcher>> SearcherPool::limitedSearchers() const
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -243,7 +243,7 @@
         return;
     }
     // A searcher that states a limit rejects calls to protect itself; that does not predict how other calls will end.
-    const bool isLimitRejection = end == CallEnd::Rejected && statedLimit().isInForce();
+    const bool isLimitRejection = end == CallEnd::Rejected && isLimited(now);
     // Connection failures are not added: once a connection opens again, they do not predict how calls will end.
     if (!isConnectFailure && !isLimitRejection) {
         addFailureSample(now, 1);
@@ -351,7 +351,7 @@
         cost *= coldSlowness;
     }
     // An observer that does not call in its slot learns late that the limit has ended.
-    if (statedLimit().isInForce() && !pacedShare().isObservationDue(now)) {
+    if (isLimited(now) && !pacedShare().isObservationDue(now)) {
         cost *= 1 + usedLimitCost * (1 - pacedShare().headroom(now));
     }
     if (isOverdue(now)) {
--- a/libs/placement/tests/limit_test.cpp
+++ b/libs/placement/tests/limit_test.cpp
@@ -323,6 +323,44 @@
     }
 }
 
+// Load: a searcher that was limited recovers. Guards against sending it all the load at once.
+BOOST_AUTO_TEST_CASE(loadReturnsByDegreesAfterALimitHasEnded)
+{
+    for (const std::size_t vms : {8U, 80U, 300U}) {
+        for (const double limit : {1.0, 6.0, 60.0}) {
+            LimitSimulation simulation(std::min<std::size_t>(vms, 12), vms);
+            simulation.state(0, limit);
+            // Long enough that every VM knows the limit.
+            simulation.run(600, 40s);
+            simulation.state(0, std::nullopt);
+            int before = simulation.calls[0];
+            simulation.run(600, 4s);
+            BOOST_TEST(simulation.calls[0] - before <= 1.5 * limit * 4 + 5, vms << " VMs, " << limit);
+            // The interval of an observer of the lowest limit, and the recovery.
+            simulation.run(600, 85s);
+            before = simulation.calls[0];
+            simulation.run(600, 4s);
+            // Three quarters of an equal share of the load.
+            BOOST_TEST(simulation.calls[0] - before >= 600, vms << " VMs, " << limit);
+        }
+    }
+}
+
+// Guards against an allowance that is left over from the recovery when the searcher states a limit again.
+BOOST_AUTO_TEST_CASE(limitStatedDuringTheRecoveryHoldsAtOnce)
+{
+    for (const Duration recovery : {1s, 5s, 7s}) {
+        LimitSimulation simulation(12, 80);
+        for (int round = 0; round < 3; ++round) {
+            simulation.state(0, 6);
+            simulation.run(600, 10s);
+            simulation.state(0, std::nullopt);
+            simulation.run(600, recovery);
+        }
+        BOOST_TEST(!simulation.failure(), *simulation.failure());
+    }
+}
+
 // Guards against observers that find their slot too dear to call in it.
 BOOST_AUTO_TEST_CASE(limitThatEndsIsForgottenByEveryObserver)
 {
