--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -33,8 +33,6 @@
 constexpr double usableColdRateShare = 0.45;
 /// Range of the random cost factor, which keeps entry VMs from choosing the same searcher at the same time.
 constexpr double costJitter = 0.3;
-/// Cost factor of a searcher in a failure domain other than that of this VM.
-constexpr double remoteCostFactor = 1.2;
 
 double retryBurst(const PoolBounds &bounds, std::size_t fleet)
 {
@@ -123,8 +121,10 @@
     callers_ = fleet.sharers;
     callers_.insert(self_);
     updateBudgets();
-    for (const std::shared_ptr<TrackedSearcher> &searcher : limitedSearchers()) {
-        updateLimitShare(now, *searcher);
+    for (const auto &[instance, searcher] : searchers_) {
+        if (searcher->isLimited(now)) {
+            updateLimitShare(now, *searcher);
+        }
     }
 }
 
@@ -157,13 +157,16 @@
                             std::span<const std::shared_ptr<TrackedSearcher>> tried,
                             const CallParameters &parameters)
 {
-    std::shared_ptr<TrackedSearcher> best;
-    double bestCost = 0;
+    candidates_.clear();
+    candidateSearchers_.clear();
     PlacementFailure reason = PlacementFailure::Unknown;
     for (const std::shared_ptr<TrackedSearcher> &searcher : backend.searchers_) {
         if (!isUsable(*searcher) || contains(tried, searcher)) {
             continue;
         }
+        if (searcher->incarnationState()->recovery.advance(now)) {
+            updateLimitShare(now, *searcher);
+        }
         if (!isAvailable(now, *searcher)) {
             reason = std::max(reason, PlacementFailure::Blocked);
             continue;
@@ -172,29 +175,51 @@
             reason = PlacementFailure::Saturated;
             continue;
         }
-        double cost = searcher->cost(now) * (1 + costJitter * random_.unit());
-        if (searcher->entry().failureDomain != failureDomain_) {
-            cost *= remoteCostFactor;
-        }
-        if (!best || cost < bestCost) {
-            best = searcher;
-            bestCost = cost;
-        }
+        candidates_.push_back(candidate(now, *searcher, parameters));
+        candidateSearchers_.push_back(searcher);
     }
-    if (!best) {
+    // Retries and hedges go wherever they are answered soonest.
+    const bool isFirst = tried.empty() && !parameters.isHedge;
+    const std::optional<Duration> timeLeft = isFirst ? parameters.timeLeft : std::nullopt;
+    const std::optional<ReplicaChoice> choice = chooseReplica(candidates_, timeLeft, timeLeft ? random_.unit() : 0);
+    if (!choice) {
         return {nullptr, reason};
     }
+    const std::shared_ptr<TrackedSearcher> best = std::move(candidateSearchers_[choice->index]);
+    candidateSearchers_.clear();
+    recordChoice(now, backend, *best, parameters);
+    return {best, PlacementFailure::None, choice->reason, candidates_[choice->index].isLocal};
+}
+
+ReplicaCandidate SearcherPool::candidate(TimePoint now,
+                                         const TrackedSearcher &searcher,
+                                         const CallParameters &parameters)
+{
+    ReplicaCandidate candidate;
+    candidate.cost = searcher.cost(now) * (1 + costJitter * random_.unit());
+    candidate.expectedTime = shareOf(parameters.typicalDuration, searcher.relativeExpectedTime(now));
+    candidate.failureShare = searcher.failureShare(now);
+    candidate.isLocal = searcher.entry().failureDomain == failureDomain_;
+    candidate.isSound = !searcher.isCold(now) && !searcher.isOverdue(now) && !searcher.isLimited(now)
+        && searcher.failuresInRow() == 0;
+    return candidate;
+}
+
+void SearcherPool::recordChoice(TimePoint now,
+                                BackendPool &backend,
+                                TrackedSearcher &searcher,
+                                const CallParameters &parameters) const
+{
     backend.lastChosenAt_ = now;
-    if (best->isCold(now) && backend.limits_.coldCallsPerSecond > 0) {
+    if (searcher.isCold(now) && backend.limits_.coldCallsPerSecond > 0) {
         const double rate = backend.limits_.coldCallsPerSecond * bounds_.coldFactor + bounds_.coldSlack;
-        best->incarnationState()->nextColdCallAt = now + fromMilliseconds(1'000 / (rate * usableColdRateShare));
+        searcher.incarnationState()->nextColdCallAt = now + fromMilliseconds(1'000 / (rate * usableColdRateShare));
     }
-    best->takeTurn(now, turnInterval(*best, parameters));
-    if (best->statedLimit().isInForce()) {
-        best->statedLimit().countCall();
-        best->pacedShare().onCall(now);
+    searcher.takeTurn(now, turnInterval(now, searcher, parameters));
+    if (searcher.isLimited(now)) {
+        searcher.statedLimit().countCall();
+        searcher.pacedShare().onCall(now);
     }
-    return {best, PlacementFailure::None};
 }
 
 Room SearcherPool::room(TimePoint now,
@@ -218,7 +243,7 @@
                           const CallParameters &parameters,
                           bool hasWaitingCalls) const
 {
-    if (searcher.statedLimit().isInForce() && (hasWaitingCalls || !searcher.isWithinLimit(now))) {
+    if (searcher.isLimited(now) && (hasWaitingCalls || !searcher.isWithinLimit(now))) {
         return roomWithinLimit(now, searcher, parameters, hasWaitingCalls);
     }
     const bool isQueueLong = hasLongQueue(now, searcher, parameters);
@@ -255,8 +280,8 @@
             continue;
         }
         const TimePoint resumesAt = std::max(now, searcher->incarnationState()->pause.endsAt());
-        const bool isLimited = searcher->statedLimit().isInForce();
-        const TimePoint callAt = isLimited ? searcher->pacedShare().nextCallAt(resumesAt) : resumesAt;
+        const TimePoint callAt
+            = searcher->isLimited(resumesAt) ? searcher->pacedShare().nextCallAt(resumesAt) : resumesAt;
         if (callAt <= now) {
             return std::nullopt;
         }
@@ -281,7 +306,7 @@
 
 bool SearcherPool::isCongested(TimePoint now, const TrackedSearcher &searcher, const CallParameters &parameters)
 {
-    const double expected = searcher.relativeExpectedTime(now) * toMilliseconds(parameters.typicalDuration);
+    const double expected = searcher.relativeReportedTime(now) * toMilliseconds(parameters.typicalDuration);
     return searcher.openCalls() > 0 && expected > toMilliseconds(parameters.maxWait);
 }
 
@@ -294,11 +319,13 @@
 
 // Interval between two calls of this process to a searcher with a long queue: the process gets an equal share of the
 // rate that the searcher sustains.
-Duration SearcherPool::turnInterval(const TrackedSearcher &searcher, const CallParameters &parameters) const
+Duration SearcherPool::turnInterval(TimePoint now,
+                                    const TrackedSearcher &searcher,
+                                    const CallParameters &parameters) const
 {
     const double slots = std::max<double>(1, searcher.entry().slots);
     return shareOf(parameters.typicalDuration,
-                   searcher.relativeServiceTime()
+                   searcher.relativeServiceTime(now)
                        * static_cast<double>(std::max<std::size_t>(1, fleet_.advertisedCount))
                        / (slots * turnOvercommitFactor));
 }
@@ -393,7 +420,13 @@
     SelfReportChanges changes;
     changes.hasBegunToLeave = report.isLeaving && !std::exchange(state.isLeaving, true);
     changes.pause = state.pause.apply(now, report, report.pause ? random_.unit() : 0);
+    const double limitBefore = state.statedLimit.callsPerSecond();
     changes.limit = state.statedLimit.apply(now, sentAt, report, hasRun);
+    if (changes.limit == LimitChange::Ended) {
+        state.recovery.start(now, limitBefore);
+    } else if (changes.limit == LimitChange::Stated) {
+        state.recovery.cancel();
+    }
     if (changes.limit != LimitChange::None) {
         updateLimitShare(now, searcher);
     }
@@ -403,12 +436,13 @@
 void SearcherPool::updateLimitShare(TimePoint now, TrackedSearcher &searcher)
 {
     const StatedLimit &limit = searcher.statedLimit();
-    if (!limit.isInForce()) {
+    if (!searcher.isLimited(now)) {
         searcher.pacedShare().clear();
         return;
     }
-    searcher.pacedShare().setShare(
-        now, limitShare(limit.callsPerSecond(), searcher.entry().instance, self_, fleet_), random_.unit());
+    const double rate
+        = limit.isInForce() ? limit.callsPerSecond() : searcher.incarnationState()->recovery.callsPerSecond();
+    searcher.pacedShare().setShare(now, limitShare(rate, searcher.entry().instance, self_, fleet_), random_.unit());
 }
 
 std::vector<std::shared_ptr<TrackedSearcher>> SearcherPool::limitedSearchers() const
