HTTP server: memory and connections of all clients are bounded together

Cause: each connection is bounded, their sum is not. 400 connections with a body that stops one byte short take 119 MB, heads of short fields 118 MB, and a body is copied for the task and for each call. Every listener has its own limit of connections, so that together they exceed the descriptors.

Change: RequestMemory accounts for requests, bytes read ahead and answers that are not read yet, over all listeners of a process. If a request does not fit, the connection that holds the most for the longest without progress is closed, or the new request is refused with 503. Callers' requests without a route, a request id or a configuration are refused from their head; other listeners take no bodies. A response of which the client takes nothing for 15 s is given up. At most 16 KB of further requests are read while one is handled. A refused client is drained for up to a second, so that it gets the response. All calls of a request share its body, and copies of its head are accounted for.

--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -58,6 +58,13 @@
     /// Serves one request, or refuses it.
     void handle(const std::shared_ptr<http::Exchange> &exchange);
 
+    /// Decides on a request whose body has not arrived yet. \return the refusal of a request that no body could make
+    /// servable, or nothing.
+    std::optional<http::Response> refuseHead(const http::Request &head);
+
+    /// The refusal of a request for which this process has no memory.
+    http::Response overloadResponse();
+
     /// Refuses further requests, as not run, if their time limit ends after \p lastAnswerAt: this process may not be
     /// there to answer them.
     void refuseRequestsEndingAfter(TimePoint lastAnswerAt) noexcept { lastAnswerAt_ = lastAnswerAt; }
@@ -78,10 +85,17 @@
 
 private:
     void onFree(const std::string &backend);
-    void refuse(const std::shared_ptr<http::Exchange> &exchange,
-                const RequestMetadata &metadata,
-                http::Response response,
-                const char *reason);
+    /// A response to a request that is not tried, and why.
+    struct Refusal {
+        http::Response response;
+        const char *reason;
+    };
+
+    std::optional<Refusal> refusalOfHead(const http::Request &head,
+                                         const RequestMetadata &metadata,
+                                         const RouteTable *routes);
+    void refuse(const std::shared_ptr<http::Exchange> &exchange, const RequestMetadata &metadata, Refusal refusal);
+    void logRefusal(const http::Request &request, const RequestMetadata &metadata, const char *reason, unsigned status);
     http::Response retryLaterResponse(const RequestMetadata &metadata);
     Duration outageDuration() const;
     std::vector<BackendPool *> backendsOf(const RequestRoute &route);
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -119,7 +119,8 @@
     const TimePoint now = BootClock::now();
     call->isSent = true;
     call->expiresAt = call->spec.deadline;
-    http::Request request = *call->spec.request;
+    // All calls of a request share its body.
+    http::Request request(call->spec.request->base());
     const Duration timeLeft = std::max(Duration{0}, call->spec.deadline - now);
     protocol_.addressCall(request, timeLeft, call->spec.searcher->entry().instance);
     if (call->spec.span && call->spec.span->isPropagated) {
@@ -127,6 +128,7 @@
     }
     call->connection->call(
         std::move(request),
+        std::shared_ptr<const std::string>(call->spec.request, &call->spec.request->body()),
         call->spec.isPart ? maxPartBytes : maxAnswerBytes,
         [this, call](const http::Response &response) { return onReply(call, response); },
         [this, call](http::CallResult result) { onResult(call, std::move(result)); });
--- a/libs/entry/src/entryhttpservers.h
+++ b/libs/entry/src/entryhttpservers.h
@@ -4,6 +4,7 @@
 #include "routing/configuration.h"
 #include "settings/entrysettings.h"
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -20,9 +21,13 @@
     http::RequestHandler directory;
     http::RequestHandler control;
     http::RequestHandler metrics;
+    /// Refuses a caller's request before its body is read.
+    http::HeadFilter filterCallersHead;
+    /// The response to a request for which there is no memory.
+    std::function<http::Response()> overloadResponse;
 };
 
-/// Owns the HTTP servers of an entry process.
+/// Owns the HTTP servers of an entry process, which share one limit of memory and connections.
 class EntryHttpServers
 {
 public:
@@ -38,8 +43,17 @@
     /// Closes connections whose timeouts have expired. Must be called several times a second.
     void closeExpired(TimePoint now);
 
+    /// The sums of all listeners.
+    http::ServerCounters counters() const;
+
+    /// What the requests of all listeners hold; only after open().
+    const http::RequestMemory &requestMemory() const { return *memory_; }
+
 private:
-    std::uint64_t fileDescriptors_ = 0;
+    http::ServerLimits callerServerLimits(const CallerLimits &limits) const;
+    http::ServerLimits otherServerLimits() const;
+
+    std::shared_ptr<http::RequestMemory> memory_;
     /// The first server is the callers' server.
     std::vector<std::unique_ptr<http::Server>> servers_;
 };
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -138,6 +138,7 @@
     void onTick();
     void runLoop();
     void onSlowTick(TimePoint now);
+    void logShedClients();
 
     EntrySettings settings_;
     SettingsFile settingsFile_;
@@ -163,6 +164,8 @@
     TimePoint membersChangedAt_ = startedAt_;
     TimePoint lastTick_ = BootClock::now();
     unsigned ticks_ = 0;
+    /// Clients that the log has told of as refused or closed.
+    std::uint64_t loggedShedClients_ = 0;
     /// True if this process is advertised to callers.
     bool isAdvertised_ = false;
     PlannedStop stop_;
@@ -176,6 +179,8 @@
     handlers.directory = [this](const ExchangePtr &exchange) { answerDirectory(exchange); };
     handlers.control = [this](const ExchangePtr &exchange) { answerControl(exchange); };
     handlers.metrics = [this](const ExchangePtr &exchange) { answerMetrics(exchange); };
+    handlers.filterCallersHead = [this](const http::Request &head) { return entry_.refuseHead(head); };
+    handlers.overloadResponse = [this] { return entry_.overloadResponse(); };
     const Result<void> opened = httpServers_.open(context_, settings_, handlers);
     if (opened.has_error()) {
         return opened.error();
@@ -259,7 +264,7 @@
 void EntryProcess::Implementation::answerMetrics(const ExchangePtr &exchange)
 {
     const detail::MetricsSources sources{
-        entry_, dispatcher_, pool_, crashes_, state_, store_, *peers_, httpServers_.callers(), log_, searcherMemory_};
+        entry_, dispatcher_, pool_, crashes_, state_, store_, *peers_, httpServers_, log_, searcherMemory_};
     exchange->respond(http::textResponse(200, "text/plain; version=0.0.4", detail::metricsText(sources)));
 }
 
@@ -441,6 +446,7 @@
 void EntryProcess::Implementation::onSlowTick(TimePoint now)
 {
     httpServers_.closeExpired(now);
+    logShedClients();
     crashes_.onTick(now);
     dispatcher_.reportLimitedSearchers(now);
     peers_->refreshMembers();
@@ -450,6 +456,28 @@
     }
 }
 
+// One line for all clients since the last tick: a crowd must not fill the log.
+void EntryProcess::Implementation::logShedClients()
+{
+    const http::ServerCounters servers = httpServers_.counters();
+    const http::RequestMemory &memory = httpServers_.requestMemory();
+    const http::RequestMemoryCounters &counters = memory.counters();
+    const std::uint64_t shed
+        = counters.refusals + counters.shedForMemory + counters.shedForConnections + servers.refusedConnections;
+    if (shed == loggedShedClients_) {
+        return;
+    }
+    log_.line(EventRank::Important, "clients_shed")
+        .count("since_last", shed - loggedShedClients_)
+        .count("requests_denied", counters.refusals)
+        .count("closed_for_memory", counters.shedForMemory)
+        .count("closed_for_connections", counters.shedForConnections)
+        .count("refused_connections", servers.refusedConnections)
+        .count("request_bytes_held", memory.used())
+        .count("connections", memory.connections());
+    loggedShedClients_ = shed;
+}
+
 Result<std::unique_ptr<EntryProcess>> EntryProcess::create(const EntrySettings &settings,
                                                            std::string settingsPath,
                                                            EntryProtocol protocol)
--- a/libs/entry/src/entryserver.cpp
+++ b/libs/entry/src/entryserver.cpp
@@ -56,42 +56,70 @@
     waitingRequests_.onTick(now);
 }
 
-void EntryServer::handle(const std::shared_ptr<http::Exchange> &exchange)
+std::optional<EntryServer::Refusal> EntryServer::refusalOfHead(const http::Request &head,
+                                                               const RequestMetadata &metadata,
+                                                               const RouteTable *routes)
 {
-    RequestMetadata metadata = protocol_.readRequestMetadata(exchange->request());
-    const std::shared_ptr<const RouteTable> routes = state_.routes();
-    if (!routes) {
+    if (routes == nullptr) {
         ++counters_.unconfigured;
-        refuse(exchange, metadata, retryLaterResponse(metadata), "no configuration yet");
-        return;
+        return Refusal{retryLaterResponse(metadata), "no configuration yet"};
     }
-    const http::Request &request = exchange->request();
-    const std::string_view host = http::headerOf(request, "Host");
-    const RequestRoute *route = routes->match(host, http::fromView(request.target()));
-    if (route == nullptr) {
+    if (routes->match(http::headerOf(head, "Host"), http::fromView(head.target())) == nullptr) {
         ++counters_.unrouted;
-        refuse(exchange, metadata, http::emptyResponse(notFound), "no route");
-        return;
+        return Refusal{http::emptyResponse(notFound), "no route"};
     }
     if (metadata.requestId.empty()) {
         ++counters_.malformed;
-        refuse(exchange, metadata, http::emptyResponse(badRequest), "no request id");
+        return Refusal{http::emptyResponse(badRequest), "no request id"};
+    }
+    return std::nullopt;
+}
+
+std::optional<http::Response> EntryServer::refuseHead(const http::Request &head)
+{
+    const RequestMetadata metadata = protocol_.readRequestMetadata(head);
+    std::optional<Refusal> refusal = refusalOfHead(head, metadata, state_.routes().get());
+    if (!refusal) {
+        return std::nullopt;
+    }
+    logRefusal(head, metadata, refusal->reason, refusal->response.result_int());
+    return std::move(refusal->response);
+}
+
+http::Response EntryServer::overloadResponse()
+{
+    return retryLaterResponse(RequestMetadata());
+}
+
+void EntryServer::handle(const std::shared_ptr<http::Exchange> &exchange)
+{
+    const http::Request &request = exchange->request();
+    RequestMetadata metadata = protocol_.readRequestMetadata(request);
+    const std::shared_ptr<const RouteTable> routes = state_.routes();
+    if (std::optional<Refusal> refusal = refusalOfHead(request, metadata, routes.get())) {
+        refuse(exchange, metadata, std::move(*refusal));
         return;
     }
+    const RequestRoute *route = routes->match(http::headerOf(request, "Host"), http::fromView(request.target()));
     if (lastAnswerAt_ && detail::RequestTask::deadlineOf(*exchange, metadata, *route) > *lastAnswerAt_) {
         ++counters_.stopping;
-        refuse(exchange, metadata, detail::notRunResponse(Duration{0}), "process is stopping");
+        refuse(exchange, metadata, {detail::notRunResponse(Duration{0}), "process is stopping"});
         return;
     }
     const Fingerprint fingerprint = fingerprintOf(request);
     if (requestContext_->crashes.isBarred(BootClock::now(), fingerprint)) {
         ++counters_.barred;
-        refuse(exchange, metadata, detail::notRunResponse(CrashBar::entryLifetime()), "crashes searchers");
+        refuse(exchange, metadata, {detail::notRunResponse(CrashBar::entryLifetime()), "crashes searchers"});
         return;
     }
     if (requests_.size() >= maxOpenRequests()) {
         ++counters_.overloaded;
-        refuse(exchange, metadata, retryLaterResponse(metadata), "too many requests");
+        refuse(exchange, metadata, {retryLaterResponse(metadata), "too many requests"});
+        return;
+    }
+    if (!exchange->reserveHeadCopies(route->isGathered() ? route->shards.size() : 1)) {
+        ++counters_.overloaded;
+        refuse(exchange, metadata, {retryLaterResponse(metadata), "no memory for its calls"});
         return;
     }
     const std::shared_ptr<detail::RequestTask> task = std::make_shared<detail::RequestTask>(*requestContext_,
@@ -120,15 +148,22 @@
 
 void EntryServer::refuse(const std::shared_ptr<http::Exchange> &exchange,
                          const RequestMetadata &metadata,
-                         http::Response response,
-                         const char *reason)
+                         Refusal refusal)
+{
+    const unsigned status = refusal.response.result_int();
+    exchange->respond(std::move(refusal.response));
+    logRefusal(exchange->request(), metadata, refusal.reason, status);
+}
+
+void EntryServer::logRefusal(const http::Request &request,
+                             const RequestMetadata &metadata,
+                             const char *reason,
+                             unsigned status)
 {
-    const unsigned status = response.result_int();
-    exchange->respond(std::move(response));
     log_.line(EventRank::Important, "request_refused")
         .text("request", metadata.requestId)
-        .text("host", http::headerOf(exchange->request(), "Host"))
-        .text("target", http::fromView(exchange->request().target()))
+        .text("host", http::headerOf(request, "Host"))
+        .text("target", http::fromView(request.target()))
         .text("reason", reason)
         .count("status", status)
         .count("open_requests", requests_.size())
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -33,12 +33,29 @@
     }
 }
 
+// Clients of all listeners.
+void addClients(std::string &text, const EntryHttpServers &servers)
+{
+    const http::ServerCounters counters = servers.counters();
+    const http::RequestMemory &memory = servers.requestMemory();
+    add(text, "client_connections_open", "gauge", counters.openConnections);
+    add(text, "client_connections_refused_total", "counter", counters.refusedConnections);
+    add(text, "client_connections_expired_total", "counter", counters.expiredRequests);
+    add(text, "request_heads_refused_total", "counter", counters.refusedHeads);
+    add(text, "request_bytes_held", "gauge", memory.used());
+    add(text, "request_bytes_limit", "gauge", memory.limits().bytes);
+    add(text, "requests_without_memory_total", "counter", memory.counters().refusals);
+    MetricWriter closed(text, "sassafrasvane_clients_closed_total", {}, "counter");
+    closed.line(labelText({{"reason", "memory"}}), memory.counters().shedForMemory);
+    closed.line(labelText({{"reason", "connections"}}), memory.counters().shedForConnections);
+}
+
 } // namespace
 
 std::string metricsText(const MetricsSources &sources)
 {
     const EntryCounters &counters = sources.entry.counters();
-    const http::ServerCounters server = sources.callers.counters();
+    const http::ServerCounters server = sources.servers.callers().counters();
     std::string text;
     addEnds(text, counters);
     addLimitedCalls(text, counters);
@@ -58,6 +75,7 @@
     add(text, "calls_waiting", "gauge", sources.entry.waitingCalls());
     add(text, "caller_connections_open", "gauge", server.openConnections);
     add(text, "caller_connections_total", "counter", server.accepted);
+    addClients(text, sources.servers);
     add(text, "searcher_connections_open", "gauge", sources.dispatcher.connections().openConnections());
     add(text, "searcher_connections_total", "counter", sources.dispatcher.connections().totalOpenedConnections());
     add(text, "searcher_connections_held", "gauge", sources.responses.readers());
--- a/libs/entry/src/metricstext.h
+++ b/libs/entry/src/metricstext.h
@@ -6,7 +6,7 @@
 #include "entry/peertask.h"
 #include "entry/publishedstate.h"
 #include "entry/storetask.h"
-#include "http/server.h"
+#include "entryhttpservers.h"
 
 #include <string>
 
@@ -25,7 +25,7 @@
     const PublishedState &state;
     const StoreTask &store;
     const PeerTask &peers;
-    const http::Server &callers;
+    EntryHttpServers &servers;
     const EventLog &log;
     const http::ResponseMemory &responses;
 };
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -53,10 +53,10 @@
     for (std::size_t part = 0; part < backends.size(); ++part) {
         parts_[part].backend = backends[part];
     }
-    http::Request request = exchange_->request();
-    removeConnectionHeaders(request);
-    request.prepare_payload();
-    request_ = std::make_shared<const http::Request>(std::move(request));
+    const std::shared_ptr<http::Request> request = exchange_->shareRequest();
+    removeConnectionHeaders(*request);
+    request->prepare_payload();
+    request_ = request;
 }
 
 TimePoint RequestTask::deadlineOf(const http::Exchange &exchange,
--- a/libs/http/include/http/clientconnection.h
+++ b/libs/http/include/http/clientconnection.h
@@ -10,6 +10,7 @@
 #include <limits>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace boost::asio
 {
@@ -67,7 +68,18 @@
     /// Sends \p request. \p handler is called exactly once, or never if close() is called first.
     /// \param bodyLimit maximum size of the response body, in bytes.
     /// \param filter selects the response that belongs to the call; if null, any response is accepted.
-    virtual void call(Request request, std::uint64_t bodyLimit, ResponseFilter filter, CallHandler handler) = 0;
+    /// \param body the body to send in place of that of \p request, which names its length; null if there is none.
+    virtual void call(Request request,
+                      std::shared_ptr<const std::string> body,
+                      std::uint64_t bodyLimit,
+                      ResponseFilter filter,
+                      CallHandler handler)
+        = 0;
+
+    void call(Request request, std::uint64_t bodyLimit, ResponseFilter filter, CallHandler handler)
+    {
+        call(std::move(request), nullptr, bodyLimit, std::move(filter), std::move(handler));
+    }
 
     /// Sends \p request without a filter; only the available memory limits the response body.
     void call(Request request, CallHandler handler)
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -4,10 +4,12 @@
 #include "base/error.h"
 #include "base/time.h"
 #include "http/message.h"
+#include "http/requestmemory.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace boost::asio
@@ -38,8 +40,12 @@
     Duration headerTimeout = std::chrono::seconds(3);
     /// Time after which a connection on which no request has begun is closed.
     Duration idleTimeout = std::chrono::seconds(15);
+    /// Time after which a connection is closed whose client takes nothing of its response.
+    Duration writeTimeout = std::chrono::seconds(15);
     /// Maximum number of open connections; further ones are closed as soon as they are accepted.
     std::size_t connections = 2'000;
+    /// Number of open connections up to which the limit that all servers share (RequestMemory) does not apply.
+    std::size_t reservedConnections = 0;
 };
 
 /// One request, with the means to respond to it.
@@ -49,12 +55,24 @@
 class Exchange
 {
 public:
-    Exchange(std::shared_ptr<detail::ServerConnection> connection, Request request, TimePoint receivedAt);
+    /// \param lease accounts for the memory of \p request.
+    Exchange(std::shared_ptr<detail::ServerConnection> connection,
+             Request request,
+             RequestLease lease,
+             TimePoint receivedAt);
     ~Exchange();
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
 
-    const Request &request() const noexcept { return request_; }
+    const Request &request() const noexcept { return held_->request; }
+
+    /// The request itself, without a copy, to be changed and passed on. Its memory stays accounted for until the last
+    /// reference is dropped.
+    std::shared_ptr<Request> shareRequest() const noexcept { return {held_, &held_->request}; }
+
+    /// Accounts for \p copies copies of the head that exist while the request is passed on.
+    /// \return false if there is no memory for them.
+    bool reserveHeadCopies(std::size_t copies);
 
     /// The time at which the last byte of the request was read.
     TimePoint receivedAt() const noexcept { return receivedAt_; }
@@ -80,10 +98,17 @@
 
 private:
     friend class detail::ServerConnection;
+
+    /// A request with its reservation.
+    struct HeldRequest {
+        Request request;
+        RequestLease lease;
+    };
+
     void abandon();
 
     std::shared_ptr<detail::ServerConnection> connection_;
-    Request request_;
+    std::shared_ptr<HeldRequest> held_;
     TimePoint receivedAt_;
     std::function<void()> onAbandoned_;
     bool isAnswered_ = false;
@@ -93,6 +118,18 @@
 /// Handles a request, now or later through the exchange. Runs on the event loop and must not block.
 using RequestHandler = std::function<void(const std::shared_ptr<Exchange> &exchange)>;
 
+/// Decides on a request whose head is complete and whose body is not. \return the response that refuses it, or nothing.
+using HeadFilter = std::function<std::optional<Response>(const Request &head)>;
+
+/// The functions that a server calls.
+struct ServerHooks {
+    RequestHandler handler;
+    /// Null if no request is refused from its head.
+    HeadFilter filterHead;
+    /// The response to a request for which there is no memory. An empty 503 if null.
+    std::function<Response()> overloadResponse;
+};
+
 /// Event counts since the start of the server, and the current number of open connections.
 struct ServerCounters {
     std::uint64_t accepted = 0;
@@ -100,6 +137,10 @@
     std::uint64_t refusedConnections = 0;
     /// Requests that the server rejected itself, with 400, 413 or 431.
     std::uint64_t malformedRequests = 0;
+    /// Requests that were refused before their body was read.
+    std::uint64_t refusedHeads = 0;
+    /// Connections that were closed because a timeout had passed on a request or a response.
+    std::uint64_t expiredRequests = 0;
     std::size_t openConnections = 0;
 };
 
@@ -107,7 +148,8 @@
 ///
 /// The server keeps reading from a connection while its request is being handled, so that a client that disconnects is
 /// detected at once. Requests whose framing is ambiguous or invalid (two lengths, malformed chunks) are answered with
-/// 400, and the connection is closed.
+/// 400, and the connection is closed. A client that leaves while more than a read of its further requests waits is
+/// detected when the response is written.
 ///
 /// \code
 /// Result<std::unique_ptr<Server>> server = Server::Builder(context).address(address).handler(handler).build();
@@ -154,6 +196,10 @@
     Builder &address(const Address &address) noexcept;
     Builder &limits(const ServerLimits &limits) noexcept;
     Builder &handler(RequestHandler handler);
+    /// The memory and connections that all servers of the process share; unlimited by default.
+    Builder &memory(std::shared_ptr<RequestMemory> memory);
+    Builder &headFilter(HeadFilter filter);
+    Builder &overloadResponse(std::function<Response()> response);
 
     /// \return the listening server, or Errc::Unavailable if the address cannot be bound.
     Result<std::unique_ptr<Server>> build() const;
@@ -162,7 +208,8 @@
     boost::asio::io_context &context_;
     Address address_;
     ServerLimits limits_;
-    RequestHandler handler_;
+    ServerHooks hooks_;
+    std::shared_ptr<RequestMemory> memory_;
 };
 
 /// An empty response with \p status.
--- a/libs/http/src/clientconnection.cpp
+++ b/libs/http/src/clientconnection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <sys/socket.h>
@@ -32,7 +33,11 @@
     }
 
     void open(OpenHandler handler) override;
-    void call(Request request, std::uint64_t bodyLimit, ResponseFilter filter, CallHandler handler) override;
+    void call(Request request,
+              std::shared_ptr<const std::string> body,
+              std::uint64_t bodyLimit,
+              ResponseFilter filter,
+              CallHandler handler) override;
     void setOnLost(std::function<void()> hook) override { onLost_ = std::move(hook); }
     void close() override;
     bool isOpen() const noexcept override { return socket_.is_open(); }
@@ -55,7 +60,10 @@
     tcp::socket socket_;
     tcp::endpoint server_;
     boost::beast::flat_buffer buffer_;
-    std::optional<Request> request_;
+    /// The request that is being written. Its body is ownBody_ or sharedBody_.
+    std::optional<beast_http::request<beast_http::span_body<const char>>> request_;
+    std::string ownBody_;
+    std::shared_ptr<const std::string> sharedBody_;
     ResponseReader reader_;
     CallHandler handler_;
     std::function<void()> onLost_;
@@ -81,9 +89,16 @@
     });
 }
 
-void TcpClientConnection::call(Request request, std::uint64_t bodyLimit, ResponseFilter filter, CallHandler handler)
+void TcpClientConnection::call(Request request,
+                               std::shared_ptr<const std::string> body,
+                               std::uint64_t bodyLimit,
+                               ResponseFilter filter,
+                               CallHandler handler)
 {
-    request_.emplace(std::move(request));
+    ownBody_ = std::move(request.body());
+    sharedBody_ = std::move(body);
+    const std::string &sent = sharedBody_ ? *sharedBody_ : ownBody_;
+    request_.emplace(std::move(request.base()), boost::beast::span<const char>(sent.data(), sent.size()));
     handler_ = std::move(handler);
     hasWritten_ = false;
     isWriting_ = true;
@@ -100,6 +115,8 @@
     isWriting_ = false;
     hasWritten_ = hasWritten_ || size > 0;
     request_.reset();
+    ownBody_ = std::string();
+    sharedBody_.reset();
     // The server may respond and close before it has read the whole request: a pending read can still deliver the
     // response.
     if (error && !isReadPending_) {
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "serverconnection.h"
+#include "socketoptions.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -19,8 +20,13 @@
 
 } // namespace
 
-Exchange::Exchange(std::shared_ptr<detail::ServerConnection> connection, Request request, TimePoint receivedAt)
-    : connection_(std::move(connection)), request_(std::move(request)), receivedAt_(receivedAt)
+Exchange::Exchange(std::shared_ptr<detail::ServerConnection> connection,
+                   Request request,
+                   RequestLease lease,
+                   TimePoint receivedAt)
+    : connection_(std::move(connection))
+    , held_(std::make_shared<HeldRequest>(HeldRequest{std::move(request), std::move(lease)}))
+    , receivedAt_(receivedAt)
 {
 }
 
@@ -41,6 +47,12 @@
     return connection_->requests() == 1;
 }
 
+bool Exchange::reserveHeadCopies(std::size_t copies)
+{
+    return held_->lease.resize(BootClock::now(),
+                               held_->lease.held() + copies * detail::memoryOf(held_->request.base()));
+}
+
 void Exchange::respond(Response response)
 {
     if (isAnswered_ || isAbandoned_) {
@@ -83,8 +95,8 @@
 namespace detail
 {
 
-ServerState::ServerState(boost::asio::io_context &context, const ServerLimits &limits, RequestHandler handler)
-    : acceptor(context), acceptTimer(context), limits(limits), handler(std::move(handler))
+ServerState::ServerState(boost::asio::io_context &context, const ServerLimits &limits, ServerHooks hooks)
+    : acceptor(context), acceptTimer(context), limits(limits), hooks(std::move(hooks))
 {
 }
 
@@ -98,6 +110,7 @@
         acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
     }
     if (!error) {
+        limitSocketBuffers(acceptor);
         acceptor.bind(endpoint, error);
     }
     if (!error) {
@@ -146,7 +159,7 @@
 
 void ServerState::onAccepted(boost::asio::ip::tcp::socket socket)
 {
-    if (connections.size() >= limits.connections) {
+    if (!hasRoom()) {
         ++counters.refusedConnections;
         return;
     }
@@ -157,15 +170,25 @@
     connection->start();
 }
 
+bool ServerState::hasRoom()
+{
+    if (connections.size() >= limits.connections) {
+        return false;
+    }
+    return connections.size() < limits.reservedConnections || memory->makeRoomForConnection(BootClock::now());
+}
+
 void ServerState::add(const std::shared_ptr<ServerConnection> &connection)
 {
     connections.insert(connection);
+    memory->add(*connection);
     counters.openConnections = connections.size();
 }
 
 void ServerState::remove(const std::shared_ptr<ServerConnection> &connection)
 {
     connections.erase(connection);
+    memory->remove(*connection);
     counters.openConnections = connections.size();
 }
 
@@ -224,6 +247,7 @@
         }
     }
     for (const std::shared_ptr<detail::ServerConnection> &connection : expired) {
+        state_->counters.expiredRequests += connection->isIdle() ? 0 : 1;
         connection->close();
     }
 }
@@ -251,14 +275,32 @@
 
 Server::Builder &Server::Builder::handler(RequestHandler handler)
 {
-    handler_ = std::move(handler);
+    hooks_.handler = std::move(handler);
+    return *this;
+}
+
+Server::Builder &Server::Builder::memory(std::shared_ptr<RequestMemory> memory)
+{
+    memory_ = std::move(memory);
+    return *this;
+}
+
+Server::Builder &Server::Builder::headFilter(HeadFilter filter)
+{
+    hooks_.filterHead = std::move(filter);
+    return *this;
+}
+
+Server::Builder &Server::Builder::overloadResponse(std::function<Response()> response)
+{
+    hooks_.overloadResponse = std::move(response);
     return *this;
 }
 
 Result<std::unique_ptr<Server>> Server::Builder::build() const
 {
-    const std::shared_ptr<detail::ServerState> state
-        = std::make_shared<detail::ServerState>(context_, limits_, handler_);
+    const std::shared_ptr<detail::ServerState> state = std::make_shared<detail::ServerState>(context_, limits_, hooks_);
+    state->memory = memory_ ? memory_ : std::make_shared<RequestMemory>(RequestMemoryLimits());
     if (const boost::system::error_code error = state->listen(address_)) {
         return Error{Errc::Unavailable, Step::Accept, address_.toString(), error.message()};
     }
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <sstream>
 
 namespace sassafrasvane::http::detail
 {
@@ -15,10 +16,26 @@
 namespace
 {
 
-/// Reading pauses when more than this many bytes of further requests are buffered while one is being handled.
-constexpr std::size_t maxPipelinedBytes = 65'536;
+/// Reading pauses when this many bytes of further requests are buffered while one is being handled: reading goes on
+/// only to detect that the client leaves.
+constexpr std::size_t maxPipelinedBytes = 16'384;
+
+/// A buffer without content that is larger than this is freed.
+constexpr std::size_t maxIdleBufferBytes = 8'192;
+
+/// A client that sends fewer bytes makes no progress.
+constexpr std::size_t minProgressBytes = 1'024;
+
+/// Memory of a header field beyond its bytes: the node of Boost.Beast and the overhead of the allocation.
+constexpr std::size_t fieldOverheadBytes = 80;
+
+/// After its last response, a connection is closed when the client has sent this many more bytes, or after this time.
+/// Closing it at once would make the system drop the response if the client is still sending.
+constexpr std::size_t maxDiscardedBytes = 524'288;
+constexpr Duration drainTimeout = std::chrono::seconds(1);
 
 constexpr unsigned notImplemented = 501;
+constexpr unsigned unavailable = 503;
 
 /// The status for a request that the parser rejected with \p error.
 unsigned statusOf(const boost::system::error_code &error)
@@ -43,8 +60,21 @@
 
 } // namespace
 
+std::size_t memoryOf(const Headers &headers) noexcept
+{
+    std::size_t size = 0;
+    for (const Headers::value_type &field : headers) {
+        size += fieldOverheadBytes + field.name_string().size() + field.value().size();
+    }
+    return size;
+}
+
 ServerConnection::ServerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<ServerState> state)
-    : socket_(std::move(socket)), state_(std::move(state)), phaseStartedAt_(BootClock::now())
+    : socket_(std::move(socket))
+    , state_(std::move(state))
+    , lease_(state_->memory)
+    , phaseStartedAt_(BootClock::now())
+    , progressAt_(phaseStartedAt_)
 {
     setOptions(socket_);
     roundTrip_ = roundTripOf(socket_);
@@ -60,14 +90,21 @@
 {
     parser_.emplace();
     parser_->eager(true);
+    headBytes_ = 0;
     phase_ = Phase::Reading;
     hasRequestBegun_ = false;
     phaseStartedAt_ = BootClock::now();
+    progressAt_ = phaseStartedAt_;
+    unratedBytes_ = 0;
+    if (buffer_.size() == 0 && buffer_.capacity() > maxIdleBufferBytes) {
+        buffer_.shrink_to_fit();
+    }
 }
 
 void ServerConnection::read()
 {
-    if (isReadPending_ || isClosed_ || isInputEnded_ || buffer_.size() > maxPipelinedBytes) {
+    const bool isPaused = phase_ != Phase::Reading && !isDiscarding_ && buffer_.size() >= maxPipelinedBytes;
+    if (isReadPending_ || isClosed_ || isInputEnded_ || isPaused) {
         return;
     }
     isReadPending_ = true;
@@ -88,13 +125,35 @@
         onInputEnd();
         return;
     }
+    if (isDiscarding_) {
+        discard(size);
+        return;
+    }
+    unratedBytes_ += size;
+    if (phase_ == Phase::Reading && unratedBytes_ >= minProgressBytes) {
+        progressAt_ = BootClock::now();
+        unratedBytes_ = 0;
+    }
     buffer_.commit(boost::asio::buffer_copy(buffer_.prepare(size), boost::asio::buffer(input_, size)));
     if (phase_ == Phase::Reading) {
         parse();
     }
+    if (!account()) {
+        refuse(state_->hooks.overloadResponse ? state_->hooks.overloadResponse() : emptyResponse(unavailable));
+    }
     read();
 }
 
+void ServerConnection::discard(std::size_t size)
+{
+    discardedBytes_ += size;
+    if (discardedBytes_ > maxDiscardedBytes && phase_ == Phase::Draining) {
+        close();
+    } else if (discardedBytes_ <= maxDiscardedBytes) {
+        read();
+    }
+}
+
 // The client has closed the connection or shut down its sending side. Either way it is assumed to wait for no
 // response.
 void ServerConnection::onInputEnd()
@@ -113,24 +172,25 @@
         if (!hasRequestBegun_) {
             hasRequestBegun_ = true;
             phaseStartedAt_ = BootClock::now();
+            progressAt_ = phaseStartedAt_;
             // The limits may have changed while the connection was idle.
             parser_->header_limit(state_->limits.headerBytes);
             parser_->body_limit(state_->limits.bodyBytes);
         }
         const bool hadHeader = parser_->is_header_done();
         boost::system::error_code error;
-        const std::size_t used = parser_->put(buffer_.data(), error);
+        const boost::asio::const_buffer bytes = buffer_.data();
+        const std::size_t used = parser_->put(bytes, error);
+        if (!hadHeader) {
+            countHead({static_cast<const char *>(bytes.data()), used});
+        }
         buffer_.consume(used);
         if (error && error != beast_http::error::need_more) {
             rejectRequest(statusOf(error));
             return;
         }
-        if (!hadHeader && parser_->is_header_done()) {
-            phaseStartedAt_ = BootClock::now();
-            if (hasUnknownCoding(parser_->get())) {
-                rejectRequest(notImplemented);
-                return;
-            }
+        if (!hadHeader && parser_->is_header_done() && !onHead()) {
+            return;
         }
         if (parser_->is_done()) {
             dispatch();
@@ -142,23 +202,99 @@
     }
 }
 
+// Before the head is complete, its fields are counted by their line ends: the parser has stored them already.
+void ServerConnection::countHead(std::string_view parsed)
+{
+    if (parser_->is_header_done()) {
+        headBytes_ = memoryOf(parser_->get());
+    } else {
+        const std::ptrdiff_t lines = std::count(parsed.begin(), parsed.end(), '\n');
+        headBytes_ += parsed.size() + static_cast<std::size_t>(lines) * fieldOverheadBytes;
+    }
+}
+
+// Returns false if the request has been refused.
+bool ServerConnection::onHead()
+{
+    phaseStartedAt_ = BootClock::now();
+    if (hasUnknownCoding(parser_->get())) {
+        rejectRequest(notImplemented);
+        return false;
+    }
+    if (parser_->is_done() || !state_->hooks.filterHead) {
+        return true;
+    }
+    if (std::optional<Response> refusal = state_->hooks.filterHead(parser_->get())) {
+        ++state_->counters.refusedHeads;
+        refuse(std::move(*refusal));
+        return false;
+    }
+    return true;
+}
+
+std::size_t ServerConnection::neededBytes() const noexcept
+{
+    std::size_t size = buffer_.capacity();
+    if (phase_ == Phase::Reading && parser_) {
+        size += headBytes_ + (parser_->is_header_done() ? parser_->get().body().capacity() : 0);
+    }
+    // While reading is paused, the system keeps what the client sends.
+    if (phase_ != Phase::Reading && buffer_.size() >= maxPipelinedBytes) {
+        size += socketBufferBytes();
+    }
+    if (phase_ == Phase::Writing && response_) {
+        size += response_->body().capacity() + std::min(response_->body().size(), socketBufferBytes());
+    }
+    return size;
+}
+
+bool ServerConnection::account()
+{
+    if (isClosed_) {
+        return true;
+    }
+    const TimePoint now = BootClock::now();
+    if (phase_ == Phase::Reading) {
+        return lease_.resize(now, neededBytes(), this);
+    }
+    lease_.charge(now, neededBytes(), this);
+    return true;
+}
+
 void ServerConnection::dispatch()
 {
-    phase_ = Phase::Handling;
     isKeptAlive_ = parser_->keep_alive();
+    if (!account()) {
+        refuse(state_->hooks.overloadResponse ? state_->hooks.overloadResponse() : emptyResponse(unavailable));
+        return;
+    }
+    phase_ = Phase::Handling;
     ++requests_;
     const std::shared_ptr<Exchange> exchange
-        = std::make_shared<Exchange>(shared_from_this(), parser_->release(), BootClock::now());
+        = std::make_shared<Exchange>(shared_from_this(),
+                                     parser_->release(),
+                                     lease_.split(lease_.held() - std::min(lease_.held(), buffer_.capacity())),
+                                     BootClock::now());
+    parser_.reset();
     exchange_ = exchange;
-    state_->handler(exchange);
+    state_->hooks.handler(exchange);
 }
 
 void ServerConnection::rejectRequest(unsigned status)
 {
     ++state_->counters.malformedRequests;
+    refuse(emptyResponse(status));
+}
+
+void ServerConnection::refuse(Response response)
+{
+    parser_.reset();
+    buffer_.consume(buffer_.size());
+    buffer_.shrink_to_fit();
+    isDiscarding_ = true;
     isKeptAlive_ = false;
     phase_ = Phase::Handling;
-    respond(emptyResponse(status));
+    respond(std::move(response));
 }
 
 void ServerConnection::respond(Response response)
@@ -167,12 +303,20 @@
         return;
     }
     phase_ = Phase::Writing;
+    progressAt_ = BootClock::now();
     isKeptAlive_ = isKeptAlive_ && !state_->isClosingAfterResponses;
     response.version(11);
     response.keep_alive(isKeptAlive_);
     response_.emplace(std::move(response));
-    beast_http::async_write(
-        socket_, *response_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+    serializer_.emplace(*response_);
+    account();
+    write();
+}
+
+void ServerConnection::write()
+{
+    beast_http::async_write_some(
+        socket_, *serializer_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
             self->onWritten(error);
         });
 }
@@ -182,22 +326,91 @@
     if (isClosed_) {
         return;
     }
+    if (error) {
+        close();
+        return;
+    }
+    progressAt_ = BootClock::now();
+    if (serializer_->is_done()) {
+        onResponseWritten();
+    } else {
+        write();
+    }
+}
+
+void ServerConnection::onResponseWritten()
+{
+    serializer_.reset();
     response_.reset();
-    if (error || !isKeptAlive_ || isInputEnded_) {
+    if (isInputEnded_ || (!isKeptAlive_ && !isDiscarding_)) {
         close();
         return;
     }
+    if (!isKeptAlive_) {
+        boost::system::error_code ignored;
+        socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        phase_ = Phase::Draining;
+        phaseStartedAt_ = BootClock::now();
+        account();
+        discard(0);
+        return;
+    }
     beginRequest();
     parse();
+    if (!account()) {
+        refuse(state_->hooks.overloadResponse ? state_->hooks.overloadResponse() : emptyResponse(unavailable));
+    }
     read();
 }
 
 bool ServerConnection::isExpired(TimePoint now) const noexcept
 {
-    if (phase_ != Phase::Reading) {
+    switch (phase_) {
+    case Phase::Reading:
+        return now - phaseStartedAt_ > (hasRequestBegun_ ? state_->limits.headerTimeout : state_->limits.idleTimeout);
+    case Phase::Handling:
         return false;
+    case Phase::Writing:
+        return now - progressAt_ > state_->limits.writeTimeout;
+    case Phase::Draining:
+        return now - phaseStartedAt_ > drainTimeout;
+    }
+    return false;
+}
+
+std::optional<TimePoint> ServerConnection::waitingSince() const noexcept
+{
+    switch (phase_) {
+    case Phase::Reading:
+    case Phase::Writing:
+        return progressAt_;
+    case Phase::Handling:
+        break;
+    case Phase::Draining:
+        return phaseStartedAt_;
+    }
+    return std::nullopt;
+}
+
+void ServerConnection::shed(ShedReason reason)
+{
+    const std::shared_ptr<ServerConnection> self = shared_from_this();
+    boost::system::error_code ignored;
+    if (phase_ == Phase::Reading && hasRequestBegun_) {
+        // The request has not run. The response is sent only if the system takes it at once.
+        Response response
+            = state_->hooks.overloadResponse ? state_->hooks.overloadResponse() : emptyResponse(unavailable);
+        response.version(11);
+        response.keep_alive(false);
+        std::ostringstream text;
+        text << response;
+        socket_.non_blocking(true, ignored);
+        socket_.write_some(boost::asio::buffer(text.str()), ignored);
+    } else if (phase_ == Phase::Writing && reason == ShedReason::Memory) {
+        // The system would keep the rest of the response for a client that does not read it.
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     }
-    return now - phaseStartedAt_ > (hasRequestBegun_ ? state_->limits.headerTimeout : state_->limits.idleTimeout);
+    close();
 }
 
 void ServerConnection::close()
@@ -209,6 +422,10 @@
     boost::system::error_code ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+    parser_.reset();
+    lease_ = RequestLease();
     state_->remove(shared_from_this());
 }
 
--- a/libs/http/src/socketoptions.cpp
+++ b/libs/http/src/socketoptions.cpp
@@ -38,6 +38,15 @@
     set(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMilliseconds);
 }
 
+void limitSocketBuffers(boost::asio::ip::tcp::acceptor &acceptor)
+{
+    // The system uses twice the value. 16 KB let the largest body arrive within the time for it at a round trip of up
+    // to 150 ms.
+    const int size = static_cast<int>(socketBufferBytes() / 2);
+    set(acceptor.native_handle(), SOL_SOCKET, SO_RCVBUF, size);
+    set(acceptor.native_handle(), SOL_SOCKET, SO_SNDBUF, size);
+}
+
 Duration roundTripOf(boost::asio::ip::tcp::socket &socket)
 {
     tcp_info info{};
--- /dev/null
+++ b/libs/http/tests/requestmemory_test.cpp
@@ -0,0 +1,3 @@
+#include "http/requestmemory.h"
+
+#include <boost/test/unit_test.hpp>
