HTTP server: a full listener closes the connection that waits longest

Cause: a listener at its own limit refused each further connection until the idle timeout, so that a crowd could keep the readiness check out. Memory that handled requests hold closed idle connections to little effect.

Change: a listener at its limit closes one of its own connections as the common limit does. A connection that holds less than 4 KB is not closed for memory.

--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -26,6 +26,7 @@
 
 namespace detail
 {
+class LineBudget;
 class RequestTask;
 struct RequestContext;
 } // namespace detail
@@ -116,6 +117,8 @@
     std::unordered_map<std::string, CallTimes> callTimes_;
     std::unordered_map<const detail::RequestTask *, std::shared_ptr<detail::RequestTask>> requests_;
     std::unique_ptr<detail::RequestContext> requestContext_;
+    /// Bounds the log lines about refused requests.
+    std::unique_ptr<detail::LineBudget> refusalLines_;
 };
 
 } // namespace sassafrasvane
--- a/libs/entry/src/entryserver.cpp
+++ b/libs/entry/src/entryserver.cpp
@@ -1,6 +1,7 @@
 #include "entry/entryserver.h"
 
 #include "entry/retryadvice.h"
+#include "linebudget.h"
 #include "refusal.h"
 #include "requesttask.h"
 
@@ -41,6 +42,7 @@
                                                  counters_,
                                                  random_,
                                                  {}})
+    , refusalLines_(std::make_unique<detail::LineBudget>())
 {
     requestContext_->release = [this](const detail::RequestTask *request) { requests_.erase(request); };
     dispatcher.setOnSearcherFree([this](const std::string &backend) { onFree(backend); });
@@ -160,6 +162,9 @@
                              const char *reason,
                              unsigned status)
 {
+    if (!refusalLines_->admit(BootClock::now())) {
+        return;
+    }
     log_.line(EventRank::Important, "request_refused")
         .text("request", metadata.requestId)
         .text("host", http::headerOf(request, "Host"))
@@ -167,6 +172,7 @@
         .text("reason", reason)
         .count("status", status)
         .count("open_requests", requests_.size())
+        .count("not_logged", refusalLines_->takeOmitted())
         .count("configuration", state_.routes() ? state_.routes()->version() : 0);
 }
 
--- a/libs/http/include/http/requestmemory.h
+++ b/libs/http/include/http/requestmemory.h
@@ -7,6 +7,7 @@
 #include <limits>
 #include <memory>
 #include <optional>
+#include <span>
 #include <unordered_set>
 
 /// \file
@@ -81,6 +82,8 @@
     /// Requests up to this size, in bytes, may use all of the memory, larger ones only largeShare() of it.
     static constexpr std::size_t smallBytes() noexcept { return 32'768; }
     static constexpr double largeShare() noexcept { return 0.75; }
+    /// A connection that holds less is not closed to free memory: that would close many idle ones to little effect.
+    static constexpr std::size_t minShedBytes() noexcept { return 4'096; }
     /// A connection is not closed to free memory before it has made no progress for this long: a client that is served
     /// on time sends the next bytes sooner.
     static constexpr Duration minMemoryWait() noexcept { return std::chrono::milliseconds(100); }
@@ -99,6 +102,10 @@
     /// True if another connection may be opened, if need be after one that waits for its client has been closed.
     bool makeRoomForConnection(TimePoint now);
 
+    /// Closes the one of \p holders that has waited for its client for the longest, those on which no request has been
+    /// answered first. \return false if none has waited for minConnectionWait().
+    bool shedLongestWaiting(TimePoint now, std::span<RequestHolder *const> holders);
+
     void add(RequestHolder &holder) { holders_.insert(&holder); }
     void remove(RequestHolder &holder) { holders_.erase(&holder); }
 
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -42,7 +42,8 @@
     Duration idleTimeout = std::chrono::seconds(15);
     /// Time after which a connection is closed whose client takes nothing of its response.
     Duration writeTimeout = std::chrono::seconds(15);
-    /// Maximum number of open connections; further ones are closed as soon as they are accepted.
+    /// Maximum number of open connections. A further one takes the place of one that waits for its client, or is closed
+    /// as soon as it is accepted.
     std::size_t connections = 2'000;
     /// Number of open connections up to which the limit that all servers share (RequestMemory) does not apply.
     std::size_t reservedConnections = 0;
--- a/libs/http/src/requestmemory.cpp
+++ b/libs/http/src/requestmemory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace sassafrasvane::http
 {
@@ -45,7 +46,7 @@
     double most = 0;
     for (RequestHolder *holder : holders_) {
         const std::optional<TimePoint> since = holder->waitingSince();
-        if (holder == requester || !since || now - *since < minMemoryWait()) {
+        if (holder == requester || holder->heldBytes() < minShedBytes() || !since || now - *since < minMemoryWait()) {
             continue;
         }
         const double product = static_cast<double>(holder->heldBytes()) * toMilliseconds(now - *since);
@@ -63,15 +64,20 @@
     return used_ < before;
 }
 
-// Connections on which no request has been answered are closed first.
 bool RequestMemory::makeRoomForConnection(TimePoint now)
 {
     if (holders_.size() < limits_.connections) {
         return true;
     }
+    const std::vector<RequestHolder *> holders(holders_.begin(), holders_.end());
+    return shedLongestWaiting(now, holders) && holders_.size() < limits_.connections;
+}
+
+bool RequestMemory::shedLongestWaiting(TimePoint now, std::span<RequestHolder *const> holders)
+{
     RequestHolder *longest = nullptr;
     std::pair<bool, TimePoint> first;
-    for (RequestHolder *holder : holders_) {
+    for (RequestHolder *holder : holders) {
         const std::optional<TimePoint> since = holder->waitingSince();
         if (!since || now - *since < minConnectionWait()) {
             continue;
@@ -87,7 +93,7 @@
     }
     ++counters_.shedForConnections;
     longest->shed(ShedReason::Connections);
-    return holders_.size() < limits_.connections;
+    return true;
 }
 
 RequestLease::RequestLease(RequestLease &&other) noexcept
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -172,10 +172,17 @@
 
 bool ServerState::hasRoom()
 {
+    const TimePoint now = BootClock::now();
     if (connections.size() >= limits.connections) {
-        return false;
+        std::vector<RequestHolder *> holders;
+        for (const std::shared_ptr<ServerConnection> &connection : connections) {
+            holders.push_back(connection.get());
+        }
+        if (!memory->shedLongestWaiting(now, holders)) {
+            return false;
+        }
     }
-    return connections.size() < limits.reservedConnections || memory->makeRoomForConnection(BootClock::now());
+    return connections.size() < limits.reservedConnections || memory->makeRoomForConnection(now);
 }
 
 void ServerState::add(const std::shared_ptr<ServerConnection> &connection)
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -29,6 +29,11 @@
     std::unique_ptr<http::Server> server;
     Address address;
 
+    std::shared_ptr<http::RequestMemory> memory
+        = std::make_shared<http::RequestMemory>(http::RequestMemoryLimits{1'000'000, 100});
+    /// The target of requests that are refused from their head.
+    std::string refusedTarget = "/refused";
+
     explicit ServerFixture(http::ServerLimits limits = {})
     {
         // A temporary listener lets the system choose a free port.
@@ -39,6 +44,12 @@
             = http::Server::Builder(context)
                   .address(address)
                   .limits(limits)
+                  .memory(memory)
+                  .headFilter([this](const http::Request &head) -> std::optional<http::Response> {
+                      return http::fromView(head.target()) == refusedTarget
+                          ? std::optional<http::Response>(http::emptyResponse(404))
+                          : std::nullopt;
+                  })
                   .handler([this](const std::shared_ptr<http::Exchange> &exchange) { exchanges.push_back(exchange); })
                   .build()
                   .value();
@@ -286,6 +297,131 @@
     BOOST_TEST(fixture.server->counters().openConnections == 0U);
 }
 
+// Guards against bodies that are kept although nobody needs them.
+BOOST_AUTO_TEST_CASE(requestIsRefusedFromItsHeadBeforeItsBody)
+{
+    ServerFixture fixture;
+    tcp::socket socket = fixture.connect();
+    fixture.send(socket, "POST /refused HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\nbegin");
+    const std::string text = fixture.receiveAll(socket);
+    BOOST_TEST(text.starts_with("HTTP/1.1 404"));
+    BOOST_TEST(text.find("Connection: close") != std::string::npos);
+    BOOST_TEST(fixture.exchanges.empty());
+    BOOST_TEST(fixture.memory->used() == 0U);
+}
+
+// Guards against a reset that takes the response from a client that is still sending.
+BOOST_AUTO_TEST_CASE(clientThatIsStillSendingGetsTheRefusal)
+{
+    ServerFixture fixture;
+    tcp::socket socket = fixture.connect();
+    fixture.send(socket, "POST /refused HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n");
+    for (int piece = 0; piece < 20; ++piece) {
+        fixture.send(socket, std::string(10'000, 'b'));
+        fixture.context.poll();
+    }
+    BOOST_TEST(fixture.receiveAll(socket).starts_with("HTTP/1.1 404"));
+    fixture.server->closeExpired(BootClock::now() + std::chrono::seconds(2));
+    BOOST_TEST(fixture.server->counters().openConnections == 0U);
+}
+
+// Guards against a crowd of requests that each stay inside the limits.
+BOOST_AUTO_TEST_CASE(requestsThatDoNotFitAreRefusedAndSmallOnesServed)
+{
+    ServerFixture fixture;
+    const std::string large = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 250000\r\n\r\n";
+    std::vector<tcp::socket> sockets;
+    for (int number = 0; number < 4; ++number) {
+        sockets.push_back(fixture.connect());
+        fixture.send(sockets.back(), large + "begin");
+    }
+    std::size_t refused = 0;
+    for (tcp::socket &socket : sockets) {
+        socket.non_blocking(true);
+    }
+    BOOST_TEST(fixture.runUntil([&] {
+        for (tcp::socket &socket : sockets) {
+            std::array<char, 512> bytes{};
+            boost::system::error_code ignored;
+            const std::size_t size = socket.read_some(boost::asio::buffer(bytes), ignored);
+            refused += std::string_view(bytes.data(), size).starts_with("HTTP/1.1 503") ? 1 : 0;
+        }
+        return refused == 2;
+    }));
+    BOOST_TEST(fixture.exchanges.empty());
+    tcp::socket small = fixture.connect();
+    fixture.send(small, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+    BOOST_TEST(fixture.runUntil([&] { return fixture.exchanges.size() == 1; }));
+    sockets.clear();
+    small.close();
+    BOOST_TEST(fixture.runUntil([&] { return fixture.server->counters().openConnections == 0; }));
+    BOOST_TEST(fixture.memory->used() > 0U);
+    fixture.exchanges.clear();
+    BOOST_TEST(fixture.memory->used() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(furtherRequestsAreReadOnlyInPart)
+{
+    ServerFixture fixture;
+    tcp::socket socket = fixture.connect();
+    socket.non_blocking(true);
+    const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    std::string crowd;
+    while (crowd.size() < 200'000) {
+        crowd += request;
+    }
+    std::size_t sent = 0;
+    for (int turn = 0; turn < 2'000; ++turn) {
+        boost::system::error_code ignored;
+        sent += socket.write_some(boost::asio::buffer(crowd) + sent, ignored);
+        fixture.context.restart();
+        fixture.context.poll();
+    }
+    BOOST_TEST(fixture.exchanges.size() == 1U);
+    // 16 KB and a read in a buffer that grows by doubling, and the buffer of the system.
+    BOOST_TEST(fixture.memory->used() <= 80'000U);
+    for (std::size_t answered = 0; answered < 100; ++answered) {
+        BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges.size() == answered + 1; }));
+        fixture.exchanges.back()->respond(http::emptyResponse(200));
+    }
+}
+
+// Guards against a crowd without requests that keeps others out until the idle timeout.
+BOOST_AUTO_TEST_CASE(connectionThatWaitsLongestMakesRoom)
+{
+    http::ServerLimits limits;
+    limits.connections = 2;
+    ServerFixture fixture(limits);
+    std::vector<tcp::socket> idle;
+    idle.push_back(fixture.connect());
+    idle.push_back(fixture.connect());
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.server->counters().openConnections == 2; }));
+    const TimePoint end = BootClock::now() + http::RequestMemory::minConnectionWait();
+    BOOST_REQUIRE(fixture.runUntil([&] { return BootClock::now() > end; }));
+    tcp::socket socket = fixture.connect();
+    fixture.send(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    BOOST_TEST(fixture.runUntil([&] { return fixture.exchanges.size() == 1; }));
+    BOOST_TEST(fixture.server->counters().openConnections == 2U);
+    BOOST_TEST(fixture.server->counters().refusedConnections == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(clientThatTakesNothingOfItsResponseIsClosed)
+{
+    ServerFixture fixture;
+    tcp::socket socket = fixture.connect();
+    fixture.send(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges.size() == 1; }));
+    fixture.exchanges[0]->respond(http::textResponse(200, "text/plain", std::string(8'000'000, 'r')));
+    fixture.context.poll();
+    fixture.server->closeExpired(BootClock::now() + std::chrono::seconds(14));
+    BOOST_TEST(fixture.server->counters().openConnections == 1U);
+    BOOST_TEST(fixture.memory->used() > 8'000'000U);
+    fixture.server->closeExpired(BootClock::now() + std::chrono::seconds(16));
+    BOOST_TEST(fixture.server->counters().openConnections == 0U);
+    fixture.exchanges.clear();
+    BOOST_TEST(fixture.memory->used() == 0U);
+}
+
 namespace
 {
 
