--- a/libs/entry/tests/linebudget_test.cpp
+++ b/libs/entry/tests/linebudget_test.cpp
@@ -17,6 +17,6 @@
         }
     }
     BOOST_TEST(written <= 400U + 2 * 100U);
-    BOOST_TEST(budget.takeOmitted() == 10U * milliseconds - written);
+    BOOST_TEST(budget.takeOmitted() == std::uint64_t{10} * milliseconds - written);
     BOOST_TEST(budget.takeOmitted() == 0U);
 }
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,9 +3,11 @@
 import dataclasses
 import random
 import signal
+import threading
 import time
 from collections.abc import Callable
 
+import crowd
 from proxy import Harm
 from soakworld import CRASHING, FOREVER, GRACE, USUAL_DELAY_S, SoakWorld
 
@@ -21,6 +23,11 @@
 PAUSES_S = [0.7, 1.5, 3.0]
 # How long callers send a request that crashes searchers.
 CRASHING_S = 8.0
+# Connections of a crowd of misbehaving clients: their bodies exceed the memory that a process has for requests.
+CROWD_CONNECTIONS = 250
+CROWD_S = 3.0
+# Forms that no searcher may run: the promises count each run that no caller has sent.
+CROWD_FORMS = [crowd.half_head, crowd.tiny_chunks, crowd.unfinished_body, crowd.unfinished_short_fields]
 # Share of the processes and searchers that are disturbed at the same time, so that service remains.
 MOST_DISTURBED = 0.5
 
@@ -48,7 +55,7 @@
         length = generator.choice([0.2, 0.6, 1.5, 3.0])
         steps.append(Step(at, kind, generator.random(), length, generator.choice(details)))
         at += generator.choice([0.0, 0.1, 0.2, 0.4, 1.0])
-    steps += limit_steps(seed, seconds) + absence_steps(seed, seconds)
+    steps += limit_steps(seed, seconds) + absence_steps(seed, seconds) + crowd_steps(seed, seconds)
     return sorted(steps, key=lambda step: step.at)
 
 
@@ -67,6 +74,12 @@
     return [*steps, Step(generator.uniform(0, seconds), "say_leaving", generator.random(), 3.0, "")]
 
 
+def crowd_steps(seed, seconds):
+    """A crowd of misbehaving clients at one process. It has a generator of its own, too."""
+    generator = random.Random(f"{seed}/crowds")
+    return [Step(generator.uniform(0, seconds), "send_crowd", generator.random(), CROWD_S, generator.choice(CROWD_FORMS))]
+
+
 class Faults:
     """Carries out steps, and undoes them when their time is over."""
 
@@ -78,7 +91,7 @@
 
     def begin(self, step):
         self.begun += 1
-        kind = (KINDS | ASKING_KINDS)[step.kind]
+        kind = (KINDS | SCHEDULED_KINDS)[step.kind]
         target = kind.choose(self, step)
         if target is None:
             return
@@ -188,6 +201,18 @@
         entry.signal(signal.SIGHUP)
         return undo
 
+    def send_crowd(self, entry, step):
+        """Many clients send requests that they do not finish."""
+        clients = crowd.Crowd(entry, [("callers", "/fetch/crowd")], step.detail, connections=CROWD_CONNECTIONS)
+        sender = threading.Thread(target=clients.send)
+        sender.start()
+
+        def leave():
+            sender.join()
+            clients.close()
+
+        return undoing(entry.disturbed, leave)
+
     # Faults of the store.
 
     def harm_store_link(self, entry, step):
@@ -346,9 +371,10 @@
     "send_crashing": Kind(Faults.store, Faults.send_crashing, ["board", "fetch", "book"]),
     "replace_searcher": Kind(Faults.calm_searcher, Faults.replace_searcher, ["drained", "removed", "address_reused"]),
 }
-# Searchers that ask something of their callers; chosen by schedules of their own.
-ASKING_KINDS = {
+# Searchers that ask something of their callers, and clients that misbehave; chosen by schedules of their own.
+SCHEDULED_KINDS = {
     "limit_searcher": Kind(Faults.calm_searcher, Faults.limit_searcher, LIMITS),
     "pause_searcher": Kind(Faults.calm_searcher, Faults.pause_searcher, PAUSES_S),
     "say_leaving": Kind(Faults.calm_searcher, Faults.say_leaving, [""]),
+    "send_crowd": Kind(Faults.calm_entry, Faults.send_crowd, CROWD_FORMS),
 }
