HTTP server: small bodies that nobody needs are read, stalled answers counted

Cause: callers that send head and body in two pieces lost their connection when a request had no route (found by the new test of a kept connection). The system's buffer of a client that does not read may be full although its last response is small.

Change: a request is refused from its head only if its body is larger than 16 KB.

--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -119,7 +119,8 @@
 /// Handles a request, now or later through the exchange. Runs on the event loop and must not block.
 using RequestHandler = std::function<void(const std::shared_ptr<Exchange> &exchange)>;
 
-/// Decides on a request whose head is complete and whose body is not. \return the response that refuses it, or nothing.
+/// Decides on a request with a body of more than 16 KB that has not arrived yet. \return the response that refuses it,
+/// or nothing.
 using HeadFilter = std::function<std::optional<Response>(const Request &head)>;
 
 /// The functions that a server calls.
@@ -177,7 +178,8 @@
     /// Closes the listener; open connections, and those that wait to be accepted, stay open.
     void stopAccepting();
 
-    /// Closes the connections whose timeout has passed. The owner calls this several times a second.
+    /// Closes the connections whose timeout has passed, and accounts for responses that clients do not take. The owner
+    /// calls this several times a second.
     void closeExpired(TimePoint now);
 
     ServerCounters counters() const noexcept;
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -248,15 +248,21 @@
 void Server::closeExpired(TimePoint now)
 {
     std::vector<std::shared_ptr<detail::ServerConnection>> expired;
+    std::vector<std::shared_ptr<detail::ServerConnection>> stalled;
     for (const std::shared_ptr<detail::ServerConnection> &connection : state_->connections) {
         if (connection->isExpired(now)) {
             expired.push_back(connection);
+        } else if (connection->isNewlyStalled(now)) {
+            stalled.push_back(connection);
         }
     }
     for (const std::shared_ptr<detail::ServerConnection> &connection : expired) {
         state_->counters.expiredRequests += connection->isIdle() ? 0 : 1;
         connection->close();
     }
+    for (const std::shared_ptr<detail::ServerConnection> &connection : stalled) {
+        connection->accountStall();
+    }
 }
 
 ServerCounters Server::counters() const noexcept
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -20,6 +20,10 @@
 /// only to detect that the client leaves.
 constexpr std::size_t maxPipelinedBytes = 16'384;
 
+/// A request whose body is larger may be refused from its head. A smaller body is read even if nobody needs it: the
+/// connection then stays open for the next request.
+constexpr std::uint64_t maxUnneededBodyBytes = 16'384;
+
 /// A buffer without content that is larger than this is freed.
 constexpr std::size_t maxIdleBufferBytes = 8'192;
 
@@ -91,6 +95,7 @@
     parser_.emplace();
     parser_->eager(true);
     headBytes_ = 0;
+    isHeadFiltered_ = false;
     phase_ = Phase::Reading;
     hasRequestBegun_ = false;
     phaseStartedAt_ = BootClock::now();
@@ -189,7 +194,14 @@
             rejectRequest(statusOf(error));
             return;
         }
-        if (!hadHeader && parser_->is_header_done() && !onHead()) {
+        if (!hadHeader && parser_->is_header_done()) {
+            phaseStartedAt_ = BootClock::now();
+            if (hasUnknownCoding(parser_->get())) {
+                rejectRequest(notImplemented);
+                return;
+            }
+        }
+        if (!filterHead()) {
             return;
         }
         if (parser_->is_done()) {
@@ -214,16 +226,16 @@
 }
 
 // Returns false if the request has been refused.
-bool ServerConnection::onHead()
+bool ServerConnection::filterHead()
 {
-    phaseStartedAt_ = BootClock::now();
-    if (hasUnknownCoding(parser_->get())) {
-        rejectRequest(notImplemented);
-        return false;
+    if (isHeadFiltered_ || !state_->hooks.filterHead || !parser_->is_header_done() || parser_->is_done()) {
+        return true;
     }
-    if (parser_->is_done() || !state_->hooks.filterHead) {
+    const std::uint64_t bodySize = parser_->content_length().value_or(parser_->get().body().size());
+    if (bodySize <= maxUnneededBodyBytes) {
         return true;
     }
+    isHeadFiltered_ = true;
     if (std::optional<Response> refusal = state_->hooks.filterHead(parser_->get())) {
         ++state_->counters.refusedHeads;
         refuse(std::move(*refusal));
@@ -243,7 +255,8 @@
         size += socketBufferBytes();
     }
     if (phase_ == Phase::Writing && response_) {
-        size += response_->body().capacity() + std::min(response_->body().size(), socketBufferBytes());
+        const std::size_t body = response_->body().size();
+        size += response_->body().capacity() + (isStalled_ ? socketBufferBytes() : std::min(body, socketBufferBytes()));
     }
     return size;
 }
@@ -331,6 +344,7 @@
         return;
     }
     progressAt_ = BootClock::now();
+    isStalled_ = false;
     if (serializer_->is_done()) {
         onResponseWritten();
     } else {
@@ -378,6 +392,20 @@
     return false;
 }
 
+bool ServerConnection::isNewlyStalled(TimePoint now) const noexcept
+{
+    return phase_ == Phase::Writing && !isStalled_ && now - progressAt_ > RequestMemory::minMemoryWait();
+}
+
+// The buffer may be full of earlier responses to pipelined requests, however small the last one is.
+void ServerConnection::accountStall()
+{
+    if (phase_ == Phase::Writing) {
+        isStalled_ = true;
+        account();
+    }
+}
+
 std::optional<TimePoint> ServerConnection::waitingSince() const noexcept
 {
     switch (phase_) {
--- a/libs/http/src/serverconnection.h
+++ b/libs/http/src/serverconnection.h
@@ -72,6 +72,11 @@
     /// True if the idle timeout or the timeout of the current request has passed.
     bool isExpired(TimePoint now) const noexcept;
 
+    /// True if the client takes nothing of its response, so that the system's buffer is full, and that is not accounted
+    /// for yet.
+    bool isNewlyStalled(TimePoint now) const noexcept;
+    void accountStall();
+
     Duration roundTrip() const noexcept { return roundTrip_; }
     /// Number of requests passed to the handler.
     std::uint64_t requests() const noexcept { return requests_; }
@@ -100,7 +105,7 @@
     void parse();
     /// Adds the memory of the fields in \p parsed, which the parser has just taken.
     void countHead(std::string_view parsed);
-    bool onHead();
+    bool filterHead();
     void dispatch();
     std::size_t neededBytes() const noexcept;
     /// Adjusts the lease to what is held. \return false if a request that is being read may not grow so far.
@@ -137,8 +142,11 @@
     Duration roundTrip_;
     std::uint64_t requests_ = 0;
     bool hasRequestBegun_ = false;
+    bool isHeadFiltered_ = false;
     bool isReadPending_ = false;
     bool isKeptAlive_ = true;
+    /// True while the buffer of the system counts as full of responses.
+    bool isStalled_ = false;
     bool isClosed_ = false;
     bool isInputEnded_ = false;
     /// True once the rest of the input is of no use.
--- a/tests/entry/crowd_test.py
+++ b/tests/entry/crowd_test.py
@@ -143,6 +143,36 @@
         self.begin(FewDescriptorsWorld)
         self.meet([*ROUTE, *OTHERS], begun_head)
 
+    def test_memory_of_a_crowd_is_freed_and_its_log_is_bounded(self):
+        # Guards against leases that outlive their requests, which would refuse all requests in the end.
+        self.begin()
+        for form in (unfinished_body, pipelined, unfinished_short_fields):
+            self.meet([*ROUTE, *OTHERS], form)
+            self.world.wait(lambda: self.entry.metric("request_bytes_held") < 20_000, 5, "memory of requests is still held")
+        self.assertGreater(len(self.entry.lines("clients_shed")), 0)
+        self.assertLess(len(self.entry.lines("clients_shed")), 60)
+
+    def test_body_that_nobody_needs_is_refused_from_the_head(self):
+        self.begin()
+        for listener, target in OTHERS:
+            with self.entry.connect_raw(listener) as connection:
+                connection.sendall(unfinished_body(target)[:20_000])
+                answer = connection.recv(4_096)
+                self.assertIn(b"HTTP/1.1 404" if listener == "callers" else b"HTTP/1.1 413", answer)
+                self.assertIn(b"Connection: close", answer)
+
+    def test_small_body_without_route_leaves_the_connection_open(self):
+        # The client sends head and body in two pieces.
+        self.begin()
+        connection = self.entry.connect()
+        self.addCleanup(connection.close)
+        for target, status in (("/nowhere/x", 404), ("/fetch/x", 200)):
+            connection.request("POST", target, body=b"b" * 100, headers={"Host": "search.example", "X-Sassafrasvane-Request-Id": "k"})
+            answer = connection.getresponse()
+            answer.read()
+            self.assertEqual(answer.status, status)
+            self.assertFalse(answer.will_close)
+
     def test_single_request_inside_the_limits_is_served(self):
         self.begin()
         for target in ("/fetch/x", "/board/x"):
