--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -28,6 +28,7 @@
 
 namespace detail
 {
+class LineBudget;
 class RequestTask;
 struct RequestContext;
 } // namespace detail
@@ -61,6 +62,13 @@
     /// Serves one request, or refuses it.
     void handle(const std::shared_ptr<http::Exchange> &exchange);
 
+    /// Decides on a request whose body has not arrived yet. \return the refusal of a request that no body could make
+    /// servable, or nothing.
+    std::optional<http::Response> refuseHead(const http::Request &head);
+
+    /// The refusal of a request for which this process has no memory.
+    http::Response overloadResponse();
+
     /// Refuses further requests, as not run, if their time limit ends after \p lastAnswerAt: this process may not be
     /// there to answer them.
     void refuseRequestsEndingAfter(TimePoint lastAnswerAt) noexcept { lastAnswerAt_ = lastAnswerAt; }
@@ -84,17 +92,29 @@
 
 private:
     void onFree(const std::string &backend);
-    EventLine refuse(const std::shared_ptr<http::Exchange> &exchange,
-                     const RequestMetadata &metadata,
-                     const Tenant *tenant,
-                     http::Response response,
-                     const char *reason);
+    /// A response to a request that is not tried, and why.
+    struct Refusal {
+        http::Response response;
+        const char *reason;
+    };
+
+    std::optional<Refusal> refusalOfHead(const http::Request &head,
+                                         const RequestMetadata &metadata,
+                                         const RouteTable *routes);
     http::Response unauthorizedResponse() const;
     QuotaDecision admit(const Tenant *tenant);
+    void refuse(const std::shared_ptr<http::Exchange> &exchange,
+                const RequestMetadata &metadata,
+                const Tenant *tenant,
+                Refusal refusal);
     void refuseOverQuota(const std::shared_ptr<http::Exchange> &exchange,
                          const RequestMetadata &metadata,
                          const Tenant &tenant,
                          const QuotaDecision &decision);
+    std::optional<EventLine> refusalLine(const http::Request &request,
+                                         const RequestMetadata &metadata,
+                                         const char *reason,
+                                         unsigned status);
     http::Response retryLaterResponse(const RequestMetadata &metadata);
     Duration outageDuration() const;
     std::vector<BackendPool *> backendsOf(const RequestRoute &route);
@@ -115,6 +135,8 @@
     std::unordered_map<std::string, CallTimes> callTimes_;
     std::unordered_map<const detail::RequestTask *, std::shared_ptr<detail::RequestTask>> requests_;
     std::unique_ptr<detail::RequestContext> requestContext_;
+    /// Bounds the log lines about refused requests.
+    std::unique_ptr<detail::LineBudget> refusalLines_;
 };
 
 } // namespace sassafrasvane
--- a/libs/entry/src/entryserver.cpp
+++ b/libs/entry/src/entryserver.cpp
@@ -1,6 +1,7 @@
 #include "entry/entryserver.h"
 
 #include "entry/retryadvice.h"
+#include "linebudget.h"
 #include "refusal.h"
 #include "requesttask.h"
 
@@ -65,6 +66,7 @@
                                                  random_,
                                                  quotas,
                                                  {}})
+    , refusalLines_(std::make_unique<detail::LineBudget>())
 {
     requestContext_->release = [this](const detail::RequestTask *request) { requests_.erase(request); };
     dispatcher.setOnSearcherFree([this](const std::string &backend) { onFree(backend); });
@@ -80,48 +82,76 @@
     waitingRequests_.onTick(now);
 }
 
-void EntryServer::handle(const std::shared_ptr<http::Exchange> &exchange)
+std::optional<EntryServer::Refusal> EntryServer::refusalOfHead(const http::Request &head,
+                                                               const RequestMetadata &metadata,
+                                                               const RouteTable *routes)
 {
-    RequestMetadata metadata = protocol_.readRequestMetadata(exchange->request());
-    const std::shared_ptr<const RouteTable> routes = state_.routes();
-    if (!routes) {
+    if (routes == nullptr) {
         ++counters_.unconfigured;
-        refuse(exchange, metadata, nullptr, retryLaterResponse(metadata), "no configuration yet");
-        return;
+        return Refusal{retryLaterResponse(metadata), "no configuration yet"};
     }
-    const http::Request &request = exchange->request();
-    const std::string_view host = http::headerOf(request, "Host");
-    const RequestRoute *route = routes->match(host, http::fromView(request.target()));
+    const RequestRoute *route = routes->match(http::headerOf(head, "Host"), http::fromView(head.target()));
     if (route == nullptr) {
         ++counters_.unrouted;
-        refuse(exchange, metadata, nullptr, http::emptyResponse(notFound), "no route");
-        return;
+        return Refusal{http::emptyResponse(notFound), "no route"};
     }
     if (const std::optional<KeyFault> fault = keyFault(*routes, *route, metadata)) {
         ++counters_.keyFaults.at(static_cast<std::size_t>(*fault));
-        refuse(exchange, metadata, nullptr, unauthorizedResponse(), name(*fault));
-        return;
+        return Refusal{unauthorizedResponse(), name(*fault)};
     }
-    const Tenant *tenant = metadata.apiKey ? routes->tenantOf(*metadata.apiKey) : nullptr;
     if (metadata.requestId.empty()) {
         ++counters_.malformed;
-        refuse(exchange, metadata, tenant, http::emptyResponse(badRequest), "no request id");
+        return Refusal{http::emptyResponse(badRequest), "no request id"};
+    }
+    return std::nullopt;
+}
+
+std::optional<http::Response> EntryServer::refuseHead(const http::Request &head)
+{
+    const RequestMetadata metadata = protocol_.readRequestMetadata(head);
+    std::optional<Refusal> refusal = refusalOfHead(head, metadata, state_.routes().get());
+    if (!refusal) {
+        return std::nullopt;
+    }
+    refusalLine(head, metadata, refusal->reason, refusal->response.result_int());
+    return std::move(refusal->response);
+}
+
+http::Response EntryServer::overloadResponse()
+{
+    return retryLaterResponse(RequestMetadata());
+}
+
+void EntryServer::handle(const std::shared_ptr<http::Exchange> &exchange)
+{
+    const http::Request &request = exchange->request();
+    RequestMetadata metadata = protocol_.readRequestMetadata(request);
+    const std::shared_ptr<const RouteTable> routes = state_.routes();
+    if (std::optional<Refusal> refusal = refusalOfHead(request, metadata, routes.get())) {
+        refuse(exchange, metadata, nullptr, std::move(*refusal));
         return;
     }
+    const RequestRoute *route = routes->match(http::headerOf(request, "Host"), http::fromView(request.target()));
+    const Tenant *tenant = metadata.apiKey ? routes->tenantOf(*metadata.apiKey) : nullptr;
     if (lastAnswerAt_ && detail::RequestTask::deadlineOf(*exchange, metadata, *route) > *lastAnswerAt_) {
         ++counters_.stopping;
-        refuse(exchange, metadata, tenant, detail::notRunResponse(Duration{0}), "process is stopping");
+        refuse(exchange, metadata, tenant, {detail::notRunResponse(Duration{0}), "process is stopping"});
         return;
     }
     const Fingerprint fingerprint = fingerprintOf(request);
     if (requestContext_->crashes.isBarred(BootClock::now(), fingerprint)) {
         ++counters_.barred;
-        refuse(exchange, metadata, tenant, detail::notRunResponse(CrashBar::entryLifetime()), "crashes searchers");
+        refuse(exchange, metadata, tenant, {detail::notRunResponse(CrashBar::entryLifetime()), "crashes searchers"});
         return;
     }
     if (requests_.size() >= maxOpenRequests()) {
         ++counters_.overloaded;
-        refuse(exchange, metadata, tenant, retryLaterResponse(metadata), "too many requests");
+        refuse(exchange, metadata, tenant, {retryLaterResponse(metadata), "too many requests"});
+        return;
+    }
+    if (!exchange->reserveHeadCopies(route->isGathered() ? route->shards.size() : 1)) {
+        ++counters_.overloaded;
+        refuse(exchange, metadata, tenant, {retryLaterResponse(metadata), "no memory for its calls"});
         return;
     }
     const QuotaDecision decision = admit(tenant);
@@ -155,27 +185,41 @@
     }
 }
 
-// Returns the log line of the refusal, to which more can be added.
-EventLine EntryServer::refuse(const std::shared_ptr<http::Exchange> &exchange,
-                              const RequestMetadata &metadata,
-                              const Tenant *tenant,
-                              http::Response response,
-                              const char *reason)
+void EntryServer::refuse(const std::shared_ptr<http::Exchange> &exchange,
+                         const RequestMetadata &metadata,
+                         const Tenant *tenant,
+                         Refusal refusal)
 {
-    const unsigned status = response.result_int();
-    exchange->respond(std::move(response));
+    const unsigned status = refusal.response.result_int();
+    exchange->respond(std::move(refusal.response));
+    std::optional<EventLine> line = refusalLine(exchange->request(), metadata, refusal.reason, status);
+    if (tenant == nullptr) {
+        return;
+    }
+    counters_.tenantRequests.add(tenant->name, "refused");
+    if (line) {
+        line->text("tenant", tenant->name);
+    }
+}
+
+// Returns the log line of a refusal, to which more can be added; nothing once too many were written lately.
+std::optional<EventLine> EntryServer::refusalLine(const http::Request &request,
+                                                  const RequestMetadata &metadata,
+                                                  const char *reason,
+                                                  unsigned status)
+{
+    if (!refusalLines_->admit(BootClock::now())) {
+        return std::nullopt;
+    }
     EventLine line = log_.line(EventRank::Important, "request_refused");
     line.text("request", metadata.requestId)
-        .text("host", http::headerOf(exchange->request(), "Host"))
-        .text("target", http::fromView(exchange->request().target()))
+        .text("host", http::headerOf(request, "Host"))
+        .text("target", http::fromView(request.target()))
         .text("reason", reason)
         .count("status", status)
         .count("open_requests", requests_.size())
+        .count("not_logged", refusalLines_->takeOmitted())
         .count("configuration", state_.routes() ? state_.routes()->version() : 0);
-    if (tenant != nullptr) {
-        counters_.tenantRequests.add(tenant->name, status == tooManyRequests ? "over_quota" : "refused");
-        line.text("tenant", tenant->name);
-    }
     return line;
 }
 
@@ -203,7 +247,13 @@
                                   const QuotaDecision &decision)
 {
     ++counters_.overQuota;
-    refuse(exchange, metadata, &tenant, detail::notRunResponse(decision.retryAfter, tooManyRequests), "over quota")
+    counters_.tenantRequests.add(tenant.name, "over_quota");
+    exchange->respond(detail::notRunResponse(decision.retryAfter, tooManyRequests));
+    std::optional<EventLine> line = refusalLine(exchange->request(), metadata, "over quota", tooManyRequests);
+    if (!line) {
+        return;
+    }
+    line->text("tenant", tenant.name)
         .number("requests_per_second", tenant.requestsPerSecond)
         .number("burst", tenant.burst)
         .number("bucket_left", decision.left)
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -61,13 +61,13 @@
 // The caller is identified last, so that no header of its request can remove the tenant's name.
 std::shared_ptr<const http::Request> RequestTask::makeCall() const
 {
-    http::Request call = exchange_->request();
-    removeConnectionHeaders(call);
+    const std::shared_ptr<http::Request> call = exchange_->shareRequest();
+    removeConnectionHeaders(*call);
     if (table_->configuration().tenants) {
-        shared_.protocol.identifyCaller(call, caller_.tenant == nullptr ? std::string_view() : caller_.tenant->name);
+        shared_.protocol.identifyCaller(*call, caller_.tenant == nullptr ? std::string_view() : caller_.tenant->name);
     }
-    call.prepare_payload();
-    return std::make_shared<const http::Request>(std::move(call));
+    call->prepare_payload();
+    return call;
 }
 
 TimePoint RequestTask::deadlineOf(const http::Exchange &exchange,
