--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -402,7 +402,6 @@
     "send_crashing": Kind(Faults.store, Faults.send_crashing, ["board", "fetch", "book"]),
     "replace_searcher": Kind(Faults.calm_searcher, Faults.replace_searcher, ["drained", "removed", "address_reused"]),
 }
-# Chosen by a schedule of its own.
 # Searchers that ask something of their callers, clients that misbehave, and a store that goes back; chosen by schedules of their own.
 SCHEDULED_KINDS = {
     "limit_searcher": Kind(Faults.calm_searcher, Faults.limit_searcher, LIMITS),
