Tenancy: with silent VMs, the smallest part that is reported on a side counts

After partitions in a row the VMs of one side had different voters, and one of them used more than the side's part.

--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -318,9 +318,9 @@
     }
     if (peers_->reachableCount() == 1 || now - startedAt_ < PeerTask::quotaShareRetention()) {
         for (const Address &seed : settings_.seeds) {
-            const DaemonId daemon = daemonId({seed.ip, settings_.peerPort});
-            if (daemon != peers_->self()) {
-                participants.push_back(daemon);
+            const Address peer{seed.ip, settings_.peerPort};
+            if (daemonId(peer) != peers_->self()) {
+                participants.push_back(daemonId(peer));
             }
         }
     }
--- a/libs/tenancy/src/quotapeers.cpp
+++ b/libs/tenancy/src/quotapeers.cpp
@@ -140,7 +140,7 @@
 {
     const bool isMajority = 2 * count.heard > count.voters && 2 * count.oldHeard > count.oldVoters;
     const double ownPart = count.voters == 0 ? 0 : static_cast<double>(count.heard) / static_cast<double>(count.voters);
-    const bool isConsistent = isMajority && (isEstablished_ || partOfEstablishedPeers() > ownPart - partTolerance);
+    const bool isConsistent = isMajority && (isEstablished_ || partOfEstablishedPeers(now) > ownPart - partTolerance);
     consistentSince_ = isConsistent ? std::optional(consistentSince_.value_or(now)) : std::nullopt;
     if (!isEstablished_ && isConsistent && now - *consistentSince_ >= establishTime()) {
         isEstablished_ = true;
@@ -182,11 +182,17 @@
 {
     const std::size_t counted = count.voters - count.excluded;
     part_ = counted == 0 ? 0 : static_cast<double>(count.heard) / static_cast<double>(counted);
+    const bool hasAll = count.heard >= counted && counted > 0 && count.heard > 0;
+    const bool isAlone = count.heard <= (isSelfVoter_ ? 1U : 0U);
+    basis_ = hasAll ? QuotaBasis::Shared : isAlone ? QuotaBasis::Alone : QuotaBasis::Partial;
     if (minoritySince_) {
         const bool isLasting = now - *minoritySince_ >= minorityTime();
         part_ *= isLasting ? minorityShare() : earlyMinorityShare();
     }
-    part_ = isEstablished_ ? part_ : std::min(part_, partOfEstablishedPeers());
+    ownPart_ = part_;
+    if (!isEstablished_ || basis_ == QuotaBasis::Partial) {
+        part_ = std::min(part_, partOfEstablishedPeers(now));
+    }
     if (!isSelfListed_ && minoritySince_ && !hasEstablishedPeers()) {
         // This VM is none of those that the parts were computed for, and many such VMs may be alone at once.
         part_ = 0;
@@ -194,9 +200,6 @@
     const double lost
         = static_cast<double>(count.excluded) / static_cast<double>(std::max<std::size_t>(1, count.voters));
     partOfOthers_ = 1 - part_ + minorityShare() * lost;
-    const bool hasAll = count.heard >= counted && part_ > 0;
-    const bool isAlone = count.heard <= (isSelfVoter_ ? 1U : 0U);
-    basis_ = hasAll ? QuotaBasis::Shared : isAlone ? QuotaBasis::Alone : QuotaBasis::Partial;
 }
 
 TimePoint QuotaPeers::silentSince(const QuotaPeer &peer) const noexcept
@@ -225,11 +228,14 @@
         peers_.begin(), peers_.end(), [](const QuotaPeer &peer) { return peer.isHeard && peer.partPermille > 0; });
 }
 
-double QuotaPeers::partOfEstablishedPeers() const noexcept
+double QuotaPeers::partOfEstablishedPeers(TimePoint now) const noexcept
 {
     std::uint32_t least = wholeQuotaPermille;
     for (const QuotaPeer &peer : peers_) {
-        least = peer.isHeard && peer.partPermille > 0 ? std::min(least, peer.partPermille) : least;
+        // A VM that is back after a suspension reports a small part until it has heard the others.
+        const bool counts
+            = peer.isHeard && peer.partPermille > 0 && (!isEstablished_ || now - peer.resumedAt >= establishTime());
+        least = counts ? std::min(least, peer.partPermille) : least;
     }
     return static_cast<double>(least) / wholeQuotaPermille;
 }
@@ -244,7 +250,7 @@
 
 std::uint32_t QuotaPeers::partPermille() const noexcept
 {
-    return isEstablished_ ? std::max(1U, static_cast<std::uint32_t>(std::floor(part_ * wholeQuotaPermille))) : 0;
+    return isEstablished_ ? std::max(1U, static_cast<std::uint32_t>(std::floor(ownPart_ * wholeQuotaPermille))) : 0;
 }
 
 void QuotaPeers::confirmRound(TimePoint now)
--- a/libs/tenancy/src/quotapeers.h
+++ b/libs/tenancy/src/quotapeers.h
@@ -134,7 +134,7 @@
     bool adoptVoters(TimePoint now);
     bool hasEstablishedPeers() const noexcept;
     /// The least part that a VM which is heard and established has reported; 1 if there is none.
-    double partOfEstablishedPeers() const noexcept;
+    double partOfEstablishedPeers(TimePoint now) const noexcept;
     void confirmRound(TimePoint now);
     void scheduleUpdate(TimePoint now);
 
@@ -146,6 +146,8 @@
     bool isSelfVoter_ = true;
     bool isEstablished_ = false;
     double part_ = 0;
+    /// The part before those of the other VMs are taken into account.
+    double ownPart_ = 0;
     double partOfOthers_ = 0;
     QuotaBasis basis_ = QuotaBasis::Alone;
     std::size_t participantCount_ = 1;
