Tenancy: short Retry-After before the others' levels are known; test of the reports' way

A VM that is no participant sent its first caller away for 30 s, the longest Retry-After, although the others answer within a round of reports. It is 250 ms for two seconds now, then 1 s. A report of a VM that needs levels is answered with the levels of its tenants first.

--- a/libs/tenancy/src/tenantquotas.cpp
+++ b/libs/tenancy/src/tenantquotas.cpp
@@ -58,6 +58,11 @@
 constexpr Duration countRetention = std::chrono::minutes(1);
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration maxRetryAfter = std::chrono::seconds(30);
+/// Retry-After of a VM that has not heard the levels of the others yet: they answer within a round of reports. If they
+/// have not in uninformedTime, they cannot be reached.
+constexpr Duration uninformedRetryAfter = std::chrono::milliseconds(250);
+constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
+constexpr Duration uninformedTime = std::chrono::seconds(2);
 /// Part of Retry-After by which it is lengthened at random.
 constexpr double retryJitter = 0.5;
 constexpr double hundredths = 100;
@@ -130,8 +135,9 @@
     double budgetOf(TimePoint now, TenantState &tenant, double level) const noexcept;
     double shareByDemand(TimePoint now, TenantState &tenant) const noexcept;
     void sumDemand(TimePoint now, TenantState &tenant) const noexcept;
+    Duration waitForToken(TimePoint now, const TenantState &tenant) const noexcept;
     QuotaDecision refuse(TenantState &tenant, Duration wait);
-    void onEntry(TimePoint now, const QuotaPeer &peer, const QuotaEntry &entry, bool takesLevel);
+    void onEntry(TimePoint now, const QuotaPeer &peer, const QuotaReport &report, const QuotaEntry &entry);
     PeerCount &countOf(TimePoint now, TenantState &tenant, DaemonId daemon);
     bool isDue(TimePoint now, const TenantState &tenant) const noexcept;
     QuotaEntry entryOf(TimePoint now, TenantState &tenant);
@@ -153,6 +159,8 @@
     std::optional<TimePoint> majoritySince_;
     TimePoint reportedAt_;
     TimePoint activeAt_;
+    /// First request of a tenant after a pause of activityTime.
+    TimePoint activeSince_;
     /// Last request of a tenant here or at another VM.
     TimePoint trafficAt_;
     bool isUrgent_ = false;
@@ -263,13 +271,14 @@
     tenant->demand = demandAt(*tenant, now) + 1 / demandSeconds;
     tenant->demandAt = now;
     tenant->changedAt = now;
+    activeSince_ = activeAt_ == TimePoint() || now - activeAt_ >= activityTime ? now : activeSince_;
     activeAt_ = now;
     trafficAt_ = now;
     tenant->bucket.refill(now);
     startRound(*tenant);
     QuotaDecision decision;
     if (tenant->bucket.level() < 1) {
-        decision = refuse(*tenant, tenant->bucket.timeToToken(maxRetryAfter));
+        decision = refuse(*tenant, waitForToken(now, *tenant));
     } else if (!hasBudget(now, *tenant)) {
         isUrgent_ = true;
         decision = refuse(*tenant, minRetryAfter);
@@ -348,6 +357,16 @@
     }
 }
 
+Duration TenantQuotas::Implementation::waitForToken(TimePoint now, const TenantState &tenant) const noexcept
+{
+    const bool isNew = now - activeSince_ < uninformedTime;
+    if (peers_.part() <= 0) {
+        return isNew ? uninformedRetryAfter : unreachableRetryAfter;
+    }
+    const Duration wait = tenant.bucket.timeToToken(maxRetryAfter);
+    return isNew && needsLevels_ && peers_.participantCount() > 1 ? std::min(wait, uninformedRetryAfter) : wait;
+}
+
 QuotaDecision TenantQuotas::Implementation::refuse(TenantState &tenant, Duration wait)
 {
     ++tenant.refused;
@@ -388,18 +407,18 @@
         levelsLeft_ = tenants_.size();
     }
     trafficAt_ = report.entries.empty() ? trafficAt_ : now;
-    const bool takesLevel = needsLevels_ && report.partPermille > 0;
     for (const QuotaEntry &entry : report.entries) {
-        onEntry(now, *peer, entry, takesLevel);
+        onEntry(now, *peer, report, entry);
     }
     update(now);
 }
 
 void TenantQuotas::Implementation::onEntry(TimePoint now,
                                            const QuotaPeer &peer,
-                                           const QuotaEntry &entry,
-                                           bool takesLevel)
+                                           const QuotaReport &report,
+                                           const QuotaEntry &entry)
 {
+    const bool takesLevel = needsLevels_ && report.partPermille > 0;
     TenantState *tenant = find(entry.tenant);
     if (tenant == nullptr) {
         return;
@@ -430,7 +449,8 @@
         // Not all VMs that report to the peer report to this one too; the peer's level includes them.
         tenant->bucket.lowerTo(level);
     }
-    if (!peer.isListed && admitted != 0) {
+    if (report.needsLevels || (!peer.isListed && admitted != 0)) {
+        // The peer learns the level by the answer; other VMs that are no participants learn of the peer's admissions.
         tenant->changedAt = now;
     }
     known = {peer.daemon, peer.run, entry.count, demand, entry.totalDemandHundredths / hundredths, now};
--- a/libs/tenancy/tests/tenantquotas_test.cpp
+++ b/libs/tenancy/tests/tenantquotas_test.cpp
@@ -68,6 +68,31 @@
     BOOST_TEST(toMilliseconds(fast.admit(start, "a").retryAfter) >= 100.0);
 }
 
+// Guards against a VM that is no participant and sends its first caller away for half a minute, and against one that
+// admits requests of which nobody else knows.
+BOOST_AUTO_TEST_CASE(vmThatIsNoParticipantAdmitsOnceItHearsTheOthers)
+{
+    const std::vector<DaemonId> participants{peer, DaemonId{3}, DaemonId{4}};
+    TenantQuotas quotas = quotasOf(participants, 10, 20);
+    const TimePoint later = at(100);
+    const QuotaDecision refused = quotas.admit(later, "a");
+    BOOST_TEST(!refused.isAdmitted);
+    BOOST_TEST((refused.basis == QuotaBasis::Alone));
+    BOOST_TEST(toMilliseconds(refused.retryAfter) <= 375.0);
+    const std::vector<QuotaReport> reports = quotas.dueReports(later);
+    BOOST_REQUIRE(reports.size() == 1U);
+    BOOST_TEST(reports.front().needsLevels);
+    BOOST_TEST(quotas.recipients(later).size() == participants.size());
+    const TimePoint answered = later + std::chrono::milliseconds(150);
+    for (const DaemonId participant : participants) {
+        const QuotaEntry level{reports.front().entries.front().tenant, 0, 0, 100, 2'000};
+        quotas.onReport(answered, participant, {participant.value, 1, wholeQuotaPermille, 3, false, {level}});
+    }
+    const QuotaDecision admitted = quotas.admit(later + refused.retryAfter, "a");
+    BOOST_TEST(admitted.isAdmitted);
+    BOOST_TEST((admitted.basis == QuotaBasis::Shared));
+}
+
 // Guards against a token that is lost with a request that was not run, and against a refund beyond the capacity.
 BOOST_AUTO_TEST_CASE(refundGivesTheTokenBack)
 {
