--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -312,15 +312,15 @@
     std::vector<DaemonId> participants;
     for (const std::string &sharer : fleet.sharers) {
         const Result<Address> address = Address::parse(sharer);
-        if (address.has_value()) {
+        if (address.has_value() && !peers_->hasLeft(daemonId(address.value()))) {
             participants.push_back(daemonId(address.value()));
         }
     }
     if (peers_->reachableCount() == 1 || now - startedAt_ < PeerTask::quotaShareRetention()) {
         for (const Address &seed : settings_.seeds) {
-            const DaemonId daemon = daemonId({seed.ip, settings_.peerPort});
-            if (daemon != peers_->self()) {
-                participants.push_back(daemon);
+            const Address peer{seed.ip, settings_.peerPort};
+            if (daemonId(peer) != peers_->self()) {
+                participants.push_back(daemonId(peer));
             }
         }
     }
