--- a/libs/tenancy/src/tenantquotas.cpp
+++ b/libs/tenancy/src/tenantquotas.cpp
@@ -34,7 +34,7 @@
 /// Time for which a VM that is no participant reports after a tenant's request.
 constexpr Duration activityTime = std::chrono::seconds(30);
 /// Part of the tolerance that is added to the capacity of the bucket.
-constexpr double capacityShareOfTolerance = 0.2;
+constexpr double capacityShareOfTolerance = 0.3;
 /// The part of the tolerance that covers errors of the view: requests, and seconds of the tenant's rate. A silent VM is
 /// noticed after 0.6 s, and the sides of a partition may disagree on their parts for a short time. What is left of the
 /// tolerance is divided equally among the participants, so that each may admit some requests while the level is low.
@@ -42,9 +42,11 @@
 constexpr double errorSeconds = 1;
 /// Part of the reserve that is used while some participants are silent, when errors are larger.
 constexpr double partialReserve = 0.5;
-/// Part of the level that is divided equally among the participants; the rest follows their demand. A VM whose demand
-/// the others do not know yet can serve callers that have just moved to it.
+/// Parts of the level that are divided equally among the participants, and by their reported demand. A VM whose demand
+/// the others do not know yet can serve callers that have just moved to it. Their sum exceeds the level, since a VM
+/// rarely uses both; the errors include what it does.
 constexpr double equalShareOfLevel = 0.8;
+constexpr double demandShareOfLevel = 0.4;
 /// Time after more than half of the participants are heard for which levels of other VMs are taken over.
 constexpr Duration levelTakeover = std::chrono::seconds(1);
 /// Reports of all levels: interval between two of them, and datagrams at a time.
@@ -327,7 +329,7 @@
     const bool isPartial = peers_.basis() == QuotaBasis::Partial;
     const double reserve = reserveOf(tenant.quota) * peers_.part() * (isPartial ? partialReserve : 1);
     const double equal = peers_.isListed() ? (equalShareOfLevel * level + reserve) / count : 0;
-    const double budget = equal + (1 - equalShareOfLevel) * level * shareByDemand(now, tenant);
+    const double budget = equal + demandShareOfLevel * level * shareByDemand(now, tenant);
     const double whole = std::floor(budget);
     const double roundedUp = (budget - whole) * count;
     return whole + (peers_.isListed() && static_cast<double>(peers_.rankOf(tenant.hash)) < roundedUp ? 1 : 0);
