--- a/libs/tenancy/src/tenantquotas.cpp
+++ b/libs/tenancy/src/tenantquotas.cpp
@@ -34,7 +34,7 @@
 /// Time for which a VM that is no participant reports after a tenant's request.
 constexpr Duration activityTime = std::chrono::seconds(30);
 /// Part of the tolerance that is added to the capacity of the bucket.
-constexpr double capacityShareOfTolerance = 0.2;
+constexpr double capacityShareOfTolerance = 0.3;
 /// The part of the tolerance that covers errors of the view: requests, and seconds of the tenant's rate. A silent VM is
 /// noticed after 0.6 s, and the sides of a partition may disagree on their parts for a short time. What is left of the
 /// tolerance is divided equally among the participants, so that each may admit some requests while the level is low.
@@ -42,9 +42,11 @@
 constexpr double errorSeconds = 1;
 /// Part of the reserve that is used while some participants are silent, when errors are larger.
 constexpr double partialReserve = 0.5;
-/// Part of the level that is divided equally among the participants; the rest follows their demand. A VM whose demand
-/// the others do not know yet can serve callers that have just moved to it.
+/// Parts of the level that are divided equally among the participants, and by their reported demand. A VM whose demand
+/// the others do not know yet can serve callers that have just moved to it. Their sum exceeds the level, since a VM
+/// rarely uses both; the errors include what it does.
 constexpr double equalShareOfLevel = 0.8;
+constexpr double demandShareOfLevel = 0.4;
 /// Time after more than half of the participants are heard for which levels of other VMs are taken over.
 constexpr Duration levelTakeover = std::chrono::seconds(1);
 /// Reports of all levels: interval between two of them, and datagrams at a time.
@@ -58,6 +60,11 @@
 constexpr Duration countRetention = std::chrono::minutes(1);
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration maxRetryAfter = std::chrono::seconds(30);
+/// Retry-After of a VM that has not heard the levels of the others yet: they answer within a round of reports. If they
+/// have not in uninformedTime, they cannot be reached.
+constexpr Duration uninformedRetryAfter = std::chrono::milliseconds(250);
+constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
+constexpr Duration uninformedTime = std::chrono::seconds(2);
 /// Part of Retry-After by which it is lengthened at random.
 constexpr double retryJitter = 0.5;
 constexpr double hundredths = 100;
@@ -130,8 +137,9 @@
     double budgetOf(TimePoint now, TenantState &tenant, double level) const noexcept;
     double shareByDemand(TimePoint now, TenantState &tenant) const noexcept;
     void sumDemand(TimePoint now, TenantState &tenant) const noexcept;
+    Duration waitForToken(TimePoint now, const TenantState &tenant) const noexcept;
     QuotaDecision refuse(TenantState &tenant, Duration wait);
-    void onEntry(TimePoint now, const QuotaPeer &peer, const QuotaEntry &entry, bool takesLevel);
+    void onEntry(TimePoint now, const QuotaPeer &peer, const QuotaReport &report, const QuotaEntry &entry);
     PeerCount &countOf(TimePoint now, TenantState &tenant, DaemonId daemon);
     bool isDue(TimePoint now, const TenantState &tenant) const noexcept;
     QuotaEntry entryOf(TimePoint now, TenantState &tenant);
@@ -153,6 +161,8 @@
     std::optional<TimePoint> majoritySince_;
     TimePoint reportedAt_;
     TimePoint activeAt_;
+    /// First request of a tenant after a pause of activityTime.
+    TimePoint activeSince_;
     /// Last request of a tenant here or at another VM.
     TimePoint trafficAt_;
     bool isUrgent_ = false;
@@ -263,13 +273,14 @@
     tenant->demand = demandAt(*tenant, now) + 1 / demandSeconds;
     tenant->demandAt = now;
     tenant->changedAt = now;
+    activeSince_ = activeAt_ == TimePoint() || now - activeAt_ >= activityTime ? now : activeSince_;
     activeAt_ = now;
     trafficAt_ = now;
     tenant->bucket.refill(now);
     startRound(*tenant);
     QuotaDecision decision;
     if (tenant->bucket.level() < 1) {
-        decision = refuse(*tenant, tenant->bucket.timeToToken(maxRetryAfter));
+        decision = refuse(*tenant, waitForToken(now, *tenant));
     } else if (!hasBudget(now, *tenant)) {
         isUrgent_ = true;
         decision = refuse(*tenant, minRetryAfter);
@@ -318,7 +329,7 @@
     const bool isPartial = peers_.basis() == QuotaBasis::Partial;
     const double reserve = reserveOf(tenant.quota) * peers_.part() * (isPartial ? partialReserve : 1);
     const double equal = peers_.isListed() ? (equalShareOfLevel * level + reserve) / count : 0;
-    const double budget = equal + (1 - equalShareOfLevel) * level * shareByDemand(now, tenant);
+    const double budget = equal + demandShareOfLevel * level * shareByDemand(now, tenant);
     const double whole = std::floor(budget);
     const double roundedUp = (budget - whole) * count;
     return whole + (peers_.isListed() && static_cast<double>(peers_.rankOf(tenant.hash)) < roundedUp ? 1 : 0);
@@ -348,6 +359,16 @@
     }
 }
 
+Duration TenantQuotas::Implementation::waitForToken(TimePoint now, const TenantState &tenant) const noexcept
+{
+    const bool isNew = now - activeSince_ < uninformedTime;
+    if (peers_.part() <= 0) {
+        return isNew ? uninformedRetryAfter : unreachableRetryAfter;
+    }
+    const Duration wait = tenant.bucket.timeToToken(maxRetryAfter);
+    return isNew && needsLevels_ && peers_.participantCount() > 1 ? std::min(wait, uninformedRetryAfter) : wait;
+}
+
 QuotaDecision TenantQuotas::Implementation::refuse(TenantState &tenant, Duration wait)
 {
     ++tenant.refused;
@@ -388,18 +409,18 @@
         levelsLeft_ = tenants_.size();
     }
     trafficAt_ = report.entries.empty() ? trafficAt_ : now;
-    const bool takesLevel = needsLevels_ && report.partPermille > 0;
     for (const QuotaEntry &entry : report.entries) {
-        onEntry(now, *peer, entry, takesLevel);
+        onEntry(now, *peer, report, entry);
     }
     update(now);
 }
 
 void TenantQuotas::Implementation::onEntry(TimePoint now,
                                            const QuotaPeer &peer,
-                                           const QuotaEntry &entry,
-                                           bool takesLevel)
+                                           const QuotaReport &report,
+                                           const QuotaEntry &entry)
 {
+    const bool takesLevel = needsLevels_ && report.partPermille > 0;
     TenantState *tenant = find(entry.tenant);
     if (tenant == nullptr) {
         return;
@@ -430,7 +451,8 @@
         // Not all VMs that report to the peer report to this one too; the peer's level includes them.
         tenant->bucket.lowerTo(level);
     }
-    if (!peer.isListed && admitted != 0) {
+    if (report.needsLevels || (!peer.isListed && admitted != 0)) {
+        // The peer learns the level by the answer; other VMs that are no participants learn of the peer's admissions.
         tenant->changedAt = now;
     }
     known = {peer.daemon, peer.run, entry.count, demand, entry.totalDemandHundredths / hundredths, now};
