--- a/libs/catalog/include/catalog/storefollower.h
+++ b/libs/catalog/include/catalog/storefollower.h
@@ -157,7 +157,7 @@
     void setSlowRetry(bool isSlowRetry) noexcept { isSlowRetry_ = isSlowRetry; }
 
     /// Declares all items up to \p position as known from another source, so that the next call watches from there.
-    /// Has an effect only while paused.
+    /// While not paused, only its epoch counts, as in noteEpoch().
     void adoptPosition(const StorePosition &position) noexcept;
 
     /// Declares that the store has reached \p epoch, as another source says. The next call lists if the items are of
--- a/libs/catalog/src/storefollower.cpp
+++ b/libs/catalog/src/storefollower.cpp
@@ -145,12 +145,12 @@
 
 void StoreFollower::adoptPosition(const StorePosition &position) noexcept
 {
+    noteEpoch(position.epoch);
     if (!isPaused_) {
         return;
     }
     isListing_ = false;
     position_ = position;
-    noteEpoch(position.epoch);
 }
 
 void StoreFollower::pause() noexcept
--- a/libs/catalog/tests/storefollower_test.cpp
+++ b/libs/catalog/tests/storefollower_test.cpp
@@ -303,7 +303,8 @@
 {
     FollowerFixture fixture;
     fixture.completeList();
-    fixture.follower.noteEpoch(1);
+    // As a peer says while the store is read.
+    fixture.follower.adoptPosition({1, 3});
     BOOST_TEST(!fixture.follower.completeAsOf().has_value());
     BOOST_TEST((fixture.nextCall().kind == StoreCall::Kind::List));
     fixture.answerPage({{"a/1", "x", {0, 30}, false}}, false, 30);
--- a/libs/entry/include/entry/storetask.h
+++ b/libs/entry/include/entry/storetask.h
@@ -42,7 +42,7 @@
     /// Sets whether failed calls are retried after long delays only.
     void setSlowRetry(bool isSlow) noexcept { follower_.setSlowRetry(isSlow); }
 
-    /// Continues from \p position, up to which all changes are applied; has an effect only while paused.
+    /// Continues from \p position, up to which all changes are applied. See StoreFollower::adoptPosition().
     void adoptPosition(const StorePosition &position) noexcept { follower_.adoptPosition(position); }
 
     /// True if the store responds and this process has read all its items.
