Entry: VMs near the searchers of queries are advertised first; counts of local calls

Cause: where the searchers of gathered routes stand in some failure domains only, calls of VMs elsewhere always cross domains. And nothing told how many calls stay local, or why one did not.

Change: of the advertised VMs, those beyond two in each failure domain are chosen where queries find their searchers (queryDomains(): domains with searchers of at least half of the backends of gathered routes). The number stays.

--- a/libs/entry/include/entry/counters.h
+++ b/libs/entry/include/entry/counters.h
@@ -2,6 +2,7 @@
 
 #include "entry/latencymetric.h"
 #include "gather/gather.h"
+#include "placement/replicachoice.h"
 
 #include <array>
 #include <cstdint>
@@ -21,6 +22,9 @@
     LatencyMetric latencies{"request_seconds", "route"};
     /// Calls to searchers that state a rate limit, indexed by CallPurpose.
     std::array<std::uint64_t, 3> limitedCalls{};
+    /// Calls to searchers, indexed by ChoiceReason, in this VM's failure domain and in others.
+    std::array<std::uint64_t, choiceReasonCount> localCalls{};
+    std::array<std::uint64_t, choiceReasonCount> remoteCalls{};
     std::uint64_t abandoned = 0;
     std::uint64_t unrouted = 0;
     std::uint64_t unconfigured = 0;
--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -98,6 +98,9 @@
     /// Announces that this process stops, and ends the exchange.
     void stop();
 
+    /// Sets the failure domains whose VMs are preferred when VMs are advertised, as queryDomains() returns them.
+    void setQueryDomains(std::set<std::string> domains) { queryDomains_ = std::move(domains); }
+
     /// Addresses to which callers may connect: a subset of the members, spread over the failure domains.
     std::vector<Address> callerAddresses(TimePoint now) const;
 
@@ -152,6 +155,7 @@
     std::function<std::vector<CrashEntry>()> knownCrashes_;
     CrashBroadcaster crashBroadcaster_;
     std::map<DaemonId, TimePoint> advertisedAt_;
+    std::set<std::string> queryDomains_;
     bool isLeaving_ = false;
 };
 
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -274,6 +274,9 @@
 void EntryProcess::Implementation::onMembers()
 {
     const TimePoint now = BootClock::now();
+    if (const std::shared_ptr<const RouteTable> routes = state_.routes()) {
+        peers_->setQueryDomains(queryDomains(*routes, pool_));
+    }
     const AdvertisedMembers advertised = peers_->advertisedMembers(now);
     pool_.setFleet(now, advertised.fleet);
     isAdvertised_ = advertised.hasSelf;
--- a/libs/entry/src/metricstext.cpp
+++ b/libs/entry/src/metricstext.cpp
@@ -33,6 +33,17 @@
     }
 }
 
+// Calls by the reason of the choice of their searcher.
+void addChoices(std::string &text, const EntryCounters &counters)
+{
+    MetricWriter writer(text, "sassafrasvane_calls_to_searchers_total", {}, "counter");
+    for (std::size_t reason = 0; reason < choiceReasonCount; ++reason) {
+        const char *reasonName = name(static_cast<ChoiceReason>(reason));
+        writer.line(labelText({{"domain", "local"}, {"choice", reasonName}}), counters.localCalls.at(reason));
+        writer.line(labelText({{"domain", "other"}, {"choice", reasonName}}), counters.remoteCalls.at(reason));
+    }
+}
+
 } // namespace
 
 std::string metricsText(const MetricsSources &sources)
@@ -42,6 +53,7 @@
     std::string text;
     addEnds(text, counters);
     addLimitedCalls(text, counters);
+    addChoices(text, counters);
     counters.latencies.appendText(text);
     sources.dispatcher.latencies().appendText(text);
     add(text, "requests_abandoned_total", "counter", counters.abandoned);
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -319,7 +319,7 @@
 std::vector<Address> PeerTask::callerAddresses(TimePoint now) const
 {
     const std::vector<SubsetCandidate> alive = candidates();
-    const std::vector<DaemonId> advertised = advertisedVms(alive);
+    const std::vector<DaemonId> advertised = advertisedVms(alive, queryDomains_);
     std::vector<Address> addresses;
     std::vector<Address> lost;
     if (alive.empty()
@@ -349,7 +349,7 @@
 AdvertisedMembers PeerTask::advertisedMembers(TimePoint now)
 {
     const DaemonId self = membership_.self().daemon;
-    const std::vector<DaemonId> chosen = advertisedVms(candidates());
+    const std::vector<DaemonId> chosen = advertisedVms(candidates(), queryDomains_);
     for (const DaemonId daemon : chosen) {
         advertisedAt_[daemon] = now;
     }
--- a/libs/entry/src/requestcalls.cpp
+++ b/libs/entry/src/requestcalls.cpp
@@ -46,7 +46,7 @@
     if (handle) {
         part.tried.push_back(choice.searcher);
         part.calls.push_back(*handle);
-        recordSent(part, purpose);
+        recordSent(part, purpose, choice);
         return Placement::Sent;
     }
     if (purpose != CallPurpose::First && !part.hasFreeRetry) {
@@ -79,10 +79,15 @@
     });
 }
 
-void RequestTask::recordSent(const Part &part, CallPurpose purpose)
+void RequestTask::recordSent(const Part &part, CallPurpose purpose, const Choice &choice)
 {
+    EntryCounters &counters = shared_.counters;
+    ++(choice.isLocal ? counters.localCalls : counters.remoteCalls).at(static_cast<std::size_t>(choice.basis));
+    remoteCalls_ += choice.isLocal ? 0 : 1;
+    timeShortCalls_ += choice.basis == ChoiceReason::TimeShort ? 1 : 0;
+    localImpairedCalls_ += choice.basis == ChoiceReason::LocalImpaired ? 1 : 0;
     const bool isLimited = part.tried.back()->statedLimit().isInForce();
-    shared_.counters.limitedCalls.at(static_cast<std::size_t>(purpose)) += isLimited ? 1 : 0;
+    counters.limitedCalls.at(static_cast<std::size_t>(purpose)) += isLimited ? 1 : 0;
     if (purpose == CallPurpose::First) {
         return;
     }
@@ -93,6 +98,7 @@
         .text("backend", part.backend->name())
         .text("searcher", part.tried.back()->entry().instance)
         .flag("limited", isLimited)
+        .flag("local", choice.isLocal)
         .number("budget_left", part.backend->budget().available());
 }
 
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -91,7 +91,7 @@
     Placement place(std::size_t part, CallPurpose purpose);
     Placement place(std::size_t part, CallPurpose purpose, bool mayWait);
     std::optional<CallHandle> send(std::size_t part, const std::shared_ptr<TrackedSearcher> &searcher);
-    void recordSent(const Part &part, CallPurpose purpose);
+    void recordSent(const Part &part, CallPurpose purpose, const Choice &choice);
     CallParameters callParameters(TimePoint now, bool isHedge) const;
     bool spendBudget(Part &part, CallPurpose purpose);
     Placement wait(std::size_t part, CallPurpose purpose);
@@ -129,6 +129,11 @@
     /// A failure response of a searcher, which the caller gets if the request fails.
     std::optional<http::Response> failureResponse_;
     std::uint32_t extraCalls_ = 0;
+    /// Number of calls to searchers in other failure domains.
+    std::uint32_t remoteCalls_ = 0;
+    /// Numbers of calls that competed although there was a local searcher, by the reason.
+    std::uint32_t timeShortCalls_ = 0;
+    std::uint32_t localImpairedCalls_ = 0;
     /// Number of searchers that crashed while running the request.
     std::uint32_t crashedSearchers_ = 0;
     /// True if a searcher has run the request without crashing.
--- a/libs/entry/tests/advertisedvms_test.cpp
+++ b/libs/entry/tests/advertisedvms_test.cpp
@@ -27,9 +27,10 @@
     return fleet;
 }
 
-std::vector<SubsetCandidate> chosen(const std::vector<SubsetCandidate> &fleet)
+std::vector<SubsetCandidate> chosen(const std::vector<SubsetCandidate> &fleet,
+                                    const std::set<std::string> &preferredDomains = {})
 {
-    const std::vector<DaemonId> advertised = advertisedVms(fleet);
+    const std::vector<DaemonId> advertised = advertisedVms(fleet, preferredDomains);
     std::vector<SubsetCandidate> chosen;
     std::copy_if(
         fleet.begin(), fleet.end(), std::back_inserter(chosen), [&advertised](const SubsetCandidate &candidate) {
@@ -100,6 +101,47 @@
     }
 }
 
+// Load: the searchers of queries stand in one of three domains. Guards against calls that all cross domains, and
+// against callers that find no VM nearby.
+BOOST_AUTO_TEST_CASE(vmsNearTheSearchersArePreferred)
+{
+    std::vector<SubsetCandidate> fleet;
+    for (std::size_t vm = 0; vm < 60; ++vm) {
+        fleet.push_back({DaemonId{vm + 1}, "domain-" + std::to_string(vm % 3), smallRank});
+    }
+    std::map<std::string, std::size_t> counts = countsByDomain(chosen(fleet, {"domain-1"}));
+    BOOST_TEST(counts["domain-0"] == 2U);
+    BOOST_TEST(counts["domain-1"] == 8U);
+    BOOST_TEST(counts["domain-2"] == 2U);
+    // Too few VMs near the searchers: the number of advertised VMs stays.
+    std::erase_if(fleet,
+                  [](const SubsetCandidate &vm) { return vm.failureDomain == "domain-1" && vm.daemon.value > 9; });
+    BOOST_TEST(chosen(fleet, {"domain-1"}).size() == 12U);
+    // Searchers in every domain: as without a preference.
+    const std::set<std::string> all{"domain-0", "domain-1", "domain-2"};
+    BOOST_TEST((countsByDomain(chosen(fleet, all)) == countsByDomain(chosen(fleet))));
+}
+
+// Guards against a single searcher that moves the callers to its domain.
+BOOST_AUTO_TEST_CASE(domainsWithHalfOfTheQueriedBackendsCount)
+{
+    RoutingConfiguration configuration;
+    RequestRoute route;
+    route.shards = {"s0", "s1", "s2"};
+    configuration.routes = {route};
+    SearcherPool pool("vm", "a", PoolBounds(), 1);
+    const std::vector<std::pair<std::string, std::string>> searchers{
+        {"s0", "a"}, {"s1", "a"}, {"s0", "b"}, {"other", "c"}};
+    for (const auto &[backend, domain] : searchers) {
+        SearcherEntry entry;
+        entry.instance = backend + domain;
+        entry.backend = backend;
+        entry.failureDomain = domain;
+        pool.put(TimePoint(), entry);
+    }
+    BOOST_TEST((queryDomains(*RouteTable::create(configuration), pool) == std::set<std::string>{"a"}));
+}
+
 BOOST_AUTO_TEST_CASE(smallFleetIsAdvertisedWhole)
 {
     std::vector<SubsetCandidate> fleet = largeFleet();
--- a/libs/placement/include/placement/searcherpool.h
+++ b/libs/placement/include/placement/searcherpool.h
@@ -201,6 +201,9 @@
                                               const BackendPool &backend,
                                               std::span<const std::shared_ptr<TrackedSearcher>> tried = {}) const;
 
+    /// Failure domains of the registered searchers of the backend \p name.
+    std::set<std::string> domainsOf(std::string_view name) const;
+
     /// Returns the registered searcher \p instance; null if there is none.
     std::shared_ptr<TrackedSearcher> find(std::string_view instance) const;
 
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -472,6 +472,18 @@
     return countWhere([now](const TrackedSearcher &searcher) { return searcher.isPaused(now); });
 }
 
+std::set<std::string> SearcherPool::domainsOf(std::string_view name) const
+{
+    std::set<std::string> domains;
+    const auto known = backends_.find(name);
+    if (known != backends_.end()) {
+        for (const std::shared_ptr<TrackedSearcher> &searcher : known->second->searchers_) {
+            domains.insert(searcher->entry().failureDomain);
+        }
+    }
+    return domains;
+}
+
 bool SearcherPool::isRegistered(const TrackedSearcher &searcher) const
 {
     return find(searcher.entry().instance).get() == &searcher;
