Membership: VMs that are advertised for a moment keep no share of limits

Cause: while members are discovered after a start, most VMs are advertised for a moment, and each kept its share of limits for 30 s. Change: a VM that was advertised for less than 4 s keeps no share.

--- a/libs/entry/include/entry/peertask.h
+++ b/libs/entry/include/entry/peertask.h
@@ -56,6 +56,9 @@
 public:
     /// Time for which a member that is no longer advertised keeps its share of the limits.
     static constexpr Duration quotaShareRetention() noexcept { return std::chrono::seconds(30); }
+    /// A member that was advertised for less than this time keeps no share: while members are discovered after a start,
+    /// many are advertised for a moment, and limits would be divided among nearly all VMs for quotaShareRetention().
+    static constexpr Duration minAdvertisedTime() noexcept { return std::chrono::seconds(4); }
     /// Time for which lost members are still advertised to callers if more members are lost than alive: this process
     /// may be the one that is isolated.
     static constexpr Duration massLossRetention() noexcept { return std::chrono::seconds(3); }
@@ -133,6 +136,12 @@
     std::size_t reachableCount() const noexcept { return membership_.reachableCount(); }
 
 private:
+    /// When a member was advertised first and last, without a longer break.
+    struct AdvertisedTime {
+        TimePoint firstAt;
+        TimePoint lastAt;
+    };
+
     PeerTask(boost::asio::io_context &context,
              const EntryIdentity &identity,
              Incarnation incarnation,
@@ -169,7 +178,7 @@
     std::function<std::vector<QuotaReport>()> dueQuotaReports_;
     std::function<std::vector<DaemonId>()> quotaRecipients_;
     CrashBroadcaster crashBroadcaster_;
-    std::map<DaemonId, TimePoint> advertisedAt_;
+    std::map<DaemonId, AdvertisedTime> advertised_;
     std::set<std::string> queryDomains_;
     bool isLeaving_ = false;
 };
--- a/libs/entry/src/peertask.cpp
+++ b/libs/entry/src/peertask.cpp
@@ -385,14 +385,19 @@
     const DaemonId self = membership_.self().daemon;
     const std::vector<DaemonId> chosen = advertisedVms(candidates(), queryDomains_);
     for (const DaemonId daemon : chosen) {
-        advertisedAt_[daemon] = now;
+        AdvertisedTime &time = advertised_.try_emplace(daemon, AdvertisedTime{now, now}).first->second;
+        time.lastAt = now;
     }
-    std::erase_if(advertisedAt_, [now](const auto &entry) { return now - entry.second >= quotaShareRetention(); });
+    std::erase_if(advertised_, [now](const auto &entry) {
+        const AdvertisedTime &time = entry.second;
+        const bool isBrief = time.lastAt - time.firstAt < minAdvertisedTime();
+        return now - time.lastAt >= (isBrief ? Duration{1} : quotaShareRetention());
+    });
     AdvertisedMembers advertised;
     advertised.fleet.advertisedCount = std::max<std::size_t>(1, chosen.size());
     advertised.fleet.memberCount = membership_.reachableCount();
     advertised.hasSelf = std::find(chosen.begin(), chosen.end(), self) != chosen.end();
-    for (const auto &[daemon, at] : advertisedAt_) {
+    for (const auto &[daemon, time] : advertised_) {
         advertised.fleet.sharers.insert(peerAddress(daemon).toString());
     }
     return advertised;
