Tenancy: a VM that needs levels causes no reports of all tenants on each tick

All entries of a VM that had just started were answered, also those of its report of all levels, so that a starting fleet sent all tenants every 50 ms for some seconds. Only tenants with requests at that VM are answered at once.

--- a/libs/tenancy/src/tenantquotas.cpp
+++ b/libs/tenancy/src/tenantquotas.cpp
@@ -451,7 +451,8 @@
         // Not all VMs that report to the peer report to this one too; the peer's level includes them.
         tenant->bucket.lowerTo(level);
     }
-    if (report.needsLevels || (!peer.isListed && admitted != 0)) {
+    const bool isAwaited = report.needsLevels && entry.demandHundredths > 0;
+    if (isAwaited || (!peer.isListed && admitted != 0)) {
         // The peer learns the level by the answer; other VMs that are no participants learn of the peer's admissions.
         tenant->changedAt = now;
     }
