--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -136,15 +136,27 @@
     double workTime(TimePoint now) const noexcept;
 
     /// Expected duration of one more call including its wait for a slot, in multiples of the typical duration.
-    double relativeExpectedTime(TimePoint now) const noexcept;
+    double relativeExpectedTime(TimePoint now) const noexcept { return expectation(now).time; }
 
     /// The same as far as the last report and the calls of this process tell. Unlike the mean of earlier reports, these
     /// are reason enough to hold a call back.
     double relativeReportedTime(TimePoint now) const noexcept;
 
-    /// Expected cost of one more call, in multiples of the typical duration: its expected duration plus penalties for
-    /// recent failures and for an overdue call.
-    double cost(TimePoint now) const noexcept;
+    /// What one more call is expected to take, in multiples of the typical duration.
+    struct Expectation {
+        /// The duration including the wait for a slot.
+        double time = 1;
+        /// The duration plus penalties for recent failures and for an overdue call.
+        double cost = 1;
+        /// True if an open call has taken much longer than expected, as isOverdue().
+        bool isOverdue = false;
+    };
+
+    /// Computes all of them at once, as each call asks for each replica.
+    Expectation expectation(TimePoint now) const noexcept;
+
+    /// Expected cost of one more call.
+    double cost(TimePoint now) const noexcept { return expectation(now).cost; }
 
     /// Number of consecutive failures.
     std::uint32_t failuresInRow() const noexcept { return failuresInRow_; }
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -196,12 +196,13 @@
                                          const CallParameters &parameters)
 {
     ReplicaCandidate candidate;
-    candidate.cost = searcher.cost(now) * (1 + costJitter * random_.unit());
-    candidate.expectedTime = shareOf(parameters.typicalDuration, searcher.relativeExpectedTime(now));
+    const TrackedSearcher::Expectation expectation = searcher.expectation(now);
+    candidate.cost = expectation.cost * (1 + costJitter * random_.unit());
+    candidate.expectedTime = shareOf(parameters.typicalDuration, expectation.time);
     candidate.failureShare = searcher.failureShare(now);
     candidate.isLocal = searcher.entry().failureDomain == failureDomain_;
-    candidate.isSound = !searcher.isCold(now) && !searcher.isOverdue(now) && !searcher.isLimited(now)
-        && searcher.failuresInRow() == 0;
+    candidate.isSound
+        = !searcher.isCold(now) && !expectation.isOverdue && !searcher.isLimited(now) && searcher.failuresInRow() == 0;
     return candidate;
 }
 
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -321,8 +321,9 @@
 
 double TrackedSearcher::expectedCalls(TimePoint now) const noexcept
 {
+    const double fresh = remaining(loadReportedAt_, now, loadDecayMs);
     const double mean = meanOtherCalls_ * remaining(loadReportedAt_, now, otherCallsDecaySeconds * 1'000);
-    return reportedCalls(now) + mean * (1 - remaining(loadReportedAt_, now, loadDecayMs));
+    return static_cast<double>(calls_.size()) + mean + (otherProcessCalls_ - mean) * fresh;
 }
 
 double TrackedSearcher::relativeSlotWait(double calls) const noexcept
@@ -331,33 +332,32 @@
     return std::max(0.0, calls + 1 - slots) / slots;
 }
 
-double TrackedSearcher::relativeExpectedTime(TimePoint now) const noexcept
-{
-    return slowness(now) * (1 + relativeSlotWait(expectedCalls(now)));
-}
-
 double TrackedSearcher::relativeReportedTime(TimePoint now) const noexcept
 {
     return slowness(now) * (1 + relativeSlotWait(reportedCalls(now)));
 }
 
-double TrackedSearcher::cost(TimePoint now) const noexcept
+TrackedSearcher::Expectation TrackedSearcher::expectation(TimePoint now) const noexcept
 {
     const double slots = std::max<double>(1, entry_.slots);
     const double calls = expectedCalls(now);
     const double runningCost = std::min(calls, slots) / slots * busySlotCost;
-    double cost = slowness(now) * (1 + relativeSlotWait(calls) + runningCost) + failureShare(now) * failureCost;
+    const double slownessNow = slowness(now);
+    Expectation expectation;
+    expectation.time = slownessNow * (1 + relativeSlotWait(calls));
+    expectation.cost = expectation.time + slownessNow * runningCost + failureShare(now) * failureCost;
     if (isCold(now)) {
-        cost *= coldSlowness;
+        expectation.cost *= coldSlowness;
     }
     // An observer that does not call in its slot learns late that the limit has ended.
     if (isLimited(now) && !pacedShare().isObservationDue(now)) {
-        cost *= 1 + usedLimitCost * (1 - pacedShare().headroom(now));
+        expectation.cost *= 1 + usedLimitCost * (1 - pacedShare().headroom(now));
     }
-    if (isOverdue(now)) {
-        cost += overdueCost;
+    expectation.isOverdue = isOverdue(now);
+    if (expectation.isOverdue) {
+        expectation.cost += overdueCost;
     }
-    return cost;
+    return expectation;
 }
 
 } // namespace sassafrasvane
