Placement: a local searcher that has recovered gets calls again

Cause: a searcher whose last call failed, or that is limited, got no first calls while another local searcher was sound, so nothing ever showed that it had recovered. entry_test.py, test_requests_do_not_find_out_whether_a_lost_searcher_is_back, failed.

Change: a sound local searcher keeps the call in the domain; among the local ones the cost alone decides, which has the penalties for failures and limits.

replicachoice_test has a case for it; placement_test and that process test are green.

--- a/libs/placement/src/replicachoice.cpp
+++ b/libs/placement/src/replicachoice.cpp
@@ -80,6 +80,7 @@
     const Duration soonest = soonestElsewhere(candidates);
     const ReplicaCandidate *cheapest = nullptr;
     const ReplicaCandidate *local = nullptr;
+    bool staysLocal = false;
     ChoiceReason reason = timeLeft ? ChoiceReason::NoneLocal : ChoiceReason::Unrestricted;
     for (const ReplicaCandidate &candidate : candidates) {
         if (!cheapest || competingCost(candidate) < competingCost(*cheapest)) {
@@ -88,16 +89,22 @@
         if (!timeLeft || !candidate.isLocal) {
             continue;
         }
+        // Among local searchers the cost alone decides: those that are not sound must get calls now and then to show
+        // that they have recovered.
+        if (!local || candidate.cost < local->cost) {
+            local = &candidate;
+        }
         if (!candidate.isSound) {
             reason = reason == ChoiceReason::NoneLocal ? ChoiceReason::LocalImpaired : reason;
         } else if (urgency(candidate, soonest, *timeLeft) > caution) {
             reason = ChoiceReason::TimeShort;
-        } else if (!local || candidate.cost < local->cost) {
-            local = &candidate;
+        } else {
+            staysLocal = true;
         }
     }
-    const ReplicaCandidate *chosen = local ? local : cheapest;
-    return ReplicaChoice{static_cast<std::size_t>(chosen - candidates.data()), local ? ChoiceReason::Local : reason};
+    const ReplicaCandidate *chosen = staysLocal ? local : cheapest;
+    return ReplicaChoice{static_cast<std::size_t>(chosen - candidates.data()),
+                         staysLocal ? ChoiceReason::Local : reason};
 }
 
 } // namespace sassafrasvane
--- a/libs/placement/tests/replicachoice_test.cpp
+++ b/libs/placement/tests/replicachoice_test.cpp
@@ -85,6 +85,16 @@
     BOOST_TEST(choose(failing, 100ms, bold).index == 0U);
 }
 
+// Load: one of two local searchers was lost or limited and is back. Guards against never calling it again.
+BOOST_AUTO_TEST_CASE(recoveredLocalSearcherGetsCallsAgain)
+{
+    ReplicaCandidate recovered = local(5ms);
+    recovered.isSound = false;
+    recovered.cost = 1.4;
+    const std::array<ReplicaCandidate, 2> candidates{recovered, local(5ms)};
+    BOOST_TEST(chooseReplica(candidates, 100ms, cautious)->index == 0U);
+}
+
 // Load: a retry or hedge goes wherever it is answered soonest; some VMs have no local searcher.
 BOOST_AUTO_TEST_CASE(callsWithoutPreferenceCompeteByCost)
 {
