Soak: the rollback loses enough to be noticed, and the operator writes on

Cause: the soak passed on the build before this part: the copy lacked so few revisions that the rewriting overtook them at once.

Change: all searchers register eight times after the copy, and the operator publishes a further version when what was lost has been written again.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -24,6 +24,8 @@
 # Time after which what a store that went back has lost is written again, and for which it is away before it is back.
 WRITTEN_AGAIN_S = 1.5
 AWAY_S = 0.5
+# How often all searchers register between the copy and the rollback, so that revisions don't overtake the lost ones soon.
+LOST_REGISTRATIONS = 8
 # How long callers send a request that crashes searchers.
 CRASHING_S = 8.0
 # Share of the processes and searchers that are disturbed at the same time, so that service remains.
@@ -225,8 +227,10 @@
         return undo
 
     def roll_back_store(self, store, step):
-        """The store goes back to a copy of the step's beginning; what it has lost is written again later."""
+        """The store goes back to a copy of the step's beginning; what it has lost is written again later, and more."""
         copy = store.copy()
+        for _ in range(LOST_REGISTRATIONS):
+            self.world.register_again()
         away = AWAY_S if step.detail == "away" else 0.0
 
         def go_back(undo):
@@ -235,8 +239,12 @@
                 store.start()
             self.undo.append((time.monotonic() + WRITTEN_AGAIN_S, undo))
 
+        def write_again():
+            self.world.write_again()
+            self.change_configuration(store, step)
+
         def begin():
-            undo = undoing(self.world.store_disturbed, self.world.write_again)
+            undo = undoing(self.world.store_disturbed, write_again)
             if away:
                 store.stop()
             self.undo.append((time.monotonic() + away, lambda: go_back(undo)))
--- a/tests/soak/soakworld.py
+++ b/tests/soak/soakworld.py
@@ -169,6 +169,10 @@
     def write_again(self):
         """What a store that went back to a copy has lost is written again."""
         self._configure(self.current.version, self.current.desk, self.current.extra)
+        self.register_again()
+
+    def register_again(self):
+        """All searchers write what they last registered."""
         for searcher in list(self.searchers.values()):
             if searcher.is_registered:
                 searcher.register(searcher.state)
