Quotas: fewer reports to VMs that are no participants; buckets start with the burst; tolerance passed as one object

After a restart of all VMs, empty buckets refused tenants within their quota for seconds. Change: VMs that are no participants report and are reported to every 450 ms; a process starts with buckets that hold the burst, as far as 0.3 of the tolerance covers it; the template passes all bounds as one JSON object, of which the settings read what concerns quotas.

--- a/libs/settings/src/entrysettings.cpp
+++ b/libs/settings/src/entrysettings.cpp
@@ -27,7 +27,8 @@
                              "processorShare",
                              "memoryMb",
                              "fileDescriptors",
-                             "bounds"};
+                             "bounds",
+                             "quotaTolerance"};
 constexpr Names knownListeners{"callers", "readiness", "directory", "control"};
 constexpr Names knownBounds{"stopGraceS",
                             "retryRatio",
@@ -35,10 +36,7 @@
                             "retrySlack",
                             "coldFactor",
                             "coldSlack",
-                            "directoryLifetimeS",
-                            "quotaWindowS",
-                            "quotaOverage",
-                            "quotaSlack"};
+                            "directoryLifetimeS"};
 
 constexpr detail::NumberRange ports{0, 65'535};
 constexpr detail::NumberRange seconds{0.1, 3'600};
@@ -76,12 +74,17 @@
     bounds.coldFactor = reader.number("coldFactor", {0, 1'000});
     bounds.coldSlack = reader.number("coldSlack", counts);
     bounds.directoryLifetime = fromSeconds(reader.number("directoryLifetimeS", seconds));
+    reader.rejectUnknown(knownBounds);
+    return bounds;
+}
+
+// Other members are ignored, so that a deployment can pass a larger object that may hold these.
+void readQuotaTolerance(JsonReader &reader, EntryBounds &bounds)
+{
     bounds.quotaWindow
         = fromSeconds(reader.numberOr("quotaWindowS", seconds, toMilliseconds(bounds.quotaWindow) / 1'000));
     bounds.quotaOverage = reader.numberOr("quotaOverage", {0, 1'000}, bounds.quotaOverage);
     bounds.quotaSlack = reader.numberOr("quotaSlack", counts, bounds.quotaSlack);
-    reader.rejectUnknown(knownBounds);
-    return bounds;
 }
 
 void readSeeds(JsonReader &reader, std::vector<Address> &seeds)
@@ -117,6 +120,9 @@
     settings.memoryMb = reader.whole("memoryMb", counts);
     settings.fileDescriptors = reader.whole("fileDescriptors", counts);
     reader.object("bounds", [&settings](JsonReader &part) { settings.bounds = readBounds(part); });
+    if (document.contains("quotaTolerance")) {
+        reader.object("quotaTolerance", [&settings](JsonReader &part) { readQuotaTolerance(part, settings.bounds); });
+    }
     reader.rejectUnknown(knownMembers);
     if (!faults.empty()) {
         return detail::faultsError(faults, Step::Settings);
--- a/libs/settings/tests/entrysettings_test.cpp
+++ b/libs/settings/tests/entrysettings_test.cpp
@@ -48,13 +48,14 @@
     const EntryBounds without = readEntrySettings(valid).value().bounds;
     BOOST_TEST((without.quotaWindow == Duration(std::chrono::seconds(5))));
     BOOST_TEST(without.quotaSlack == 0);
-    const std::string tolerance = R"("quotaWindowS": 4, "quotaOverage": 0.25, "quotaSlack": 20, "stopGraceS")";
-    const EntryBounds with = readEntrySettings(replaced("\"stopGraceS\"", tolerance)).value().bounds;
+    const std::string tolerance
+        = R"("quotaTolerance": {"quotaWindowS": 4, "quotaOverage": 0.25, "quotaSlack": 20, "other": 1}, "vm")";
+    const EntryBounds with = readEntrySettings(replaced("\"vm\"", tolerance)).value().bounds;
     BOOST_TEST((with.quotaWindow == Duration(std::chrono::seconds(4))));
     BOOST_TEST(with.quotaOverage == 0.25);
     BOOST_TEST(with.quotaSlack == 20);
-    BOOST_TEST(faultOf(replaced("\"stopGraceS\"", "\"quotaSlack\": -1, \"stopGraceS\"")).find("/bounds/quotaSlack")
-               != std::string::npos);
+    const std::string negative = R"("quotaTolerance": {"quotaSlack": -1}, "vm")";
+    BOOST_TEST(faultOf(replaced("\"vm\"", negative)).find("/quotaTolerance/quotaSlack") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(faultsAreNamedWithTheirPlace)
--- a/libs/tenancy/src/quotapeers.cpp
+++ b/libs/tenancy/src/quotapeers.cpp
@@ -291,11 +291,12 @@
     }
 }
 
-std::vector<DaemonId> QuotaPeers::recipients(TimePoint now) const
+std::vector<DaemonId> QuotaPeers::recipients(TimePoint now, bool includesFollowers) const
 {
     std::vector<DaemonId> daemons;
     for (const QuotaPeer &peer : peers_) {
-        if (peer.isListed || (peer.hasReported && now - peer.heardAt < answerTime())) {
+        const bool isFollower = includesFollowers && peer.hasReported && now - peer.heardAt < answerTime();
+        if (peer.isListed || isFollower) {
             daemons.push_back(peer.daemon);
         }
     }
--- a/libs/tenancy/src/quotapeers.h
+++ b/libs/tenancy/src/quotapeers.h
@@ -107,7 +107,8 @@
     std::uint64_t round() const noexcept { return round_; }
     TimePoint lastConfirmedAt() const noexcept { return lastConfirmedAt_; }
 
-    std::vector<DaemonId> recipients(TimePoint now) const;
+    /// The participants; with \p includesFollowers also the other VMs that have reported lately.
+    std::vector<DaemonId> recipients(TimePoint now, bool includesFollowers) const;
 
 private:
     struct VoterCount {
--- a/libs/tenancy/src/tenantquotas.cpp
+++ b/libs/tenancy/src/tenantquotas.cpp
@@ -23,6 +23,9 @@
 constexpr Duration reportPeriod = std::chrono::milliseconds(95);
 constexpr Duration urgentPeriod = std::chrono::milliseconds(45);
 constexpr Duration idlePeriod = std::chrono::milliseconds(190);
+/// Interval of the reports of a VM that is no participant, and of those to it. Any VM may get some requests; reports
+/// between each of them and all participants would grow with the number of all VMs. Shorter than silenceTime().
+constexpr Duration followerPeriod = std::chrono::milliseconds(450);
 /// Time for which a change is repeated, since a datagram may be lost.
 constexpr Duration changeRepeatTime = std::chrono::milliseconds(280);
 /// Interval at which the demand is reported while it lasts, and its age at which it no longer counts.
@@ -35,6 +38,9 @@
 constexpr Duration activityTime = std::chrono::seconds(30);
 /// Part of the tolerance that is added to the capacity of the bucket.
 constexpr double capacityShareOfTolerance = 0.3;
+/// Part of the tolerance up to which the bucket of a process that has just started is filled. With empty buckets, a
+/// restart of all VMs would refuse tenants within their quota for seconds.
+constexpr double startShareOfTolerance = 0.3;
 /// The part of the tolerance that covers errors of the view: requests, and seconds of the tenant's rate. A silent VM is
 /// noticed after 0.6 s, and the sides of a partition may disagree on their parts for a short time. What is left of the
 /// tolerance is divided equally among the participants, so that each may admit some requests while the level is low.
@@ -122,7 +128,7 @@
     void onReport(TimePoint now, DaemonId daemon, const QuotaReport &report);
     std::vector<QuotaReport> dueReports(TimePoint now);
     std::vector<TenantUsage> usage(TimePoint now) const;
-    const detail::QuotaPeers &peers() const noexcept { return peers_; }
+    std::vector<DaemonId> recipients(TimePoint now) const { return peers_.recipients(now, reportsToFollowers_); }
 
 private:
     void update(TimePoint now);
@@ -130,6 +136,7 @@
     TenantState *find(std::uint64_t hash) noexcept;
     double toleranceOf(const TenantQuota &quota) const noexcept;
     double reserveOf(const TenantQuota &quota) const noexcept;
+    double startLevelOf(const TenantQuota &quota) const noexcept;
     double capacityOf(const TenantQuota &quota) const noexcept;
     void updateBuckets(TimePoint now);
     void startRound(TenantState &tenant) const noexcept;
@@ -160,6 +167,9 @@
     bool needsLevels_ = true;
     std::optional<TimePoint> majoritySince_;
     TimePoint reportedAt_;
+    /// When VMs that are no participants were last reported to, and whether the last reports are for them, too.
+    TimePoint followersToldAt_;
+    bool reportsToFollowers_ = false;
     TimePoint activeAt_;
     /// First request of a tenant after a pause of activityTime.
     TimePoint activeSince_;
@@ -187,6 +197,12 @@
     return std::max(1.0, quota.burst + toleranceOf(quota) * capacityShareOfTolerance);
 }
 
+// What was admitted before a restart is not known. The tolerance covers what a process admits of a new bucket.
+double TenantQuotas::Implementation::startLevelOf(const TenantQuota &quota) const noexcept
+{
+    return std::min(quota.burst, toleranceOf(quota) * startShareOfTolerance);
+}
+
 double TenantQuotas::Implementation::reserveOf(const TenantQuota &quota) const noexcept
 {
     const double errors = errorRequests + errorSeconds * quota.requestsPerSecond;
@@ -211,8 +227,8 @@
         tenant.hash = hash;
         tenant.bucket.setPart(now, peers_.part(), peers_.partOfOthers());
         tenant.bucket.setQuota(now, quota.requestsPerSecond, capacityOf(quota));
-        if (known == nullptr && !needsLevels_) {
-            tenant.bucket.fill();
+        if (known == nullptr) {
+            tenant.bucket.raiseTo(needsLevels_ ? startLevelOf(quota) : tenant.bucket.capacity());
         }
     }
     tenants_ = std::move(tenants);
@@ -490,8 +506,8 @@
     update(now);
     const bool hasTraffic = activeAt_ != TimePoint() && now - activeAt_ < activityTime;
     const Duration sinceReport = now - reportedAt_;
-    if (tenants_.empty() || (!peers_.isInList() && !hasTraffic)
-        || sinceReport < (isUrgent_ ? urgentPeriod : reportPeriod)) {
+    const Duration period = !peers_.isInList() ? followerPeriod : isUrgent_ ? urgentPeriod : reportPeriod;
+    if (tenants_.empty() || (!peers_.isInList() && !hasTraffic) || sinceReport < period) {
         return {};
     }
     std::vector<std::size_t> due;
@@ -507,6 +523,8 @@
     }
     reportedAt_ = now;
     isUrgent_ = false;
+    reportsToFollowers_ = now - followersToldAt_ >= followerPeriod;
+    followersToldAt_ = reportsToFollowers_ ? now : followersToldAt_;
     return reportsOf(now, due);
 }
 
@@ -612,7 +630,7 @@
 
 std::vector<DaemonId> TenantQuotas::recipients(TimePoint now) const
 {
-    return implementation_->peers().recipients(now);
+    return implementation_->recipients(now);
 }
 
 std::vector<TenantUsage> TenantQuotas::usage(TimePoint now) const
--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -69,9 +69,8 @@
             "memoryMb": self.world.memory_mb,
             "fileDescriptors": 4100,
             "bounds": {"stopGraceS": GRACE, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 56, "coldFactor": 1.5}
-            | {"coldSlack": 5, "directoryLifetimeS": 5}
-            | dict(self.world.more_bounds),
-        }
+            | {"coldSlack": 5, "directoryLifetimeS": 5},
+        } | dict(self.world.more_settings)
 
     def write_settings(self):
         path = self.world.directory / f"{self.name}.json"
@@ -150,10 +149,10 @@
 
     entry_type = Entry
 
-    def __init__(self, build, entries=1, shards=4, replicas=2, memory_mb=260, more_bounds=()):
+    def __init__(self, build, entries=1, shards=4, replicas=2, memory_mb=260, more_settings=()):
         self.build = build
         self.memory_mb = memory_mb
-        self.more_bounds = more_bounds
+        self.more_settings = more_settings
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="sassafrasvane-entry-"))
         self.loop = standin.Loop()
         names = ("callers", "readiness", "directory", "control", "peers", "metrics")
--- a/tests/entry/tenants_test.py
+++ b/tests/entry/tenants_test.py
@@ -38,7 +38,7 @@
     def setUp(self):
         build = pathlib.Path(sys.argv[1]).resolve()
         tolerance = {"quotaWindowS": WINDOW_S, "quotaOverage": OVERAGE, "quotaSlack": SLACK}
-        self.world = World(build, entries=self.entries, shards=SHARDS, more_bounds=tolerance)
+        self.world = World(build, entries=self.entries, shards=SHARDS, more_settings={"quotaTolerance": tolerance})
         self.addCleanup(self.world.close)
         self.entry = self.world.entries[0]
         self.version = 1
