Entry process: refusals carry their tenant

Cause: after the merge of the checks of heads and of keys, a refusal for a missing request id was no longer counted for its tenant. Change: a refusal names its tenant, wherever it is decided.

--- a/libs/entry/include/entry/entryserver.h
+++ b/libs/entry/include/entry/entryserver.h
@@ -96,6 +96,8 @@
     struct Refusal {
         http::Response response;
         const char *reason;
+        /// The tenant of the request, if it is known.
+        const Tenant *tenant = nullptr;
     };
 
     std::optional<Refusal> refusalOfHead(const http::Request &head,
@@ -103,10 +105,11 @@
                                          const RouteTable *routes);
     http::Response unauthorizedResponse() const;
     QuotaDecision admit(const Tenant *tenant);
-    void refuse(const std::shared_ptr<http::Exchange> &exchange,
-                const RequestMetadata &metadata,
-                const Tenant *tenant,
-                Refusal refusal);
+    void refuse(const std::shared_ptr<http::Exchange> &exchange, const RequestMetadata &metadata, Refusal refusal);
+    void recordRefusal(const http::Request &request,
+                       const RequestMetadata &metadata,
+                       const Refusal &refusal,
+                       unsigned status);
     void refuseOverQuota(const std::shared_ptr<http::Exchange> &exchange,
                          const RequestMetadata &metadata,
                          const Tenant &tenant,
--- a/libs/entry/src/entryserver.cpp
+++ b/libs/entry/src/entryserver.cpp
@@ -101,7 +101,8 @@
     }
     if (metadata.requestId.empty()) {
         ++counters_.malformed;
-        return Refusal{http::emptyResponse(badRequest), "no request id"};
+        const Tenant *tenant = metadata.apiKey ? routes->tenantOf(*metadata.apiKey) : nullptr;
+        return Refusal{http::emptyResponse(badRequest), "no request id", tenant};
     }
     return std::nullopt;
 }
@@ -113,7 +114,7 @@
     if (!refusal) {
         return std::nullopt;
     }
-    refusalLine(head, metadata, refusal->reason, refusal->response.result_int());
+    recordRefusal(head, metadata, *refusal, refusal->response.result_int());
     return std::move(refusal->response);
 }
 
@@ -128,30 +129,30 @@
     RequestMetadata metadata = protocol_.readRequestMetadata(request);
     const std::shared_ptr<const RouteTable> routes = state_.routes();
     if (std::optional<Refusal> refusal = refusalOfHead(request, metadata, routes.get())) {
-        refuse(exchange, metadata, nullptr, std::move(*refusal));
+        refuse(exchange, metadata, std::move(*refusal));
         return;
     }
     const RequestRoute *route = routes->match(http::headerOf(request, "Host"), http::fromView(request.target()));
     const Tenant *tenant = metadata.apiKey ? routes->tenantOf(*metadata.apiKey) : nullptr;
     if (lastAnswerAt_ && detail::RequestTask::deadlineOf(*exchange, metadata, *route) > *lastAnswerAt_) {
         ++counters_.stopping;
-        refuse(exchange, metadata, tenant, {detail::notRunResponse(Duration{0}), "process is stopping"});
+        refuse(exchange, metadata, {detail::notRunResponse(Duration{0}), "process is stopping", tenant});
         return;
     }
     const Fingerprint fingerprint = fingerprintOf(request);
     if (requestContext_->crashes.isBarred(BootClock::now(), fingerprint)) {
         ++counters_.barred;
-        refuse(exchange, metadata, tenant, {detail::notRunResponse(CrashBar::entryLifetime()), "crashes searchers"});
+        refuse(exchange, metadata, {detail::notRunResponse(CrashBar::entryLifetime()), "crashes searchers", tenant});
         return;
     }
     if (requests_.size() >= maxOpenRequests()) {
         ++counters_.overloaded;
-        refuse(exchange, metadata, tenant, {retryLaterResponse(metadata), "too many requests"});
+        refuse(exchange, metadata, {retryLaterResponse(metadata), "too many requests", tenant});
         return;
     }
     if (!exchange->reserveHeadCopies(route->isGathered() ? route->shards.size() : 1)) {
         ++counters_.overloaded;
-        refuse(exchange, metadata, tenant, {retryLaterResponse(metadata), "no memory for its calls"});
+        refuse(exchange, metadata, {retryLaterResponse(metadata), "no memory for its calls", tenant});
         return;
     }
     const QuotaDecision decision = admit(tenant);
@@ -187,18 +188,25 @@
 
 void EntryServer::refuse(const std::shared_ptr<http::Exchange> &exchange,
                          const RequestMetadata &metadata,
-                         const Tenant *tenant,
                          Refusal refusal)
 {
     const unsigned status = refusal.response.result_int();
     exchange->respond(std::move(refusal.response));
-    std::optional<EventLine> line = refusalLine(exchange->request(), metadata, refusal.reason, status);
-    if (tenant == nullptr) {
+    recordRefusal(exchange->request(), metadata, refusal, status);
+}
+
+void EntryServer::recordRefusal(const http::Request &request,
+                                const RequestMetadata &metadata,
+                                const Refusal &refusal,
+                                unsigned status)
+{
+    std::optional<EventLine> line = refusalLine(request, metadata, refusal.reason, status);
+    if (refusal.tenant == nullptr) {
         return;
     }
-    counters_.tenantRequests.add(tenant->name, "refused");
+    counters_.tenantRequests.add(refusal.tenant->name, "refused");
     if (line) {
-        line->text("tenant", tenant->name);
+        line->text("tenant", refusal.tenant->name);
     }
 }
 
