Quotas: a VM may admit a request where the level covers the tenant's whole demand

Cause: after a restart of many VMs callers use any of them for seconds; VMs that are no participants, and those among many participants, had a budget below one request and refused tenants whose bucket was full. Change: each VM may admit one request until its admissions are known, if the level covers what the tenant asks of all VMs in that time.

--- a/libs/tenancy/src/tenantquotas.cpp
+++ b/libs/tenancy/src/tenantquotas.cpp
@@ -142,6 +142,7 @@
     void startRound(TenantState &tenant) const noexcept;
     bool hasBudget(TimePoint now, TenantState &tenant) noexcept;
     double budgetOf(TimePoint now, TenantState &tenant, double level) const noexcept;
+    bool isDemandCovered(const TenantState &tenant, double level) const noexcept;
     double shareByDemand(TimePoint now, TenantState &tenant) const noexcept;
     void sumDemand(TimePoint now, TenantState &tenant) const noexcept;
     Duration waitForToken(TimePoint now, const TenantState &tenant) const noexcept;
@@ -348,7 +349,17 @@
     const double budget = equal + demandShareOfLevel * level * shareByDemand(now, tenant);
     const double whole = std::floor(budget);
     const double roundedUp = (budget - whole) * count;
-    return whole + (peers_.isListed() && static_cast<double>(peers_.rankOf(tenant.hash)) < roundedUp ? 1 : 0);
+    const bool isRoundedUp = peers_.isListed() && static_cast<double>(peers_.rankOf(tenant.hash)) < roundedUp;
+    const double rounded = whole + (isRoundedUp ? 1 : 0);
+    return std::max(rounded, isDemandCovered(tenant, level) ? 1.0 : 0.0);
+}
+
+// True if the level covers all that the tenant asks of all VMs until they know of each other's admissions. Each VM may
+// then admit a request, also one that is no participant: after a restart of many VMs callers use any of them for a while.
+bool TenantQuotas::Implementation::isDemandCovered(const TenantState &tenant, double level) const noexcept
+{
+    const double demand = std::max(tenant.totalDemand, tenant.demand + tenant.demandOfOthers);
+    return demand * secondsOf(2 * followerPeriod) <= demandShareOfLevel * level;
 }
 
 double TenantQuotas::Implementation::shareByDemand(TimePoint now, TenantState &tenant) const noexcept
