--- a/tests/entry/entryworld.py
+++ b/tests/entry/entryworld.py
@@ -141,7 +141,9 @@
     def lines(self, event):
         self.log.flush()
         text = (self.world.directory / f"{self.name}.log").read_text()
-        return [line for line in map(json.loads, text.splitlines()) if line["event"] == event]
+        # The process may be writing the last line.
+        whole = text[: text.rfind("\n") + 1]
+        return [line for line in map(json.loads, whole.splitlines()) if line["event"] == event]
 
 
 class World:
