Placement: single slow calls do not move calls out of their failure domain

Cause: searchers pause for a moment every few seconds. One call that meets a pause made a searcher look slow for seconds, so that calls with time to spare left the failure domain.

--- a/libs/placement/include/placement/trackedsearcher.h
+++ b/libs/placement/include/placement/trackedsearcher.h
@@ -4,6 +4,7 @@
 #include "catalog/searcherentry.h"
 #include "placement/incarnationstate.h"
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -146,6 +147,8 @@
     struct Expectation {
         /// The duration including the wait for a slot.
         double time = 1;
+        /// The same without single slow calls. Decides whether a call leaves its failure domain.
+        double steadyTime = 1;
         /// The duration plus penalties for recent failures and for an overdue call.
         double cost = 1;
         /// True if an open call has taken much longer than expected, as isOverdue().
@@ -185,6 +188,7 @@
     void addOtherCalls(TimePoint now, double calls) noexcept;
     void addServiceTime(double relativeTime, const LoadReport &load) noexcept;
     void addSlownessSample(TimePoint now, double sample);
+    double medianWithFormer(double sample) noexcept;
     void addFailureSample(TimePoint now, double sample);
     double reportedCalls(TimePoint now) const noexcept;
     double expectedCalls(TimePoint now) const noexcept;
@@ -196,6 +200,10 @@
     /// Moving average of the call durations, each divided by the relative work time that came with it.
     double slowness_ = 1;
     TimePoint slownessAt_;
+    /// As slowness_, of the median of the last three samples: searchers pause for a moment now and then, and one slow
+    /// call says little of the next ones.
+    double steadySlowness_ = 1;
+    std::array<double, 2> formerSamples_{1, 1};
     /// Relative work time in the last report that had one, and the moving average of all.
     double workTime_ = 1;
     double meanWorkTime_ = 1;
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -198,7 +198,7 @@
     ReplicaCandidate candidate;
     const TrackedSearcher::Expectation expectation = searcher.expectation(now);
     candidate.cost = expectation.cost * (1 + costJitter * random_.unit());
-    candidate.expectedTime = shareOf(parameters.typicalDuration, expectation.time);
+    candidate.expectedTime = shareOf(parameters.typicalDuration, expectation.steadyTime);
     candidate.failureShare = searcher.failureShare(now);
     candidate.isLocal = searcher.entry().failureDomain == failureDomain_;
     candidate.isSound
--- a/libs/placement/src/trackedsearcher.cpp
+++ b/libs/placement/src/trackedsearcher.cpp
@@ -282,11 +282,21 @@
 
 void TrackedSearcher::addSlownessSample(TimePoint now, double sample)
 {
+    const double capped = std::min(sample, maxSlowness);
     const double before = usualSlowness(now);
-    slowness_ = before + (std::min(sample, maxSlowness) - before) * slownessWeight;
+    const double steadyBefore = decayed(steadySlowness_, 1, slownessAt_, now, slownessHalfLife);
+    slowness_ = before + (capped - before) * slownessWeight;
+    steadySlowness_ = steadyBefore + (medianWithFormer(capped) - steadyBefore) * slownessWeight;
     slownessAt_ = now;
 }
 
+double TrackedSearcher::medianWithFormer(double sample) noexcept
+{
+    const auto [first, second] = formerSamples_;
+    formerSamples_ = {second, sample};
+    return std::max(std::min(first, second), std::min(std::max(first, second), sample));
+}
+
 void TrackedSearcher::addFailureSample(TimePoint now, double sample)
 {
     const double before = failureShare(now);
@@ -345,6 +355,8 @@
     const double slownessNow = slowness(now);
     Expectation expectation;
     expectation.time = slownessNow * (1 + relativeSlotWait(calls));
+    expectation.steadyTime = decayed(steadySlowness_, 1, slownessAt_, now, slownessHalfLife) * workTime(now)
+        * (1 + relativeSlotWait(calls));
     expectation.cost = expectation.time + slownessNow * runningCost + failureShare(now) * failureCost;
     if (isCold(now)) {
         expectation.cost *= coldSlowness;
