Names and comments after a reading by a newcomer; idle participants report to followers in time

Cause: a reader who did not know the change stumbled on names (listed and in list, reserve in two meanings, greediest) and on comments that said something else than the code. An idle participant reported to VMs that are no participants every 600 ms instead of 450, at which it counts as silent there; the share left of a quota was of the whole bucket on one side of a partition. Change: renamed and corrected; a due report to followers ends the idle wait; the share left is of what this side may hold; SharedBucket::fill(), which nothing used, is gone. Measured: tenancy_test, http_test and quota_fuzz without errors.

--- a/libs/catalog/src/storefollower.cpp
+++ b/libs/catalog/src/storefollower.cpp
@@ -69,7 +69,7 @@
     return epoch < knownEpoch_ ? std::optional(StoreFailure::OldEpoch) : std::nullopt;
 }
 
-// Returns whether the answer can be applied. One that is not handled as a failure or starts a listing.
+// Returns true if the answer can be applied. Otherwise it is handled as a failure, or the store is listed again.
 bool StoreFollower::checkEpoch(TimePoint now, const StorePosition &asOf, bool isEpochStated, StoreActions &actions)
 {
     actions.rejection = epochFailure(asOf.epoch, isEpochStated);
--- a/libs/entry/include/entry/protocol.h
+++ b/libs/entry/include/entry/protocol.h
@@ -94,8 +94,8 @@
     std::function<RequestMetadata(const http::Request &request)> readRequestMetadata;
     /// The challenge in a response to a request without a valid API key (RFC 9110, 11.6.1).
     std::string apiKeyChallenge;
-    /// Removes the API key from a copy of the caller's request, and whatever the caller sent as the tenant's name. Sets
-    /// the name \p tenant unless it is empty.
+    /// Changes the caller's request in place: removes the API key, and whatever the caller sent as the tenant's name.
+    /// Sets the name \p tenant unless it is empty.
     std::function<void(http::Request &call, std::string_view tenant)> identifyCaller;
     /// Turns a copy of the caller's request into a call to the searcher \p instance.
     std::function<void(http::Request &call, Duration timeLeft, std::string_view instance)> addressCall;
--- a/libs/entry/src/entryhttpservers.cpp
+++ b/libs/entry/src/entryhttpservers.cpp
@@ -20,7 +20,7 @@
 constexpr double connectionBytes = 10'240;
 /// Connections that each listener accepts whatever the others have.
 constexpr std::size_t reservedConnections = 8;
-/// Share of all connections that one of the listeners other than the callers' may have.
+/// All connections are divided by this for what one of the listeners other than the callers' may have.
 constexpr std::size_t otherListenersDivisor = 2;
 
 http::RequestMemoryLimits memoryLimits(const EntrySettings &settings)
--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -500,7 +500,7 @@
     }
 }
 
-// One line for all clients since the last tick: a crowd must not fill the log.
+// One line for all clients since the last tick: many at once must not fill the log.
 void EntryProcess::Implementation::logShedClients()
 {
     const http::ServerCounters servers = httpServers_.counters();
--- a/libs/entry/src/requesttask.cpp
+++ b/libs/entry/src/requesttask.cpp
@@ -55,11 +55,11 @@
     for (std::size_t part = 0; part < backends.size(); ++part) {
         parts_[part].backend = backends[part];
     }
-    request_ = makeCall();
+    request_ = prepareCall();
 }
 
 // The caller is identified last, so that no header of its request can remove the tenant's name.
-std::shared_ptr<const http::Request> RequestTask::makeCall() const
+std::shared_ptr<const http::Request> RequestTask::prepareCall()
 {
     const std::shared_ptr<http::Request> call = exchange_->shareRequest();
     removeConnectionHeaders(*call);
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -92,7 +92,7 @@
         bool hasFreeRetry = false;
     };
 
-    std::shared_ptr<const http::Request> makeCall() const;
+    std::shared_ptr<const http::Request> prepareCall();
     GatherParameters makeGatherParameters() const;
     GatherHooks gatherHooks();
     Room room(std::size_t part) const;
--- a/libs/http/include/http/requestmemory.h
+++ b/libs/http/include/http/requestmemory.h
@@ -66,7 +66,7 @@
 
 /// Accounts for what the requests of all listeners hold, from their first byte until it is freed.
 ///
-/// Guards against crowds of clients that each stay inside the limits of a single request. If a request does not fit,
+/// Guards against many clients at once that each stay inside the limits of a single request. If a request does not fit,
 /// the connection that holds the most for the longest without progress is closed first; if none is waiting for its
 /// client, the new request is denied. Large requests leave a part of the memory to small ones. Counts only; it has no
 /// clock or socket.
@@ -116,7 +116,7 @@
 
 private:
     bool fits(std::size_t held, std::size_t wanted) const noexcept;
-    bool shedGreediest(TimePoint now, const RequestHolder *requester);
+    bool shedLargestWaiting(TimePoint now, const RequestHolder *requester);
 
     RequestMemoryLimits limits_;
     std::size_t used_ = 0;
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -150,8 +150,8 @@
 ///
 /// The server keeps reading from a connection while its request is being handled, so that a client that disconnects is
 /// detected at once. Requests whose framing is ambiguous or invalid (two lengths, malformed chunks) are answered with
-/// 400, and the connection is closed. A client that leaves while more than a read of its further requests waits is
-/// detected when the response is written.
+/// 400, and the connection is closed. While 16 KB of further requests are buffered, reading
+/// pauses, and a client that disconnects is detected only when the response is written.
 ///
 /// \code
 /// Result<std::unique_ptr<Server>> server = Server::Builder(context).address(address).handler(handler).build();
--- a/libs/http/src/requestmemory.cpp
+++ b/libs/http/src/requestmemory.cpp
@@ -20,7 +20,7 @@
 {
     if (wanted > held) {
         while (!fits(held, wanted)) {
-            if (!shedGreediest(now, requester)) {
+            if (!shedLargestWaiting(now, requester)) {
                 ++counters_.refusals;
                 return false;
             }
@@ -33,16 +33,16 @@
 void RequestMemory::charge(TimePoint now, std::size_t held, std::size_t wanted, const RequestHolder *requester)
 {
     if (wanted > held) {
-        while (!fits(held, wanted) && shedGreediest(now, requester)) {
+        while (!fits(held, wanted) && shedLargestWaiting(now, requester)) {
         }
     }
     used_ = used_ - held + wanted;
 }
 
 // The product of size and time lets a large request wait for a short time and a small one for a long time.
-bool RequestMemory::shedGreediest(TimePoint now, const RequestHolder *requester)
+bool RequestMemory::shedLargestWaiting(TimePoint now, const RequestHolder *requester)
 {
-    RequestHolder *greediest = nullptr;
+    RequestHolder *largest = nullptr;
     double most = 0;
     for (RequestHolder *holder : holders_) {
         const std::optional<TimePoint> since = holder->waitingSince();
@@ -52,15 +52,15 @@
         const double product = static_cast<double>(holder->heldBytes()) * toMilliseconds(now - *since);
         if (product > most) {
             most = product;
-            greediest = holder;
+            largest = holder;
         }
     }
-    if (greediest == nullptr) {
+    if (largest == nullptr) {
         return false;
     }
     const std::size_t before = used_;
     ++counters_.shedForMemory;
-    greediest->shed(ShedReason::Memory);
+    largest->shed(ShedReason::Memory);
     return used_ < before;
 }
 
--- a/libs/placement/include/placement/replicachoice.h
+++ b/libs/placement/include/placement/replicachoice.h
@@ -49,9 +49,10 @@
     ChoiceReason reason = ChoiceReason::Unrestricted;
 };
 
-/// Chooses one of \p candidates. A call goes to a sound local searcher unless it would take too large a part of the
-/// time that is left, or would take longer there than elsewhere by too large a part. Otherwise all candidates compete
-/// by cost.
+/// Chooses one of \p candidates. A call stays local if it would take neither too large a part of the time that is left
+/// at some sound local searcher, nor longer there than elsewhere by too large a part. It then goes to the cheapest
+/// local searcher, sound or not, so that one that has recovered is called again. Otherwise all candidates compete by
+/// cost.
 ///
 /// \param timeLeft time until the target of the request; nothing if local searchers are not preferred.
 /// \param caution random number in [0, 1). It makes the preference for local searchers fade gradually: a part of the
--- a/libs/tenancy/include/tenancy/tenantquotas.h
+++ b/libs/tenancy/include/tenancy/tenantquotas.h
@@ -85,7 +85,7 @@
 public:
     class Builder;
 
-    /// Maximum number of tenants with a quota. Further ones are refused no request.
+    /// Maximum number of tenants with a quota. Further tenants have no limit.
     static constexpr std::size_t maxTenants() noexcept { return 16'384; }
     /// Maximum number of other VMs whose reports are kept.
     static constexpr std::size_t maxPeers() noexcept { return 512; }
--- a/libs/tenancy/src/quotapeers.cpp
+++ b/libs/tenancy/src/quotapeers.cpp
@@ -34,10 +34,10 @@
     for (QuotaPeer &peer : peers_) {
         peer.isListed = false;
     }
-    isInList_ = false;
+    isInParticipantList_ = false;
     for (const DaemonId daemon : participants) {
         if (daemon == self_) {
-            isInList_ = true;
+            isInParticipantList_ = true;
             continue;
         }
         QuotaPeer *peer = findOrAdd(now, daemon);
@@ -46,7 +46,7 @@
         }
     }
     const bool isConfirmed = !minoritySince_ || hasEstablishedPeers() || now - startedAt_ < startTime();
-    isSelfListed_ = isInList_ && (isSelfListed_ || isConfirmed);
+    isParticipant_ = isInParticipantList_ && (isParticipant_ || isConfirmed);
     hasChanged_ = true;
 }
 
@@ -168,7 +168,7 @@
 
 void QuotaPeers::countParticipants() noexcept
 {
-    heardParticipants_ = isSelfListed_ ? 1 : 0;
+    heardParticipants_ = isParticipant_ ? 1 : 0;
     participantCount_ = 1;
     for (const QuotaPeer &peer : peers_) {
         heardParticipants_ += peer.isSharing() ? 1 : 0;
@@ -193,7 +193,7 @@
     if (!isEstablished_ || basis_ == QuotaBasis::Partial) {
         part_ = std::min(part_, partOfEstablishedPeers(now));
     }
-    if (!isSelfListed_ && minoritySince_ && !hasEstablishedPeers()) {
+    if (!isParticipant_ && minoritySince_ && !hasEstablishedPeers()) {
         // This VM is none of those that the parts were computed for, and many such VMs may be alone at once.
         part_ = 0;
     }
@@ -209,9 +209,9 @@
 
 bool QuotaPeers::adoptVoters(TimePoint now)
 {
-    bool hasChanged = isSelfVoter_ != isSelfListed_;
+    bool hasChanged = isSelfVoter_ != isParticipant_;
     votesSince_ = hasChanged ? now : votesSince_;
-    isSelfVoter_ = isSelfListed_;
+    isSelfVoter_ = isParticipant_;
     for (QuotaPeer &peer : peers_) {
         if (peer.isVoter != peer.isListed) {
             hasChanged = true;
--- a/libs/tenancy/src/quotapeers.h
+++ b/libs/tenancy/src/quotapeers.h
@@ -55,12 +55,13 @@
     /// Time after which a minority uses only minorityShare() of its part. Shorter than exclusionTime(), so that the
     /// minority reduces its use before the majority takes over.
     static constexpr Duration minorityTime() noexcept { return std::chrono::seconds(4); }
+    /// Share of its part that a minority uses after minorityTime().
     static constexpr double minorityShare() noexcept { return 0.25; }
     /// Time for which a majority must also be one of the former voters. Two sides may each replace silent VMs by others
     /// of their own before they notice that they are sides.
     static constexpr Duration newVoterTime() noexcept { return std::chrono::seconds(5); }
-    /// Share of its part that a minority uses until then. The sides may disagree by some VMs on who the
-    /// voters are, so that their parts together exceed the whole.
+    /// Share of its part that a minority uses until minorityTime() has passed. The sides may disagree by some VMs on
+    /// who the voters are, so that their parts together exceed the whole.
     static constexpr double earlyMinorityShare() noexcept { return 0.5; }
     /// Time after which a minority accepts the present participants as voters. Until then it cannot know whether the
     /// others have ended or are on the other side of a partition.
@@ -77,7 +78,7 @@
 
     void setParticipants(TimePoint now, std::span<const DaemonId> participants);
 
-    /// Records a report. \return the peer before the report, with the new state of hearing; nullptr if the report is
+    /// Records a report. \return the peer with the report applied; nullptr if the report is
     /// out of order or there is no room for the peer.
     QuotaPeer *onReport(TimePoint now, DaemonId daemon, const QuotaReport &report);
 
@@ -92,14 +93,14 @@
     /// True if this VM has once heard more than half of the voters for establishTime().
     bool isEstablished() const noexcept { return isEstablished_; }
     /// True if this VM is a participant.
-    bool isListed() const noexcept { return isSelfListed_; }
+    bool isParticipant() const noexcept { return isParticipant_; }
     /// True if this VM reports as a participant. On its own side of a partition a VM may be advertised that the others
     /// do not count; it becomes a participant when it hears them.
-    bool isInList() const noexcept { return isInList_; }
+    bool isInParticipantList() const noexcept { return isInParticipantList_; }
     /// Number of VMs that share the quotas, this one included, as the VM that hears most of them knows.
     std::size_t participantCount() const noexcept { return participantCount_; }
     /// Number of participants that this VM hears, itself included; 0 if it is none.
-    std::size_t heardParticipants() const noexcept { return isSelfListed_ ? heardParticipants_ : 0; }
+    std::size_t heardParticipants() const noexcept { return isParticipant_ ? heardParticipants_ : 0; }
     /// Number of the heard participants that precede this one in the rendezvous order of \p key.
     std::size_t rankOf(std::uint64_t key) const noexcept;
     std::uint32_t partPermille() const noexcept;
@@ -142,8 +143,8 @@
     DaemonId self_;
     TimePoint startedAt_;
     std::vector<QuotaPeer> peers_;
-    bool isInList_ = false;
-    bool isSelfListed_ = false;
+    bool isInParticipantList_ = false;
+    bool isParticipant_ = false;
     bool isSelfVoter_ = true;
     bool isEstablished_ = false;
     double part_ = 0;
--- a/libs/tenancy/src/sharedbucket.h
+++ b/libs/tenancy/src/sharedbucket.h
@@ -24,9 +24,6 @@
     /// Sets the part of this side and that of the VMs that are not heard.
     void setPart(TimePoint now, double part, double partOfOthers) noexcept;
 
-    /// Fills the bucket, for a quota that is new in a running process.
-    void fill() noexcept { level_ = limit(); }
-
     void refill(TimePoint now) noexcept;
 
     /// Takes \p tokens; the bucket may become overdrawn by its capacity.
@@ -48,11 +45,10 @@
 
     double level() const noexcept { return level_; }
     double capacity() const noexcept { return capacity_; }
-
-private:
     /// Tokens that this side may hold.
     double limit() const noexcept;
 
+private:
     double rate_ = 0;
     double capacity_ = 0;
     double part_ = 0;
--- a/libs/tenancy/src/tenantquotas.cpp
+++ b/libs/tenancy/src/tenantquotas.cpp
@@ -18,13 +18,15 @@
 using detail::QuotaPeer;
 using detail::TenantState;
 
-/// Interval of reports while there is traffic, while a VM is about to use up its share, and otherwise. Three reports
-/// are lost in a row before a VM counts as silent.
+/// Interval of reports while there is traffic.
 constexpr Duration reportPeriod = std::chrono::milliseconds(95);
+/// The same while this VM is about to use up its share.
 constexpr Duration urgentPeriod = std::chrono::milliseconds(45);
+/// The same without traffic. Three reports are lost in a row before a VM counts as silent.
 constexpr Duration idlePeriod = std::chrono::milliseconds(190);
 /// Interval of the reports of a VM that is no participant, and of those to it. Any VM may get some requests; reports
-/// between each of them and all participants would grow with the number of all VMs. Shorter than silenceTime().
+/// between each of them and all participants would grow with the number of all VMs. Shorter than silenceTime(), but one
+/// lost report makes the sender count as silent there until the next.
 constexpr Duration followerPeriod = std::chrono::milliseconds(450);
 /// Time for which a change is repeated, since a datagram may be lost.
 constexpr Duration changeRepeatTime = std::chrono::milliseconds(280);
@@ -46,8 +48,8 @@
 /// tolerance is divided equally among the participants, so that each may admit some requests while the level is low.
 constexpr double errorRequests = 4;
 constexpr double errorSeconds = 1;
-/// Part of the reserve that is used while some participants are silent, when errors are larger.
-constexpr double partialReserve = 0.5;
+/// Share of the spare tolerance that is used while some participants are silent, when errors are larger.
+constexpr double partialSpareShare = 0.5;
 /// Parts of the level that are divided equally among the participants, and by their reported demand. A VM whose demand
 /// the others do not know yet can serve callers that have just moved to it. Their sum exceeds the level, since a VM
 /// rarely uses both; the errors include what it does.
@@ -135,7 +137,7 @@
     void updateLevelTakeover(TimePoint now);
     TenantState *find(std::uint64_t hash) noexcept;
     double toleranceOf(const TenantQuota &quota) const noexcept;
-    double reserveOf(const TenantQuota &quota) const noexcept;
+    double spareToleranceOf(const TenantQuota &quota) const noexcept;
     double startLevelOf(const TenantQuota &quota) const noexcept;
     double capacityOf(const TenantQuota &quota) const noexcept;
     void updateBuckets(TimePoint now);
@@ -204,7 +206,7 @@
     return std::min(quota.burst, toleranceOf(quota) * startShareOfTolerance);
 }
 
-double TenantQuotas::Implementation::reserveOf(const TenantQuota &quota) const noexcept
+double TenantQuotas::Implementation::spareToleranceOf(const TenantQuota &quota) const noexcept
 {
     const double errors = errorRequests + errorSeconds * quota.requestsPerSecond;
     return std::max(0.0, toleranceOf(quota) * (1 - capacityShareOfTolerance) - errors);
@@ -307,7 +309,7 @@
         ++tenant->admitted;
         ++tenant->count;
     }
-    decision.left = std::clamp(tenant->bucket.level() / tenant->bucket.capacity(), 0.0, 1.0);
+    decision.left = std::clamp(tenant->bucket.level() / tenant->bucket.limit(), 0.0, 1.0);
     decision.basis = peers_.basis();
     decision.age = peers_.participantCount() == 1 && decision.basis == QuotaBasis::Shared
         ? Duration{0}
@@ -325,11 +327,10 @@
     }
 }
 
-// The other VMs may not know of the admissions of two rounds. In that time all VMs together admit no more than the
-// level and a part of the slack.
+// Limits the admissions that the other VMs may not know of yet, those of two rounds, to the budget of this VM.
 bool TenantQuotas::Implementation::hasBudget(TimePoint now, TenantState &tenant) noexcept
 {
-    if (peers_.participantCount() == 1 && peers_.isListed()) {
+    if (peers_.participantCount() == 1 && peers_.isParticipant()) {
         return true;
     }
     const double unconfirmed = tenant.unconfirmed + tenant.formerUnconfirmed;
@@ -344,18 +345,19 @@
 {
     const double count = static_cast<double>(peers_.participantCount());
     const bool isPartial = peers_.basis() == QuotaBasis::Partial;
-    const double reserve = reserveOf(tenant.quota) * peers_.part() * (isPartial ? partialReserve : 1);
-    const double equal = peers_.isListed() ? (equalShareOfLevel * level + reserve) / count : 0;
+    const double spare = spareToleranceOf(tenant.quota) * peers_.part() * (isPartial ? partialSpareShare : 1);
+    const double equal = peers_.isParticipant() ? (equalShareOfLevel * level + spare) / count : 0;
     const double budget = equal + demandShareOfLevel * level * shareByDemand(now, tenant);
     const double whole = std::floor(budget);
     const double roundedUp = (budget - whole) * count;
-    const bool isRoundedUp = peers_.isListed() && static_cast<double>(peers_.rankOf(tenant.hash)) < roundedUp;
+    const bool isRoundedUp = peers_.isParticipant() && static_cast<double>(peers_.rankOf(tenant.hash)) < roundedUp;
     const double rounded = whole + (isRoundedUp ? 1 : 0);
     return std::max(rounded, isDemandCovered(tenant, level) ? 1.0 : 0.0);
 }
 
 // True if the level covers all that the tenant asks of all VMs until they know of each other's admissions. Each VM may
-// then admit a request, also one that is no participant: after a restart of many VMs callers use any of them for a while.
+// then admit a request, also one that is no participant: after a restart of many VMs callers use any of them for a
+// while.
 bool TenantQuotas::Implementation::isDemandCovered(const TenantState &tenant, double level) const noexcept
 {
     const double demand = std::max(tenant.totalDemand, tenant.demand + tenant.demandOfOthers);
@@ -365,7 +367,7 @@
 double TenantQuotas::Implementation::shareByDemand(TimePoint now, TenantState &tenant) const noexcept
 {
     sumDemand(now, tenant);
-    const double known = peers_.isListed() ? 0 : tenant.totalDemand;
+    const double known = peers_.isParticipant() ? 0 : tenant.totalDemand;
     const double total = std::max(known, tenant.reportedDemand + tenant.demandOfOthers);
     return total > 0 ? std::min(1.0, tenant.reportedDemand / total) : 0;
 }
@@ -517,8 +519,8 @@
     update(now);
     const bool hasTraffic = activeAt_ != TimePoint() && now - activeAt_ < activityTime;
     const Duration sinceReport = now - reportedAt_;
-    const Duration period = !peers_.isInList() ? followerPeriod : isUrgent_ ? urgentPeriod : reportPeriod;
-    if (tenants_.empty() || (!peers_.isInList() && !hasTraffic) || sinceReport < period) {
+    const Duration period = !peers_.isInParticipantList() ? followerPeriod : isUrgent_ ? urgentPeriod : reportPeriod;
+    if (tenants_.empty() || (!peers_.isInParticipantList() && !hasTraffic) || sinceReport < period) {
         return {};
     }
     std::vector<std::size_t> due;
@@ -529,12 +531,13 @@
     }
     addLevels(now, due);
     const bool isIdle = due.empty() && now - trafficAt_ >= demandPeriod;
-    if (isIdle && sinceReport < idlePeriod) {
+    const bool areFollowersDue = now - followersToldAt_ >= followerPeriod;
+    if (isIdle && sinceReport < idlePeriod && !areFollowersDue) {
         return {};
     }
     reportedAt_ = now;
     isUrgent_ = false;
-    reportsToFollowers_ = now - followersToldAt_ >= followerPeriod;
+    reportsToFollowers_ = areFollowersDue;
     followersToldAt_ = reportsToFollowers_ ? now : followersToldAt_;
     return reportsOf(now, due);
 }
