Review case 9: removed searchers are used while the readers are cut off

Cause: a machine whose peers have all lost the store takes each answer of the store as its return, and defers removals anew each time. Conclusion: one cut of three machines leaves five undisturbed ones sending to searchers that are gone.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A request that was answered before crashes the searchers of a new software version, and comes again and again."""
+"""The machines that read the store are cut off from it. Meanwhile a searcher leaves without reporting that it drains."""
 
 import pathlib
 import random
@@ -9,22 +9,24 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common-2"))
 import world as w  # noqa: E402
 
-MACHINES = 3
+from proxy import Harm, Proxy  # noqa: E402
+
+MACHINES = 8
 SEARCHERS = 4
-TARGET = "/fetch/report"
-IN_TOUCH_S = w.BOUNDS["stableWindowMs"] / 1000
-MOST_RETRIES = 3
 DRAIN_S = w.BOUNDS["drainMs"] / 1000
-# A crashed searcher is back after so long.
-CRASHED_S = 2.0
-AGAIN_EVERY_S = 0.5
-AGAIN_FOR_S = 25.0
-# What other requests take at a searcher.
+# The largest cut of the site: share 0.35 for 12 s.
+MOST_CUT = 3
+CUT_S = 12.0
+# The searcher leaves so long after the begin of the cut, and serves for so long after the ack: drainMs and a little longer.
+LEAVES_AT = 5.0
+SERVES_S = DRAIN_S + 2.0
+CALLERS = 24
+PAUSE_S = 0.03
 WORK_S = 0.06
 
 
-class Others(threading.Thread):
-    """Sends other requests, one after the other, that may run once only."""
+class Caller(threading.Thread):
+    """Sends one request after the other. The id of a request says which machine it was sent to."""
 
     def __init__(self, world, number, ends):
         super().__init__(daemon=True)
@@ -39,87 +41,84 @@
         while not self.is_stopped:
             count += 1
             machine = self.random.choice(self.world.machines)
+            began = time.monotonic()
+            request_id = f"{machine.name}.{self.number}.{count}"
             try:
-                status = str(machine.ask("/book/a", f"other-{self.number}-{count}", method="POST", body=f"{self.number}-{count}".encode())[0])
+                if self.number % 2:
+                    end = str(machine.ask("/book/a", request_id, method="POST", body=request_id.encode())[0])
+                else:
+                    end = str(machine.ask("/fetch/a", request_id)[0])
             except OSError as error:
-                status = type(error).__name__
-            self.ends.append(status)
-            time.sleep(0.05)
-
-
-def send(machine, record, request_id):
-    try:
-        end = str(machine.ask(TARGET, request_id)[0])
-    except OSError as error:
-        end = type(error).__name__
-    record.line(f"{machine.name}: {request_id} GET {TARGET}: {end}")
-    return end
+                end = type(error).__name__
+            self.ends[request_id] = (began, end)
+            time.sleep(PAUSE_S)
 
 
-def runs_of_target(world):
-    runs = [(run.at, searcher.instance, run.request_id) for searcher in world.searchers.values() for run in searcher.ran if run.target == TARGET]
-    return sorted(runs)
+def add_proxies(world):
+    for machine in world.machines:
+        machine.store_link = Proxy(world.loop, "127.0.0.1", w.free_port("127.0.0.1"), world.store.address)
+        machine.store_link.start()
+        machine.store_address = machine.store_link.address
 
 
-def replace_searchers(world, record):
-    """The planned release: new searchers start first, the old ones drain and leave."""
-    old = list(world.searchers.values())
-    for number in range(SEARCHERS):
-        searcher = world.add_searcher(f"i-new-{number}", "desk", w.ZONES[number])
-        searcher.delay = WORK_S
-        searcher.crash_seconds = CRASHED_S
-        searcher.crashes_on = TARGET if w.has_trouble() else None
-        searcher.register()
-    for searcher in old:
-        searcher.register("draining")
-    record.line("the new version's searchers are registered, the old ones drain")
-    time.sleep(DRAIN_S + 0.5)
-    for searcher in old:
-        searcher.unregister()
-        searcher.stop()
-    record.line("the old searchers have left")
+def readers(world):
+    """The machines that have a connection to the store, as the platform sees it."""
+    return [machine for machine in world.machines if machine.store_link.writers]
 
 
 def case(world, record):
-    routes = [w.route("fetch", "/fetch/", "desk"), w.route("book", "/book/", "desk", "non_idempotent")]
-    world.configure(1, routes, ["desk"])
+    add_proxies(world)
+    world.configure(1, [w.route("fetch", "/fetch/", "desk"), w.route("book", "/book/", "desk", "non_idempotent")], ["desk"])
     for number in range(SEARCHERS):
-        searcher = world.add_searcher(f"i-old-{number}", "desk", w.ZONES[number])
+        searcher = world.add_searcher(f"i-desk-{number}", "desk", w.ZONES[number])
         searcher.delay = WORK_S
         searcher.register()
     world.start()
-    ends = []
-    others = [Others(world, number, ends) for number in range(4)]
-    for thread in others:
-        thread.start()
-    for round_number in range(2):
-        for machine in world.machines:
-            if send(machine, record, f"before-{machine.index}-{round_number}") != "200":
-                raise w.CannotRun("the request isn't answered before the release")
-    replace_searchers(world, record)
-    time.sleep(1.0)
-    record.line(f"ends of other requests so far: { {end: ends.count(end) for end in set(ends)} }")
-    ends_before = len(ends)
-    began = time.monotonic()
-    generator = random.Random(1)
-    number = 0
-    while time.monotonic() < began + AGAIN_FOR_S:
-        number += 1
-        send(generator.choice(world.machines), record, f"again-{number}")
-        time.sleep(AGAIN_EVERY_S)
-    for thread in others:
-        thread.is_stopped = True
-    for thread in others:
-        thread.join(10)
-    later = ends[ends_before:]
-    record.line(f"ends of other requests since: { {end: later.count(end) for end in set(later)} }")
-    runs = [run for run in runs_of_target(world) if run[0] >= began]
-    for at, instance, request_id in runs:
-        record.line(f"{instance}: begins to run {request_id}{' and crashes' if w.has_trouble() else ''}", at)
-    crashes = runs if w.has_trouble() else []
-    late = [run for run in crashes if run[0] > crashes[2][0] + IN_TOUCH_S] if len(crashes) >= 3 else []
-    record.line(f"{len(crashes)} crashes; {len(late)} of them later than {IN_TOUCH_S:.0f} s after the third, allowed: {MOST_RETRIES}")
-    return len(late) <= MOST_RETRIES
+    ends = {}
+    callers = [Caller(world, number, ends) for number in range(CALLERS)]
+    for caller in callers:
+        caller.start()
+    # The machines have been in touch for stableWindowMs.
+    time.sleep(w.BOUNDS["stableWindowMs"] / 1000 + 2)
+    cut = readers(world)
+    if not 1 <= len(cut) <= MOST_CUT:
+        raise w.CannotRun(f"{len(cut)} machines read the store")
+    if not w.has_trouble():
+        cut = []
+    for machine in cut:
+        machine.store_link.set_harm(Harm.SILENT)
+    cut_at = time.monotonic()
+    record.line(f"cut off from the store, silently, for {CUT_S:.0f} s: {[machine.name for machine in cut]}")
+    time.sleep(LEAVES_AT)
+    leaving = world.searchers["i-desk-0"]
+    leaving.unregister()
+    gone_at = time.monotonic()
+    record.line(f"{leaving.instance} leaves without reporting that it drains: the store has removed its entry; it serves for {SERVES_S:.0f} s more")
+    time.sleep(SERVES_S)
+    leaving.stop()
+    record.line(f"{leaving.instance} has ended")
+    time.sleep(max(0.0, cut_at + CUT_S - time.monotonic()))
+    for machine in cut:
+        machine.store_link.set_harm(Harm.NONE)
+    record.line("the cut has healed")
+    for caller in callers:
+        caller.is_stopped = True
+    for caller in callers:
+        caller.join(10)
+    cut_names = {machine.name for machine in cut}
+    late = []
+    for at, request_id in leaving.arrived:
+        machine = request_id.split(".")[0]
+        if at > gone_at + DRAIN_S and machine not in cut_names:
+            late.append(request_id)
+            record.line(f"{leaving.instance}: {request_id} arrives {at - gone_at:.3f} s after the ack, from a machine that was not cut off", at)
+    for machine in world.machines:
+        machine.store_link.stop()
+    lost = [request_id for request_id in late if ends.get(request_id, (0, "200"))[1] != "200"]
+    for request_id in lost:
+        record.line(f"{request_id} ran at {leaving.instance} and ended with {ends[request_id][1]}")
+    record.line(f"{len(late)} requests reach the searcher later than {DRAIN_S:.0f} s after the ack, from machines that were not cut off; lost with its end: {len(lost)}")
+    return not late
 
 
 w.carry_out(pathlib.Path(__file__).parent, MACHINES, case)
--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -102,6 +102,8 @@
         self.log = open(world.directory / f"{self.name}.log", "ab")
         self.process = None
         self.seeds = []
+        # The way to the store, which a case may put a proxy into.
+        self.store_address = world.store.address
 
     def address(self, listener):
         return f"{self.host}:{self.world.ports[listener]}"
@@ -116,7 +118,7 @@
             "peerPort": self.world.ports["peers"],
             "metricsPort": self.world.ports["metrics"],
             "seeds": self.seeds,
-            "store": self.world.store.address,
+            "store": self.store_address,
             "firstStart": False,
             "processorShare": 0.25,
             "memoryMb": MEMORY_MB,
