Processes apply removals while the readers of the store are cut off from it

What callers saw: bookings that a leaving searcher had in work were lost (502), as the machines that nothing disturbed went on sending to it (DRAIN). Cause: a process took its peers' word for the store's. Its own first answer of the store counted as the store's return from an outage because its peers had lost the store, and as these stayed cut off, FeedTask began the time in which removals are held back anew in each tick. Change: an answer of the store to a process goes before its peers' word. It ends an outage only if the store has failed this process, and if nobody has confirmed the items for 2.2 s. On the same path: a reader that alone was cut off no longer takes that for an outage if its peers confirmed the items.

--- a/libs/catalog/include/catalog/storefollower.h
+++ b/libs/catalog/include/catalog/storefollower.h
@@ -136,6 +136,10 @@
     /// Time since the store last answered from which entries may have expired. Searchers register about every 1.2 s,
     /// and a registration expires after three times as long. A single lost answer is noticed earlier.
     static constexpr Duration minOutageTime() noexcept { return std::chrono::milliseconds(2'200); }
+    /// Time from the store's last answer until a follower has noticed that it answers no longer, at most.
+    static constexpr Duration maxLossDetectionTime() noexcept { return watchWait() + watchTimeoutMargin(); }
+    /// Time from which the answer to the first call after a pause shows that the store didn't serve.
+    static constexpr Duration maxPromptAnswerTime() noexcept { return std::chrono::milliseconds(500); }
 
     /// Follows all keys under \p prefixes. \param seed seeds the jitter of retries.
     StoreFollower(std::vector<std::string> prefixes, std::uint64_t seed);
@@ -168,10 +172,15 @@
     void pause() noexcept;
 
     /// Continues after pause(): watches from the last or adopted position, or restarts an incomplete listing.
-    /// \param confirmedAt when another source last confirmed the items; nothing if there was none, or if the store may
-    /// have had an outage since. Decides with minOutageTime() whether the next answer is the store's return.
+    /// \param confirmedAt when another source last confirmed the items; nothing if none has. The next answer counts as
+    /// the store's return if nobody has confirmed the items, or if the store has failed this process meanwhile and
+    /// \p confirmedAt is minOutageTime() ago or more.
     void resume(TimePoint now, std::optional<TimePoint> confirmedAt, StoreActions &actions);
 
+    /// Declares that another source has confirmed the items at \p at, while the calls of this process fail. The store
+    /// was not away then; this process was cut off from it, or rejected.
+    void noteConfirmed(TimePoint at) noexcept;
+
     /// The position up to which all items are known; nothing while a listing is incomplete or due because of a newer
     /// epoch.
     std::optional<StorePosition> completeAsOf() const noexcept
@@ -184,6 +193,7 @@
 
 private:
     void onAnswered(TimePoint now, StoreActions &actions);
+    bool isOutageOver(TimePoint now) const noexcept;
     bool checkEpoch(TimePoint now, const StorePosition &asOf, bool isEpochStated, StoreActions &actions);
     std::optional<StoreFailure> epochFailure(std::uint64_t epoch, bool isEpochStated) const noexcept;
     void startList();
@@ -213,8 +223,12 @@
     Duration retryPause_ = initialRetryPause();
     bool isConnected_ = false;
     TimePoint callStartedAt_;
-    /// Start of the first call that failed since the last answer, or when another source confirmed the items before.
+    /// Start of the first call that failed since the last answer.
     std::optional<TimePoint> failedSince_;
+    /// When a call failed last.
+    TimePoint failedAt_;
+    /// When another source last confirmed the items since the last answer.
+    std::optional<TimePoint> confirmedAt_;
     /// True if the next answer counts as the store's return, whatever the duration of the failures.
     bool isOutageAssumed_ = true;
 };
--- a/libs/catalog/src/storefollower.cpp
+++ b/libs/catalog/src/storefollower.cpp
@@ -90,14 +90,34 @@
 
 void StoreFollower::onAnswered(TimePoint now, StoreActions &actions)
 {
-    const bool isLongOutage = failedSince_ && now - *failedSince_ >= minOutageTime();
-    actions.hasStoreReturned = isOutageAssumed_ || isLongOutage;
+    actions.hasStoreReturned = isOutageAssumed_ || isOutageOver(now);
     isOutageAssumed_ = false;
     failedSince_.reset();
+    confirmedAt_.reset();
     isConnected_ = true;
     retryPause_ = initialRetryPause();
 }
 
+// A time in which nobody has confirmed the items is no outage as such: the other sources may be lost or cut off. The
+// store must have failed this process, too.
+bool StoreFollower::isOutageOver(TimePoint now) const noexcept
+{
+    const bool isFirstAnswerLate = confirmedAt_ && now - callStartedAt_ >= maxPromptAnswerTime();
+    if (!failedSince_ && !isFirstAnswerLate) {
+        return false;
+    }
+    return now - confirmedAt_.value_or(failedSince_.value_or(now)) >= minOutageTime();
+}
+
+void StoreFollower::noteConfirmed(TimePoint at) noexcept
+{
+    if (isPaused_ || isConnected_) {
+        return;
+    }
+    confirmedAt_ = at;
+    isOutageAssumed_ = isOutageAssumed_ && at < failedAt_;
+}
+
 void StoreFollower::onFailure(TimePoint now, StoreFailure failure, StoreActions &actions)
 {
     isCallOpen_ = false;
@@ -108,9 +128,8 @@
         return;
     }
     const bool isFirstFailure = retryPause_ == initialRetryPause();
-    if (!failedSince_) {
-        failedSince_ = callStartedAt_;
-    }
+    failedSince_ = failedSince_.value_or(callStartedAt_);
+    failedAt_ = now;
     // A connection that breaks or falls silent is no outage as such: the store may serve others all the while.
     isOutageAssumed_ = isOutageAssumed_ || failure == StoreFailure::Refused;
     isConnected_ = false;
@@ -166,7 +185,8 @@
     isPaused_ = false;
     isCallOpen_ = false;
     isOutageAssumed_ = !confirmedAt;
-    failedSince_ = confirmedAt;
+    failedSince_.reset();
+    confirmedAt_ = confirmedAt;
     retryPause_ = initialRetryPause();
     if (isListing_) {
         startList();
@@ -215,7 +235,7 @@
     }
     call.kind = StoreCall::Kind::Watch;
     call.afterRevision = position_.revision;
-    call.wait = failedSince_ ? checkWait() : watchWait();
+    call.wait = failedSince_ || confirmedAt_ ? checkWait() : watchWait();
     call.timeout = watchWait() + watchTimeoutMargin();
     return call;
 }
--- a/libs/entry/include/entry/feedtask.h
+++ b/libs/entry/include/entry/feedtask.h
@@ -65,13 +65,15 @@
 
 private:
     void updateClients();
+    void noteLossOfAllPeers();
     void onContact(TimePoint now);
+    void onPeerContact(TimePoint now);
     void applyResponse(const FeedResponse &response);
     bool acceptsUnconfirmed() const;
     void applyUnconfirmed(const FeedResponse &response);
     bool hasHealthyPeer(TimePoint now) const;
     bool haveAllPeersLostStore() const;
-    std::optional<TimePoint> confirmedAt() const;
+    TimePoint confirmedAt() const;
     void setFollowingStore(bool isFollowing, const char *reason);
 
     boost::asio::io_context &context_;
@@ -90,7 +92,8 @@
     TimePoint lastContactAt_;
     TimePoint followStoreAt_;
     bool hadHealthyPeer_ = false;
-    /// True if all peers have lost the store since the last response: registrations may have expired.
+    /// True if all peers have lost the store since the last response: registrations may have expired. They may also be
+    /// cut off from it, so an answer of the store to this process goes before their word.
     bool isOutageAssumed_ = false;
     /// True if the items are those that a peer knew last, and nobody has confirmed any since.
     bool areItemsUnconfirmed_ = false;
--- a/libs/entry/include/entry/storetask.h
+++ b/libs/entry/include/entry/storetask.h
@@ -45,6 +45,9 @@
     /// Continues from \p position, up to which all changes are applied. See StoreFollower::adoptPosition().
     void adoptPosition(const StorePosition &position) noexcept { follower_.adoptPosition(position); }
 
+    /// See StoreFollower::noteConfirmed().
+    void noteConfirmed(TimePoint at) noexcept { follower_.noteConfirmed(at); }
+
     /// True if the store responds and this process has read all its items.
     bool isUpToDate() const noexcept { return isConnected() && follower_.completeAsOf().has_value(); }
 
--- a/libs/entry/src/feedtask.cpp
+++ b/libs/entry/src/feedtask.cpp
@@ -68,11 +68,13 @@
 
 void FeedTask::onTick(TimePoint now)
 {
-    isOutageAssumed_ = isOutageAssumed_ || haveAllPeersLostStore();
+    noteLossOfAllPeers();
     updateClients();
     const bool isHealthy = hasHealthyPeer(now);
-    if (isHealthy || (isFollowingStore_ && store_.isConnected())) {
+    if (isFollowingStore_ && store_.isConnected()) {
         onContact(now);
+    } else if (isHealthy) {
+        onPeerContact(now);
     }
     if (isHealthy != hadHealthyPeer_) {
         hadHealthyPeer_ = isHealthy;
@@ -144,11 +146,21 @@
     });
 }
 
-// When the items were last confirmed; nothing if there are none, or if the store may have had an outage since.
-std::optional<TimePoint> FeedTask::confirmedAt() const
+void FeedTask::noteLossOfAllPeers()
+{
+    if (isOutageAssumed_ || !haveAllPeersLostStore()) {
+        return;
+    }
+    isOutageAssumed_ = true;
+    if (isFollowingStore_) {
+        store_.noteConfirmed(confirmedAt());
+    }
+}
+
+// When the store surely served last. Peers that have lost it confirmed its items until they noticed.
+TimePoint FeedTask::confirmedAt() const
 {
-    const bool isKnown = state_.completePosition() > StorePosition() && !isOutageAssumed_;
-    return isKnown ? std::optional<TimePoint>(lastContactAt_) : std::nullopt;
+    return isOutageAssumed_ ? lastContactAt_ - StoreFollower::maxLossDetectionTime() : lastContactAt_;
 }
 
 void FeedTask::setFollowingStore(bool isFollowing, const char *reason)
@@ -163,23 +175,35 @@
         .count("epoch", state_.position().epoch)
         .count("revision", state_.position().revision);
     if (isFollowing) {
-        store_.resume(confirmedAt());
+        const bool areItemsConfirmed = state_.completePosition() > StorePosition() && !areItemsUnconfirmed_;
+        store_.resume(areItemsConfirmed ? std::optional(confirmedAt()) : std::nullopt);
     } else {
         store_.pause();
     }
 }
 
-// Any response ends an outage, also one without items: those may follow on another connection.
 void FeedTask::onContact(TimePoint now)
 {
-    if (isOutageAssumed_ || now - lastContactAt_ >= StoreFollower::minOutageTime()) {
-        state_.onStoreReturned(now);
-    }
     isOutageAssumed_ = false;
     areItemsUnconfirmed_ = false;
     lastContactAt_ = now;
 }
 
+// Any response of a peer ends an outage, also one without items: those may follow on another connection.
+void FeedTask::onPeerContact(TimePoint now)
+{
+    if (isOutageAssumed_ || now - lastContactAt_ >= StoreFollower::minOutageTime()) {
+        log_.line(EventRank::Important, "store_outage_ended")
+            .text("reason", isOutageAssumed_ ? "all peers had lost the store" : "no source for a time")
+            .milliseconds("without_contact_ms", now - lastContactAt_);
+        state_.onStoreReturned(now);
+    }
+    onContact(now);
+    if (isFollowingStore_) {
+        store_.noteConfirmed(now);
+    }
+}
+
 bool FeedTask::acceptsUnconfirmed() const
 {
     const bool hasStoreFailed = isFollowingStore_ && !store_.isStarting() && !store_.isConnected();
@@ -210,7 +234,7 @@
         return;
     }
     const TimePoint now = BootClock::now();
-    onContact(now);
+    onPeerContact(now);
     if (response.isSnapshot) {
         state_.applySnapshot(now, response.items, response.position);
     } else {
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -448,6 +448,27 @@
         removed = lambda: all(entry.last_line("searcher_changed").get("change") == "removed" for entry in followers)
         world.wait(removed, IN_FORCE, "a removal is not known everywhere")
 
+    def test_removal_takes_effect_in_time_while_all_readers_are_cut_off_from_the_store(self):
+        # Guards against processes that follow the store themselves and take the readers' loss of it for its outage.
+        world = self.world(entries=6)
+        world.wait(lambda: sum(entry.reads_store() for entry in world.entries) == 3, 5, "not three processes read the store")
+        readers = [entry for entry in world.entries if entry.reads_store()]
+        followers = [entry for entry in world.entries if entry not in readers]
+        is_removed = lambda name, entry: any(
+            line["searcher"] == name and line["change"] == "removed" for line in entry.lines("searcher_changed")
+        )
+        for harm, name in ((Harm.SILENT, "i-desk-0"), (Harm.RESET, "i-0-0")):
+            for entry in readers:
+                entry.store_link.set_harm(harm)
+            for seconds, leaving in ((1.0, name), (4.0, name[:-1] + "1")):
+                time.sleep(seconds)
+                world.searchers[leaving].unregister()
+                removed = lambda: all(is_removed(leaving, entry) for entry in followers)
+                world.wait(removed, IN_FORCE, f"{harm.value}: the removal of {leaving} is not known everywhere")
+            for entry in readers:
+                entry.store_link.set_harm(Harm.NONE)
+            world.wait(lambda: not any(entry.reads_store() for entry in followers), 5, "the readers are not followed again")
+
     def test_registrations_that_expire_while_the_store_is_away_are_kept_for_a_while(self):
         # Guards against processes that drop searchers because the store was away and could not renew their registrations.
         world = self.world(entries=5)
