A request that was answered before is barred when it goes on crashing its searchers

Cause: a crash was weak evidence wherever an equal request had been answered within ten minutes, and weak evidence never adds up. The fingerprint names no software version, so the answers of the former one counted for the new one. Change: a request with a known success that loses servers again, a second or more after an earlier loss and with no success since, gives strong evidence. The time of the crash counts and not that of the request's end, so servers that fail together bar nothing.

--- a/libs/admission/include/admission/crashbar.h
+++ b/libs/admission/include/admission/crashbar.h
@@ -112,9 +112,13 @@
 
     /// Records that a request ended without an answer after \p servers servers were lost while they ran it. A request
     /// over many shards runs at many servers at once, so their simultaneous loss is strong evidence if the request has
-    /// no known success.
-    /// \return the new evidence, for other daemons.
-    std::vector<CrashEntry> onRequestLost(TimePoint now, Fingerprint fingerprint, std::uint32_t servers);
+    /// no known success. If it has one, the servers may have been lost for another reason; when the request loses
+    /// servers again suspectPause() later or more, without a success in between, this is strong evidence, too.
+    /// \param lostAt when the last of these servers was lost. \return the new evidence, for other daemons.
+    std::vector<CrashEntry> onRequestLost(TimePoint now,
+                                          Fingerprint fingerprint,
+                                          std::uint32_t servers,
+                                          TimePoint lostAt);
 
     /// Records that a server answered the request. This clears its evidence, as it does not crash every server.
     void onSuccess(TimePoint now, Fingerprint fingerprint) noexcept;
@@ -158,6 +162,7 @@
     };
 
     std::uint32_t evidenceWeight(TimePoint now, const Suspect &suspect) const noexcept;
+    bool hasEarlierCrash(Fingerprint fingerprint, TimePoint lostAt) const noexcept;
     bool isSuspect(TimePoint now, Fingerprint fingerprint) const noexcept;
     bool hasLostManyServers(TimePoint now, SearcherId searcher);
     void record(TimePoint now, Fingerprint fingerprint, bool isStrong);
--- a/libs/admission/src/crashbar.cpp
+++ b/libs/admission/src/crashbar.cpp
@@ -91,14 +91,17 @@
     evictSuspects(now);
 }
 
-std::vector<CrashEntry> CrashBar::onRequestLost(TimePoint now, Fingerprint fingerprint, std::uint32_t servers)
+std::vector<CrashEntry> CrashBar::onRequestLost(TimePoint now,
+                                                Fingerprint fingerprint,
+                                                std::uint32_t servers,
+                                                TimePoint lostAt)
 {
     const std::uint64_t versionBefore = version_;
-    const bool isStrong = !successes_.contains(now, fingerprint);
+    const bool isStrong = !successes_.contains(now, fingerprint) || hasEarlierCrash(fingerprint, lostAt);
     Suspect &suspect = suspects_[fingerprint];
-    suspect.lastCrash = now;
+    suspect.lastCrash = lostAt;
     for (std::uint32_t server = 0; server < std::min(servers, strongCrashesToBar()); ++server) {
-        mergeEvent(suspect, {mix(seed_, ++eventCount_), isStrong, false, now + entryLifetime(), 0});
+        mergeEvent(suspect, {mix(seed_, ++eventCount_), isStrong, false, lostAt + entryLifetime(), 0});
     }
     evictSuspects(now);
     return changes(now, versionBefore);
@@ -167,6 +170,21 @@
     return sum;
 }
 
+// A success clears all events, so the request has had none since those that remain. Servers that are lost within
+// suspectPause() may have been lost together.
+bool CrashBar::hasEarlierCrash(Fingerprint fingerprint, TimePoint lostAt) const noexcept
+{
+    const auto found = suspects_.find(fingerprint);
+    if (found == suspects_.end()) {
+        return false;
+    }
+    const std::vector<Event> &events = found->second.events;
+    return std::any_of(events.begin(), events.end(), [lostAt](const Event &event) {
+        return !event.isCleared && lostAt < event.expiresAt
+            && event.expiresAt - entryLifetime() + suspectPause() <= lostAt;
+    });
+}
+
 bool CrashBar::isSuspect(TimePoint now, Fingerprint fingerprint) const noexcept
 {
     const auto found = suspects_.find(fingerprint);
--- a/libs/admission/tests/crashbar_test.cpp
+++ b/libs/admission/tests/crashbar_test.cpp
@@ -226,7 +226,7 @@
 BOOST_AUTO_TEST_CASE(requestLostWithManyServersIsBarredAtOnceUnlessItHasSucceeded)
 {
     CrashBar bar(1);
-    const std::vector<CrashEntry> added = bar.onRequestLost(origin, bad, 10);
+    const std::vector<CrashEntry> added = bar.onRequestLost(origin, bad, 10, origin);
     BOOST_TEST(added.size() == CrashBar::strongCrashesToBar());
     BOOST_TEST((bar.check(origin, bad) == CrashVerdict::Barred));
     CrashBar other(2);
@@ -234,19 +234,51 @@
     BOOST_TEST((other.check(origin, bad) == CrashVerdict::Barred));
 
     bar.onSuccess(origin, good);
-    bar.onRequestLost(origin, good, 10);
+    bar.onRequestLost(origin, good, 10, origin);
     BOOST_TEST((bar.check(origin + 2s, good) == CrashVerdict::Suspect));
 }
 
 BOOST_AUTO_TEST_CASE(requestLostWithOneServerIsBarredAtTheSecondTime)
 {
     CrashBar bar(1);
-    bar.onRequestLost(origin, bad, 1);
+    bar.onRequestLost(origin, bad, 1, origin);
     BOOST_TEST((bar.check(origin, bad) != CrashVerdict::Barred));
-    bar.onRequestLost(origin + 10ms, bad, 1);
+    bar.onRequestLost(origin + 10ms, bad, 1, origin + 10ms);
     BOOST_TEST((bar.check(origin + 10ms, bad) == CrashVerdict::Barred));
 }
 
+// Guards against an answer of a former software version that keeps a request from ever being barred.
+BOOST_AUTO_TEST_CASE(requestThatHasSucceededIsBarredWhenItLosesServersAgain)
+{
+    CrashBar bar(1);
+    bar.onSuccess(origin, bad);
+    bar.onRequestLost(origin, bad, 2, origin);
+    BOOST_TEST((bar.check(origin, bad) != CrashVerdict::Barred));
+    const TimePoint again = origin + CrashBar::suspectPause();
+    bar.onRequestLost(again, bad, 1, again);
+    BOOST_TEST((bar.check(again, bad) != CrashVerdict::Barred));
+    bar.onRequestLost(again, bad, 1, again);
+    BOOST_TEST((bar.check(again, bad) == CrashVerdict::Barred));
+}
+
+// Servers that fail by themselves, at once or with answers in between, must not bar what they ran.
+BOOST_AUTO_TEST_CASE(requestThatHasSucceededIsNotBarredByServersThatFailTogetherOrByASuccessInBetween)
+{
+    CrashBar bar(1);
+    bar.onSuccess(origin, good);
+    // Requests that lost their servers at one moment end at different times.
+    for (int i = 0; i < 20; ++i) {
+        bar.onRequestLost(origin + i * 500ms, good, 2, origin + i * 10ms);
+    }
+    BOOST_TEST((bar.check(origin + 10s, good) == CrashVerdict::Suspect));
+    for (int i = 0; i < 20; ++i) {
+        const TimePoint now = origin + 20s + i * 2s;
+        bar.onSuccess(now - 1s, good);
+        bar.onRequestLost(now, good, 2, now);
+        BOOST_TEST((bar.check(now + 1s, good) == CrashVerdict::Suspect));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(sizeIsBoundedAndBarredRequestsStay)
 {
     CrashBar bar(1);
--- a/libs/entry/include/entry/crashwatch.h
+++ b/libs/entry/include/entry/crashwatch.h
@@ -37,8 +37,13 @@
     /// True if requests with \p fingerprint are refused because they crashed searchers.
     bool isBarred(TimePoint now, Fingerprint fingerprint) const noexcept;
 
-    /// Records that a request ended unanswered after \p searchers searchers crashed while running it.
-    void onRequestLost(TimePoint now, Fingerprint fingerprint, std::uint32_t searchers, std::string_view requestId);
+    /// Records that a request ended unanswered after \p searchers searchers crashed while running it, the last of them
+    /// at \p crashedAt.
+    void onRequestLost(TimePoint now,
+                       Fingerprint fingerprint,
+                       std::uint32_t searchers,
+                       TimePoint crashedAt,
+                       std::string_view requestId);
 
     /// Records that a searcher answered the request, which clears it.
     void onAnswered(TimePoint now, Fingerprint fingerprint);
--- a/libs/entry/src/crashwatch.cpp
+++ b/libs/entry/src/crashwatch.cpp
@@ -25,9 +25,10 @@
 void CrashWatch::onRequestLost(TimePoint now,
                                Fingerprint fingerprint,
                                std::uint32_t searchers,
+                               TimePoint crashedAt,
                                std::string_view requestId)
 {
-    const std::vector<CrashEntry> added = bar_.onRequestLost(now, fingerprint, searchers);
+    const std::vector<CrashEntry> added = bar_.onRequestLost(now, fingerprint, searchers, crashedAt);
     log_.line(EventRank::Important, "request_crashed_searchers")
         .text("request", requestId)
         .count("fingerprint", fingerprint.value)
--- a/libs/entry/src/requestcalls.cpp
+++ b/libs/entry/src/requestcalls.cpp
@@ -145,7 +145,10 @@
 {
     const TimePoint now = BootClock::now();
     Part &part = parts_[index];
-    crashedSearchers_ += outcome.end == CallEnd::Crashed ? 1 : 0;
+    if (outcome.end == CallEnd::Crashed) {
+        ++crashedSearchers_;
+        lastCrashAt_ = now;
+    }
     if (outcome.ran == Ran::Yes && !isCleared_) {
         isCleared_ = true;
         shared_.crashes.onAnswered(now, fingerprint_);
@@ -180,7 +183,8 @@
 void RequestTask::reportCrashes()
 {
     if (crashedSearchers_ > 0 && !isCleared_) {
-        shared_.crashes.onRequestLost(BootClock::now(), fingerprint_, crashedSearchers_, metadata_.requestId);
+        shared_.crashes.onRequestLost(
+            BootClock::now(), fingerprint_, crashedSearchers_, lastCrashAt_, metadata_.requestId);
     }
 }
 
--- a/libs/entry/src/requesttask.h
+++ b/libs/entry/src/requesttask.h
@@ -152,6 +152,7 @@
     std::uint32_t localImpairedCalls_ = 0;
     /// Number of searchers that crashed while running the request.
     std::uint32_t crashedSearchers_ = 0;
+    TimePoint lastCrashAt_;
     /// True if a searcher has run the request without crashing.
     bool isCleared_ = false;
 };
--- a/libs/entry/tests/crashwatch_test.cpp
+++ b/libs/entry/tests/crashwatch_test.cpp
@@ -54,7 +54,7 @@
 BOOST_AUTO_TEST_CASE(requestThatCrashedTwoSearchersIsBarredEverywhereForATime)
 {
     Fixture fixture;
-    fixture.first.onRequestLost(fixture.now, fixture.request, 2, "id");
+    fixture.first.onRequestLost(fixture.now, fixture.request, 2, fixture.now, "id");
     BOOST_TEST(fixture.first.isBarred(fixture.now, fixture.request));
     BOOST_TEST(fixture.second.isBarred(fixture.now, fixture.request));
     BOOST_TEST(!fixture.second.isBarred(fixture.now + CrashBar::entryLifetime(), fixture.request));
@@ -65,17 +65,31 @@
 BOOST_AUTO_TEST_CASE(answerClearsARequestEverywhere)
 {
     Fixture fixture;
-    fixture.first.onRequestLost(fixture.now, fixture.request, 1, "id");
+    fixture.first.onRequestLost(fixture.now, fixture.request, 1, fixture.now, "id");
     fixture.first.onAnswered(fixture.now, fixture.request);
-    fixture.second.onRequestLost(fixture.now, fixture.request, 1, "id");
+    fixture.second.onRequestLost(fixture.now, fixture.request, 1, fixture.now, "id");
     BOOST_TEST(!fixture.first.isBarred(fixture.now, fixture.request));
     BOOST_TEST(!fixture.second.isBarred(fixture.now, fixture.request));
 }
 
+// Guards against a request that every VM has seen answered before and that goes on crashing its searchers.
+BOOST_AUTO_TEST_CASE(requestThatWasAnsweredBeforeIsBarredEverywhereWhenItCrashesSearchersAgain)
+{
+    Fixture fixture;
+    fixture.first.onAnswered(fixture.now, fixture.request);
+    fixture.second.onAnswered(fixture.now, fixture.request);
+    fixture.first.onRequestLost(fixture.now, fixture.request, 2, fixture.now, "id");
+    fixture.second.onRequestLost(fixture.now, fixture.request, 2, fixture.now, "id");
+    BOOST_TEST(!fixture.second.isBarred(fixture.now, fixture.request));
+    fixture.now += CrashBar::suspectPause();
+    fixture.second.onRequestLost(fixture.now, fixture.request, 2, fixture.now, "id");
+    BOOST_TEST(fixture.second.isBarred(fixture.now, fixture.request));
+}
+
 BOOST_AUTO_TEST_CASE(joiningProcessReceivesAllEvidence)
 {
     Fixture fixture;
-    fixture.first.onRequestLost(fixture.now, fixture.request, 2, "id");
+    fixture.first.onRequestLost(fixture.now, fixture.request, 2, fixture.now, "id");
     CrashWatch joiningProcess(3, fixture.log);
     joiningProcess.merge(fixture.now, fixture.first.entries(fixture.now));
     BOOST_TEST(joiningProcess.isBarred(fixture.now, fixture.request));
--- a/libs/fleet/include/fleet/crashbroadcaster.h
+++ b/libs/fleet/include/fleet/crashbroadcaster.h
@@ -19,7 +19,7 @@
 /// and not with its square. A daemon that was unreachable gets all evidence when it is seen again.
 ///
 /// \code
-/// broadcaster.add(now, bar.onRequestLost(now, fingerprint, servers));
+/// broadcaster.add(now, bar.onRequestLost(now, fingerprint, servers, lostAt));
 /// const std::vector<CrashEntry> entries = broadcaster.due(now);
 /// \endcode
 class CrashBroadcaster
--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -314,6 +314,25 @@
         time.sleep(0.5)
         self.assertEqual(world.entries[0].ask("/book/x", "POST", b"b", "sound")[0], 200)
 
+    def test_request_that_was_answered_before_is_barred_when_it_crashes_its_searchers(self):
+        # Guards against an answer of a former software version that keeps a crashing request from being barred.
+        world = self.world(entries=3)
+        for entry in world.entries:
+            self.assertEqual(entry.ask("/fetch/poison", request_id=f"before-{entry.name}")[0], 200)
+        for searcher in world.searchers.values():
+            searcher.crashes_on = "poison"
+            searcher.crash_seconds = 0.5
+        ran = []
+        for number in range(18):
+            world.entries[number % 3].ask("/fetch/poison", request_id=f"p{number}")
+            ran += world.ran(f"p{number}")
+            time.sleep(0.5)
+        # Two at once may be another failure's; two more are the evidence, and two may run before all know of it.
+        self.assertLessEqual(len(ran), 6)
+        self.assertTrue(all(entry.ask("/fetch/poison", request_id=f"end-{entry.name}")[0] == 503 for entry in world.entries))
+        served = lambda: all(entry.ask("/fetch/x")[0] == 200 for entry in world.entries)
+        world.wait(served, 4, "other requests are not served")
+
     def test_newcomer_learns_of_requests_that_crash_searchers(self):
         world = self.crashing_world()
         newcomer = world.entries[2]
