Threaded daemon: answers without end are bounded, and calls end at their deadline

What callers saw: nothing yet; another operator reported a machine that ran out of memory, and lost its clients' requests. Cause: the HTTP library's client reads bodies and header fields without a limit, and its read timeout begins anew with each byte. So a searcher's answer or health check took any memory, and a slow sender held a thread of the daemon for good; the reader of the configuration service and sassafrasvanectl had a limit for bodies only. Change: BlockingClient, one kept connection with ResponseReader, a shared ResponseMemory (which any thread may use now) and one deadline for the whole call, takes the library's place in SearcherConnections, PlatformReader and ControlClient. A reply that is no HTTP or too large is no longer taken for a lost connection, which is evidence of a crash. A ControlClient's timeout covers connection and reply together.

--- a/libs/control/include/control/controlclient.h
+++ b/libs/control/include/control/controlclient.h
@@ -26,7 +26,7 @@
     /// Largest reply that is read, in bytes.
     static constexpr std::size_t maxReplyBytes = 8'388'608;
 
-    /// \param address the daemon's address for operators. \param timeout for connecting, and again for the reply.
+    /// \param address the daemon's address for operators. \param timeout of a call, its connection and reply together.
     ControlClient(const Address &address, Duration timeout) noexcept;
 
     /// The daemon's state.
--- a/libs/control/src/controlclient.cpp
+++ b/libs/control/src/controlclient.cpp
@@ -4,7 +4,9 @@
 #include "messagesjson.h"
 #include "rpcerror.h"
 
-#include <httplib.h>
+#include "http/blockingclient.h"
+
+#include <nlohmann/json.hpp>
 
 #include <stdexcept>
 
@@ -21,59 +23,25 @@
     Error error;
 };
 
-/// Collects a reply's body up to the limits.
-class BodyCollector
-{
-public:
-    explicit BodyCollector(TimePoint deadline) noexcept : deadline_(deadline) { }
-
-    bool add(const char *data, std::size_t size)
-    {
-        body_.append(data, size);
-        return body_.size() <= ControlClient::maxReplyBytes && BootClock::now() < deadline_;
-    }
-
-    std::string take() { return std::move(body_); }
-
-private:
-    TimePoint deadline_;
-    std::string body_;
-};
+constexpr unsigned statusOk = 200;
 
-httplib::Client clientFor(const Address &address, Duration timeout)
+/// \return the body of the reply if it has the status 200.
+Result<std::string> replyTo(http::Request request, const Address &address, Duration timeout)
 {
-    httplib::Client client(address.host(), address.port);
-    const std::chrono::microseconds limit = timeout;
-    client.set_connection_timeout(limit);
-    client.set_read_timeout(limit);
-    client.set_write_timeout(limit);
-    client.set_tcp_nodelay(true);
-    return client;
-}
-
-Error failureOf(httplib::Error error, const std::string &peer)
-{
-    switch (error) {
-    case httplib::Error::Connection:
-    case httplib::Error::ConnectionTimeout:
-        return Error{Errc::ConnectFailed, Step::Connect, peer, httplib::to_string(error)};
-    case httplib::Error::Canceled:
-        return Error{Errc::TooLarge, Step::Receive, peer, "reply too large or too slow"};
-    default:
-        return Error{Errc::Timeout, Step::Receive, peer, httplib::to_string(error)};
+    request.set(http::beast_http::field::host, address.toString());
+    request.keep_alive(false);
+    request.prepare_payload();
+    http::ResponseMemory memory(2 * ControlClient::maxReplyBytes, 1.0);
+    http::BlockingClient client(address, memory, {timeout, ControlClient::maxReplyBytes});
+    Result<http::Response> response = client.call(request, BootClock::now() + timeout);
+    if (response.has_error()) {
+        return response.error();
     }
-}
-
-/// \return the body of \p result if it has the status 200.
-Result<std::string> bodyOf(const httplib::Result &result, BodyCollector &collector, const std::string &peer)
-{
-    if (!result) {
-        return failureOf(result.error(), peer);
-    }
-    if (result->status != 200) {
-        return Error{Errc::BadMessage, Step::Receive, peer, "HTTP status " + std::to_string(result->status)};
+    if (response.value().result_int() != statusOk) {
+        const std::string status = "HTTP status " + std::to_string(response.value().result_int());
+        return Error{Errc::BadMessage, Step::Receive, address.toString(), status};
     }
-    return collector.take();
+    return std::move(response.value().body());
 }
 
 template<typename Message>
@@ -123,11 +91,7 @@
 
 Result<std::string> ControlClient::metrics() const
 {
-    BodyCollector collector(BootClock::now() + timeout_);
-    httplib::Client client = clientFor(address_, timeout_);
-    const httplib::Result result = client.Get(
-        "/metrics", [&collector](const char *data, std::size_t size) { return collector.add(data, size); });
-    return bodyOf(result, collector, address_.toString());
+    return replyTo(http::Request(http::beast_http::verb::get, "/metrics", 11), address_, timeout_);
 }
 
 Result<std::string> ControlClient::call(const std::string &method, const std::string &parameters) const
@@ -152,18 +116,10 @@
 
 Result<std::string> ControlClient::post(const std::string &body) const
 {
-    BodyCollector collector(BootClock::now() + timeout_);
-    httplib::Client client = clientFor(address_, timeout_);
-    httplib::Request request;
-    request.method = "POST";
-    request.path = "/";
-    request.body = body;
-    request.set_header("Content-Type", "application/json");
-    request.content_receiver = [&collector](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
-        return collector.add(data, size);
-    };
-    const httplib::Result result = client.send(request);
-    return bodyOf(result, collector, address_.toString());
+    http::Request request(http::beast_http::verb::post, "/", 11);
+    request.set(http::beast_http::field::content_type, "application/json");
+    request.body() = body;
+    return replyTo(std::move(request), address_, timeout_);
 }
 
 } // namespace sassafrasvane
--- a/libs/daemon/src/leafimplementation.h
+++ b/libs/daemon/src/leafimplementation.h
@@ -54,6 +54,10 @@
     {
     }
 
+    /// Memory for the answers of all searchers, in bytes.
+    static constexpr std::size_t maxResponseMemory() noexcept { return std::size_t{64} * 1024 * 1024; }
+
+    http::ResponseMemory responses{maxResponseMemory()};
     DaemonId self;
     SharedCrashBar &crashes;
     LeafHooks hooks;
--- a/libs/daemon/src/leaftask.cpp
+++ b/libs/daemon/src/leaftask.cpp
@@ -62,7 +62,7 @@
         };
         const auto onHealth
             = [this, id](detail::SearcherHealth health) { loop.post([this, id, health] { takeHealth(id, health); }); };
-        auto connections = std::make_unique<detail::SearcherConnections>(searcher.address, onEnd, onHealth);
+        auto connections = std::make_unique<detail::SearcherConnections>(searcher.address, responses, onEnd, onHealth);
         SearcherGate gate = SearcherGate::Builder().limits(limits).share(share).becameHolderAt(now).build();
         ConnectionPacer pacer = ConnectionPacer::Builder().limits(limits).share(share).build();
         found
--- a/libs/daemon/src/platformreader.cpp
+++ b/libs/daemon/src/platformreader.cpp
@@ -1,6 +1,7 @@
 #include "daemon/platformreader.h"
 
-#include <httplib.h>
+#include "http/blockingclient.h"
+
 #include <nlohmann/json.hpp>
 #include <oneapi/tbb/concurrent_queue.h>
 
@@ -16,12 +17,12 @@
 using namespace std::chrono_literals;
 
 /// Time in which the service must answer, beyond what a watch waits.
-constexpr std::chrono::milliseconds answerTime = 1s;
-constexpr std::chrono::milliseconds connectTimeout = 500ms;
+constexpr Duration answerTime = 1s;
+constexpr Duration connectTimeout = 500ms;
 /// Largest answer that is read: a value of a megabyte with its frame.
 constexpr std::size_t maxAnswer = std::size_t{1'200} * 1024;
-constexpr int statusOk = 200;
-constexpr int statusNotModified = 304;
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusNotModified = 304;
 
 /// Ends the thread of a key.
 struct StopThread {
@@ -31,7 +32,7 @@
 
 /// The thread, connection and queue of one key.
 struct KeyReader {
-    std::unique_ptr<httplib::Client> client;
+    std::unique_ptr<http::BlockingClient> client;
     oneapi::tbb::concurrent_bounded_queue<Job> jobs;
     std::thread thread;
 };
@@ -65,33 +66,33 @@
 struct PlatformReader::Implementation {
     Address address;
     PlatformHooks hooks;
+    /// Each key may have an answer of the largest size, and its fields.
+    http::ResponseMemory memory{2 * configKeyCount * maxAnswer, 1.0};
     std::array<KeyReader, configKeyCount> readers;
 
     void run(KeyReader &reader);
-    Result<PlatformValue> fetch(const ServiceRead &read, httplib::Client &client) const;
+    Result<PlatformValue> fetch(const ServiceRead &read, http::BlockingClient &client) const;
 };
 
-Result<PlatformValue> PlatformReader::Implementation::fetch(const ServiceRead &read, httplib::Client &client) const
+Result<PlatformValue> PlatformReader::Implementation::fetch(const ServiceRead &read, http::BlockingClient &client) const
 {
-    client.set_read_timeout(read.wait + answerTime);
-    std::string body;
-    const httplib::Result result = client.Get(pathOf(read), [&body](const char *data, std::size_t size) {
-        body.append(data, size);
-        return body.size() <= maxAnswer;
-    });
-    if (!result) {
-        return Error{Errc::Unavailable, Step::Configuration, address.toString(), httplib::to_string(result.error())};
+    http::Request request(http::beast_http::verb::get, pathOf(read), 11);
+    request.set(http::beast_http::field::host, address.toString());
+    const Result<http::Response> response = client.call(request, BootClock::now() + read.wait + answerTime);
+    if (response.has_error()) {
+        return Error{Errc::Unavailable, Step::Configuration, address.toString(), name(response.error().errc())};
     }
-    if (result->status == statusNotModified) {
+    const unsigned status = response.value().result_int();
+    if (status == statusNotModified) {
         return PlatformValue{read.key, read.after, {}, {}};
     }
-    if (result->status != statusOk) {
+    if (status != statusOk) {
         return Error{Errc::Unavailable,
                      Step::Configuration,
                      address.toString(),
-                     std::string(name(read.key)) + ": status " + std::to_string(result->status)};
+                     std::string(name(read.key)) + ": status " + std::to_string(status)};
     }
-    return readAnswer(read, body);
+    return readAnswer(read, response.value().body());
 }
 
 void PlatformReader::Implementation::run(KeyReader &reader)
@@ -120,10 +121,8 @@
     implementation_->address = address;
     implementation_->hooks = std::move(hooks);
     for (KeyReader &reader : implementation_->readers) {
-        reader.client = std::make_unique<httplib::Client>(address.host(), address.port);
-        reader.client->set_keep_alive(true);
-        reader.client->set_tcp_nodelay(true);
-        reader.client->set_connection_timeout(connectTimeout);
+        reader.client = std::make_unique<http::BlockingClient>(
+            address, implementation_->memory, http::BlockingClientLimits{connectTimeout, maxAnswer});
         reader.thread = std::thread([this, &reader] { implementation_->run(reader); });
     }
 }
--- a/libs/daemon/src/searcherconnections.cpp
+++ b/libs/daemon/src/searcherconnections.cpp
@@ -1,6 +1,7 @@
 #include "searcherconnections.h"
 
-#include <httplib.h>
+#include "http/blockingclient.h"
+
 #include <oneapi/tbb/concurrent_queue.h>
 
 #include <thread>
@@ -17,12 +18,14 @@
 
 using namespace std::chrono_literals;
 
-/// Time in which a connection must open.
-constexpr std::chrono::milliseconds connectTimeout = 300ms;
+/// Time in which a connection must open, and which the request that opens it ahead of need may take.
+constexpr Duration connectTimeout = 300ms;
 /// A reply is awaited for this long after the deadline, so that a searcher that gives up at the deadline can say so.
 constexpr Duration replyGrace = 20ms;
 /// Time that a cancellation or a health check may take.
-constexpr std::chrono::milliseconds controlTimeout = 100ms;
+constexpr Duration controlTimeout = 100ms;
+/// Maximum size of an answer's body.
+constexpr std::uint64_t maxAnswerBytes = 8'388'608;
 /// Cancellations and health checks that may wait.
 constexpr std::ptrdiff_t maxControls = 256;
 
@@ -39,29 +42,27 @@
 /// What the thread of cancellations and health checks takes.
 using ControlItem = std::variant<CallId, HealthCheck, StopThread>;
 
-std::unique_ptr<httplib::Client> makeClient(const Address &address)
+http::Request makeRequest(http::beast_http::verb method, const Address &searcher, const char *path, std::string body)
 {
-    auto client = std::make_unique<httplib::Client>(address.host(), address.port);
-    client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
-    client->set_connection_timeout(connectTimeout);
-    return client;
+    http::Request request(method, path, 11);
+    request.set(http::beast_http::field::host, searcher.toString());
+    if (!body.empty()) {
+        request.set(http::beast_http::field::content_type, "application/json");
+    }
+    request.body() = std::move(body);
+    request.prepare_payload();
+    return request;
 }
 
-BackEndAnswer transportFailure(httplib::Error error, bool isTimeout)
+BackEndAnswer failedAnswer(const Error &error, bool isLate)
 {
     BackEndAnswer answer;
-    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout) {
-        answer.outcome = CallOutcome::Refused;
-        answer.error = Errc::ConnectFailed;
-    } else {
-        answer.outcome = CallOutcome::Failed;
-        answer.error = isTimeout ? Errc::Timeout : Errc::ConnectionLost;
-    }
+    answer.outcome = error.errc() == Errc::ConnectFailed ? CallOutcome::Refused : CallOutcome::Failed;
+    answer.error = error.errc() == Errc::ConnectionLost && isLate ? Errc::Timeout : error.errc();
     return answer;
 }
 
-SearcherJobEnd runJob(httplib::Client &client, const SearcherJob &job)
+SearcherJobEnd runJob(http::BlockingClient &client, const Address &searcher, const SearcherJob &job)
 {
     SearcherJobEnd end;
     end.call = job.call;
@@ -72,21 +73,19 @@
         end.answer.error = Errc::DeadlinePassed;
         return end;
     }
-    client.set_read_timeout(timeLeft + replyGrace);
-    client.set_write_timeout(timeLeft + replyGrace);
-    const httplib::Headers headers{
-        {"X-Call-Id", searcherCallName(job.call)},
-        {"X-Deadline-Ms", std::to_string(std::max<std::int64_t>(timeLeft.count() / 1000, 1))},
-        {"traceparent", job.traceparent}};
     const char *const path = job.kind == WorkKind::Search ? "/search" : "/run";
-    const httplib::Result result = client.Post(path, headers, job.body, "application/json");
+    http::Request request = makeRequest(http::beast_http::verb::post, searcher, path, job.body);
+    request.set("X-Call-Id", searcherCallName(job.call));
+    request.set("X-Deadline-Ms", std::to_string(std::max<std::int64_t>(timeLeft.count() / 1000, 1)));
+    request.set("traceparent", job.traceparent);
+    const Result<http::Response> response = client.call(request, job.deadline + replyGrace);
     end.served = BootClock::now() - start;
-    if (result) {
+    if (response.has_value()) {
         end.wasSent = true;
-        end.answer = readBackEndAnswer(result->status, result->body);
+        end.answer = readBackEndAnswer(static_cast<int>(response.value().result_int()), response.value().body());
         return end;
     }
-    end.answer = transportFailure(result.error(), end.served >= timeLeft);
+    end.answer = failedAnswer(response.error(), end.served >= timeLeft);
     end.wasSent = end.answer.outcome == CallOutcome::Failed;
     end.isConnectionLost = end.answer.error == Errc::ConnectionLost;
     return end;
@@ -96,6 +95,7 @@
 
 struct SearcherConnections::Implementation {
     Address address;
+    http::ResponseMemory &memory;
     EndHook onEnd;
     HealthHook onHealth;
     oneapi::tbb::concurrent_bounded_queue<JobItem> jobs;
@@ -105,51 +105,63 @@
 
     void runJobs();
     void runControls();
+    Incarnation checkedIncarnation(http::BlockingClient &client, TimePoint deadline) const;
 };
 
 void SearcherConnections::Implementation::runJobs()
 {
-    const std::unique_ptr<httplib::Client> client = makeClient(address);
-    client->set_read_timeout(connectTimeout);
-    // Opens the connection ahead of need.
-    client->Get("/load");
+    http::BlockingClient client(address, memory, {connectTimeout, maxAnswerBytes});
+    // Opens the connection ahead of need. A failure shows at the first job.
+    (void)client.call(makeRequest(http::beast_http::verb::get, address, "/load", {}),
+                      BootClock::now() + connectTimeout);
     while (true) {
         JobItem item;
         jobs.pop(item);
         if (std::holds_alternative<StopThread>(item)) {
             return;
         }
-        onEnd(runJob(*client, std::get<SearcherJob>(item)));
+        onEnd(runJob(client, address, std::get<SearcherJob>(item)));
     }
 }
 
 void SearcherConnections::Implementation::runControls()
 {
-    const std::unique_ptr<httplib::Client> client = makeClient(address);
-    client->set_read_timeout(controlTimeout);
-    client->set_write_timeout(controlTimeout);
+    http::BlockingClient client(address, memory, {connectTimeout, maxAnswerBytes});
     while (true) {
         ControlItem item;
         controls.pop(item);
         if (std::holds_alternative<StopThread>(item)) {
             return;
         }
+        const TimePoint askedAt = BootClock::now();
         if (const CallId *call = std::get_if<CallId>(&item)) {
-            client->Post("/cancel", writeCancelBody(searcherCallName(*call)), "application/json");
+            std::string body = writeCancelBody(searcherCallName(*call));
+            // Only a hint: nothing follows from its failure.
+            (void)client.call(makeRequest(http::beast_http::verb::post, address, "/cancel", std::move(body)),
+                              askedAt + controlTimeout);
         } else {
-            const TimePoint askedAt = BootClock::now();
-            const httplib::Result result = client->Get("/load");
-            onHealth({askedAt, result ? readBackEndAnswer(result->status, result->body).incarnation : Incarnation{}});
+            onHealth({askedAt, checkedIncarnation(client, askedAt + controlTimeout)});
         }
     }
 }
 
-SearcherConnections::SearcherConnections(const Address &address, EndHook onEnd, HealthHook onHealth)
-    : implementation_(std::make_unique<Implementation>())
+Incarnation SearcherConnections::Implementation::checkedIncarnation(http::BlockingClient &client,
+                                                                    TimePoint deadline) const
+{
+    const Result<http::Response> response
+        = client.call(makeRequest(http::beast_http::verb::get, address, "/load", {}), deadline);
+    if (response.has_error()) {
+        return {};
+    }
+    return readBackEndAnswer(static_cast<int>(response.value().result_int()), response.value().body()).incarnation;
+}
+
+SearcherConnections::SearcherConnections(const Address &address,
+                                         http::ResponseMemory &memory,
+                                         EndHook onEnd,
+                                         HealthHook onHealth)
+    : implementation_(new Implementation{address, memory, std::move(onEnd), std::move(onHealth), {}, {}, {}, {}})
 {
-    implementation_->address = address;
-    implementation_->onEnd = std::move(onEnd);
-    implementation_->onHealth = std::move(onHealth);
     implementation_->controls.set_capacity(maxControls);
     implementation_->controlThread = std::thread([this] { implementation_->runControls(); });
 }
--- a/libs/daemon/src/searcherconnections.h
+++ b/libs/daemon/src/searcherconnections.h
@@ -3,6 +3,7 @@
 #include "base/address.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "http/responsememory.h"
 #include "wire/backendapi.h"
 #include "wire/peermessages.h"
 
@@ -57,8 +58,9 @@
     /// Called on a thread of the connections with the result of each health check.
     using HealthHook = std::function<void(SearcherHealth health)>;
 
-    /// Without connections for jobs; see add().
-    SearcherConnections(const Address &address, EndHook onEnd, HealthHook onHealth);
+    /// Without connections for jobs; see add(). \param memory bounds the memory for the answers of all searchers; must
+    /// outlive the connections.
+    SearcherConnections(const Address &address, http::ResponseMemory &memory, EndHook onEnd, HealthHook onHealth);
 
     /// Ends the threads once the jobs that run have ended; waiting jobs end as not sent.
     ~SearcherConnections();
--- a/libs/http/include/http/responsememory.h
+++ b/libs/http/include/http/responsememory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstddef>
 #include <utility>
 
@@ -13,7 +14,7 @@
 ///
 /// Guards against servers that send endless responses, also many of them at the same time. The maximum size of a single
 /// response shrinks with the memory that is still available, so that responses of ordinary size are still accepted.
-/// Counts only; it allocates nothing itself.
+/// Counts only; it allocates nothing itself. Any thread may use it.
 ///
 /// \code
 /// ResponseMemory memory(32 * 1'024 * 1'024);
@@ -50,11 +51,13 @@
     std::size_t refusals() const noexcept { return refusals_; }
 
 private:
+    bool mayGrow(std::size_t used, std::size_t held, std::size_t wanted) const noexcept;
+
     std::size_t limit_;
     double maxShare_;
-    std::size_t used_ = 0;
-    std::size_t refusals_ = 0;
-    std::size_t readers_ = 0;
+    std::atomic<std::size_t> used_{0};
+    std::atomic<std::size_t> refusals_{0};
+    std::atomic<std::size_t> readers_{0};
 };
 
 /// The reservation of one response in a ResponseMemory, which must outlive it. Released by the destructor.
--- a/libs/http/src/responsememory.cpp
+++ b/libs/http/src/responsememory.cpp
@@ -13,18 +13,22 @@
 
 } // namespace
 
+bool ResponseMemory::mayGrow(std::size_t used, std::size_t held, std::size_t wanted) const noexcept
+{
+    const std::size_t available = limit_ - std::min(limit_, used);
+    const std::size_t largest = static_cast<std::size_t>(static_cast<double>(available) * maxShare_);
+    return wanted - held <= available && wanted <= std::max(smallResponseBytes, largest);
+}
+
 bool ResponseMemory::resize(std::size_t held, std::size_t wanted) noexcept
 {
-    if (wanted > held) {
-        const std::size_t available = limit_ - std::min(limit_, used_);
-        const std::size_t largest = static_cast<std::size_t>(static_cast<double>(available) * maxShare_);
-        const bool isGranted = wanted - held <= available && wanted <= std::max(smallResponseBytes, largest);
-        if (!isGranted) {
+    std::size_t used = used_;
+    do {
+        if (wanted > held && !mayGrow(used, held, wanted)) {
             ++refusals_;
             return false;
         }
-    }
-    used_ = used_ - held + wanted;
+    } while (!used_.compare_exchange_weak(used, used - held + wanted));
     return true;
 }
 
