Fields and bytes that wait to be parsed count as memory of a response

Cause: ResponseMemory counted the bodies of all responses only. A head of 28 KB in 7,000 fields takes some twenty times its size once it is parsed, on each connection to a searcher that sends it and then goes on slowly.

--- a/libs/http/include/http/responsereader.h
+++ b/libs/http/include/http/responsereader.h
@@ -34,7 +34,8 @@
 /// Informational responses and responses that the filter rejects are dropped, up to a fixed number. The call fails if a
 /// response is malformed, has a status outside 100 to 599 or switches protocols, exceeds the constraints or the
 /// available memory, or if too many responses were dropped before it. No exception leaves put(), and a Content-Length
-/// is checked before memory is allocated for it.
+/// is checked before memory is allocated for it. The header and trailer fields and the bytes that wait to be parsed
+/// count as memory of the response, too: many servers may send heads slowly and at the same time.
 ///
 /// \code
 /// ResponseReader reader(memory);
@@ -92,7 +93,8 @@
 
     void beginResponse();
     std::size_t putSome(std::string_view bytes);
-    bool checkConstraints() noexcept;
+    bool checkConstraints();
+    bool reserve() noexcept;
     void endResponse();
 
     ResponseMemory &memory_;
@@ -100,6 +102,10 @@
     ResponseFilter filter_;
     std::optional<Parser> parser_;
     MemoryLease lease_;
+    /// Memory of the response's fields and of its body, and bytes that were received and cannot be parsed yet.
+    std::size_t fieldBytes_ = 0;
+    std::size_t bodyBytes_ = 0;
+    std::size_t unparsedBytes_ = 0;
     unsigned droppedResponses_ = 0;
     State state_ = State::Failed;
     Errc failure_ = Errc::BadMessage;
--- a/libs/http/src/responsereader.cpp
+++ b/libs/http/src/responsereader.cpp
@@ -1,5 +1,7 @@
 #include "http/responsereader.h"
 
+#include "headermemory.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -59,6 +61,9 @@
 {
     state_ = State::Reading;
     lease_ = MemoryLease(memory_);
+    fieldBytes_ = 0;
+    bodyBytes_ = 0;
+    unparsedBytes_ = 0;
     parser_.emplace();
     // Parses the headers alone first: the parser allocates memory for any Content-Length, so it is checked before the
     // body.
@@ -71,6 +76,7 @@
 std::size_t ResponseReader::put(std::string_view bytes)
 {
     std::size_t used = 0;
+    unparsedBytes_ = 0;
     try {
         while (state_ == State::Reading && used < bytes.size()) {
             const std::size_t taken = putSome(bytes.substr(used));
@@ -79,7 +85,11 @@
                 break;
             }
         }
-        if (state_ == State::Reading && bytes.size() - used > maxUnparsedBytes) {
+        unparsedBytes_ = bytes.size() - used;
+        if (state_ == State::Reading && unparsedBytes_ > maxUnparsedBytes) {
+            state_ = State::Failed;
+        } else if (state_ == State::Reading && !reserve()) {
+            failure_ = Errc::TooLarge;
             state_ = State::Failed;
         }
     } catch (const std::exception &) {
@@ -110,16 +120,26 @@
     return used;
 }
 
-bool ResponseReader::checkConstraints() noexcept
+bool ResponseReader::checkConstraints()
 {
     if (!parser_->is_header_done()) {
         return true;
     }
     parser_->eager(true);
+    // The fields change at the end of the head and of the trailers only.
+    if (fieldBytes_ == 0 || parser_->is_done()) {
+        fieldBytes_ = detail::memoryOf(parser_->get());
+    }
     const bool hasLength = !constraints_.hasNoBody && parser_->content_length().has_value();
     const std::uint64_t length = hasLength ? *parser_->content_length() : 0;
     const std::uint64_t size = std::max<std::uint64_t>(length, parser_->get().body().size());
-    return size <= constraints_.maxBodyBytes && lease_.resize(static_cast<std::size_t>(size));
+    bodyBytes_ = static_cast<std::size_t>(size);
+    return size <= constraints_.maxBodyBytes && reserve();
+}
+
+bool ResponseReader::reserve() noexcept
+{
+    return lease_.resize(fieldBytes_ + bodyBytes_ + unparsedBytes_);
 }
 
 void ResponseReader::endResponse()
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include "headermemory.h"
 #include "serverconnection.h"
 #include "socketoptions.h"
 
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -1,5 +1,6 @@
 #include "serverconnection.h"
 
+#include "headermemory.h"
 #include "socketoptions.h"
 
 #include <boost/beast/core/string.hpp>
@@ -30,9 +31,6 @@
 /// A client that sends fewer bytes makes no progress.
 constexpr std::size_t minProgressBytes = 1'024;
 
-/// Memory of a header field beyond its bytes: the node of Boost.Beast and the overhead of the allocation.
-constexpr std::size_t fieldOverheadBytes = 80;
-
 /// After its last response, a connection is closed when the client has sent this many more bytes, or after this time.
 /// Closing it at once would make the system drop the response if the client is still sending.
 constexpr std::size_t maxDiscardedBytes = 524'288;
@@ -64,15 +62,6 @@
 
 } // namespace
 
-std::size_t memoryOf(const Headers &headers) noexcept
-{
-    std::size_t size = 0;
-    for (const Headers::value_type &field : headers) {
-        size += fieldOverheadBytes + field.name_string().size() + field.value().size();
-    }
-    return size;
-}
-
 ServerConnection::ServerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<ServerState> state)
     : socket_(std::move(socket))
     , state_(std::move(state))
--- a/libs/http/src/serverconnection.h
+++ b/libs/http/src/serverconnection.h
@@ -18,9 +18,6 @@
 namespace sassafrasvane::http::detail
 {
 
-/// The memory that \p headers use, in bytes.
-std::size_t memoryOf(const Headers &headers) noexcept;
-
 /// State shared by a Server and its connections, which keep it alive.
 class ServerState : public std::enable_shared_from_this<ServerState>
 {
