Daemons take only small frames from peers that have not proved who they are

What callers saw: nothing; found while looking at what is read from peers. Cause: a frame of up to 8 MB was buffered before the handshake, for up to a second, on any number of connections. Change: FrameReader::next() takes a limit, 4 KB until the handshake is done. Conclusion: a peer with a key may still send 8 MB.

--- a/libs/daemon/src/peerlink.cpp
+++ b/libs/daemon/src/peerlink.cpp
@@ -104,7 +104,7 @@
 // Returns false once the link is closed.
 bool PeerLink::takeMessages()
 {
-    while (std::optional<Result<PeerMessage>> message = reader_.next()) {
+    while (std::optional<Result<PeerMessage>> message = reader_.next(isReady_ ? maxFrameSize : maxHandshakeFrameSize)) {
         if (message->has_error()) {
             close(Errc::BadMessage, Step::Receive, message->error().detail);
             return false;
--- a/libs/wire/include/wire/peercodec.h
+++ b/libs/wire/include/wire/peercodec.h
@@ -17,6 +17,9 @@
 /// Largest body of a frame, in bytes.
 inline constexpr std::size_t maxFrameSize = std::size_t{8} * 1024 * 1024;
 
+/// Maximum size of a frame from a peer that has not proved who it is, in bytes.
+inline constexpr std::size_t maxHandshakeFrameSize = std::size_t{4} * 1024;
+
 /// Bytes of the length in front of each frame.
 inline constexpr std::size_t frameHeaderSize = 4;
 
@@ -40,7 +43,8 @@
     void append(std::string_view bytes);
 
     /// The next whole message, an error after which the link must be closed, or nothing until more bytes arrive.
-    std::optional<Result<PeerMessage>> next();
+    /// \param maxSize maximum size of the message's frame, in bytes.
+    std::optional<Result<PeerMessage>> next(std::size_t maxSize = maxFrameSize);
 
 private:
     std::string buffer_;
--- a/libs/wire/src/peercodec.cpp
+++ b/libs/wire/src/peercodec.cpp
@@ -10,7 +10,7 @@
     buffer_.append(bytes);
 }
 
-std::optional<Result<PeerMessage>> FrameReader::next()
+std::optional<Result<PeerMessage>> FrameReader::next(std::size_t maxSize)
 {
     const std::string_view rest = std::string_view(buffer_).substr(consumed_);
     if (rest.size() < frameHeaderSize) {
@@ -20,7 +20,7 @@
     for (std::size_t i = 0; i < frameHeaderSize; ++i) {
         size = (size << 8) | static_cast<unsigned char>(rest[i]);
     }
-    if (size > maxFrameSize) {
+    if (size > maxSize) {
         return Result<PeerMessage>(
             Error{Errc::BadMessage, Step::Receive, {}, "a frame of " + std::to_string(size) + " bytes is too large"});
     }
--- a/libs/wire/tests/peercodec_test.cpp
+++ b/libs/wire/tests/peercodec_test.cpp
@@ -101,6 +101,17 @@
     BOOST_TEST((message->error().errc() == Errc::BadMessage));
 }
 
+// Guards against many strangers that announce large frames and take the daemon's memory before they prove who they are.
+BOOST_AUTO_TEST_CASE(frameIsRefusedAtItsLengthIfItIsOverTheLimitThatIsAskedFor)
+{
+    FrameReader reader;
+    reader.append(std::string_view("\0\x7f\xff\xff", 4));
+    BOOST_TEST(!reader.next().has_value());
+    const std::optional<Result<PeerMessage>> message = reader.next(maxHandshakeFrameSize);
+    BOOST_REQUIRE(message.has_value());
+    BOOST_TEST((message->error().errc() == Errc::BadMessage));
+}
+
 BOOST_AUTO_TEST_CASE(everyTruncationIsAnError)
 {
     const std::string body = bodyOf(sampleRequest());
