Processes that follow the store beside its readers have a lost history listed in time

What callers saw: while the readers were cut off and the store forgot its history, answers by a version that had been replaced up to six seconds before, also once the store counted as stable (CONFIG). Cause: three delays in a row: 2 s for a check that is to be answered at once, a pause that the retry at once had doubled, and the pause before the list. Change: a check times out after 1 s; the retry at once doesn't lengthen the next pause.

--- a/libs/catalog/include/catalog/storefollower.h
+++ b/libs/catalog/include/catalog/storefollower.h
@@ -122,6 +122,8 @@
     static constexpr Duration watchWait() noexcept { return std::chrono::milliseconds(1'500); }
     /// The wait of the first watch after a failure or a pause. Its answer shows at once that the store serves.
     static constexpr Duration checkWait() noexcept { return std::chrono::milliseconds(1); }
+    /// Timeout of such a watch.
+    static constexpr Duration checkTimeout() noexcept { return std::chrono::milliseconds(1'000); }
     /// Time beyond watchWait() after which a watch times out.
     static constexpr Duration watchTimeoutMargin() noexcept { return std::chrono::milliseconds(500); }
     /// Timeout of a list call.
--- a/libs/catalog/src/storefollower.cpp
+++ b/libs/catalog/src/storefollower.cpp
@@ -127,7 +127,7 @@
         startListSoon(now, actions);
         return;
     }
-    const bool isFirstFailure = retryPause_ == initialRetryPause();
+    const bool isFirstFailure = !failedSince_;
     failedSince_ = failedSince_.value_or(callStartedAt_);
     failedAt_ = now;
     // A connection that breaks or falls silent is no outage as such: the store may serve others all the while.
@@ -140,7 +140,11 @@
     const Duration jitter(static_cast<Duration::rep>(random_.below(static_cast<std::uint64_t>(pause.count()))));
     const bool isConnectionLost = failure == StoreFailure::Unreachable || failure == StoreFailure::TimedOut;
     const bool isRetriedAtOnce = isFirstFailure && isConnectionLost;
-    schedule(isRetriedAtOnce ? now : now + pause / 2 + jitter, actions);
+    if (isRetriedAtOnce) {
+        schedule(now, actions);
+        return;
+    }
+    schedule(now + pause / 2 + jitter, actions);
     retryPause_ = std::min(retryPause_ * 2, maxRetryPause());
 }
 
@@ -235,8 +239,9 @@
     }
     call.kind = StoreCall::Kind::Watch;
     call.afterRevision = position_.revision;
-    call.wait = failedSince_ || confirmedAt_ ? checkWait() : watchWait();
-    call.timeout = watchWait() + watchTimeoutMargin();
+    const bool isCheck = failedSince_ || confirmedAt_;
+    call.wait = isCheck ? checkWait() : watchWait();
+    call.timeout = isCheck ? checkTimeout() : watchWait() + watchTimeoutMargin();
     return call;
 }
 
--- a/libs/catalog/tests/storefollower_test.cpp
+++ b/libs/catalog/tests/storefollower_test.cpp
@@ -278,6 +278,27 @@
     }
 }
 
+// Guards against a process that keeps an old version although the store counts as stable again, 4 s after it has cut
+// the watches and forgotten their history.
+BOOST_AUTO_TEST_CASE(historyThatIsLostWithTheWatchIsListedInTime)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        FollowerFixture fixture;
+        fixture.follower = StoreFollower({"a/", "b/"}, seed);
+        fixture.follower.setSlowRetry(true);
+        fixture.completeList();
+        fixture.nextCall();
+        const TimePoint cutAt = fixture.now;
+        fixture.follower.onFailure(fixture.now, StoreFailure::Unreachable, fixture.actions);
+        fixture.now += fixture.nextCall().timeout;
+        fixture.follower.onFailure(fixture.now, StoreFailure::TimedOut, fixture.actions);
+        BOOST_TEST((fixture.nextCall().kind == StoreCall::Kind::Watch));
+        fixture.follower.onFailure(fixture.now, StoreFailure::HistoryLost, fixture.actions);
+        BOOST_TEST((fixture.nextCall().kind == StoreCall::Kind::List));
+        BOOST_TEST((fixture.now - cutAt < 4s));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(refusalsAreOutages)
 {
     FollowerFixture fixture;
