Trailer sections and chunk headers of requests are bounded like the head

What callers saw: requests that were cut as one client's request of 16 MB of trailers took the process over its memory. Cause: the limit of the head holds for the head only, and trailers were not counted as memory. Change: after the head, a request of which more waits to be parsed than a head may have is answered 431; trailers count before dispatch.

--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -194,15 +194,26 @@
             return;
         }
         if (parser_->is_done()) {
+            // The trailers have become fields of the request.
+            headBytes_ = parser_->chunked() ? memoryOf(parser_->get()) : headBytes_;
             dispatch();
             return;
         }
         if (used == 0) {
+            rejectEndlessLine();
             return;
         }
     }
 }
 
+// After the head, only a chunk header or a trailer section waits for its end. Trailers are bounded as the head is.
+void ServerConnection::rejectEndlessLine()
+{
+    if (parser_->is_header_done() && buffer_.size() > state_->limits.headerBytes) {
+        rejectRequest(statusOf(beast_http::error::header_limit));
+    }
+}
+
 // Before the head is complete, its fields are counted by their line ends: the parser has stored them already.
 void ServerConnection::countHead(std::string_view parsed)
 {
--- a/libs/http/src/serverconnection.h
+++ b/libs/http/src/serverconnection.h
@@ -103,6 +103,8 @@
     /// Adds the memory of the fields in \p parsed, which the parser has just taken.
     void countHead(std::string_view parsed);
     bool filterHead();
+    /// Rejects a request of which more waits to be parsed than a head may have.
+    void rejectEndlessLine();
     void dispatch();
     std::size_t neededBytes() const noexcept;
     /// Adjusts the lease to what is held. \return false if a request that is being read may not grow so far.
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -257,6 +257,36 @@
     BOOST_TEST(fixture.exchanges[0]->request().body() == "abcde");
 }
 
+// Guards against a trailer section that is larger than any head may be, and turns into fields at many times its size.
+BOOST_AUTO_TEST_CASE(trailersAndChunkExtensionsAreBoundedLikeTheHead)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string fields;
+    while (fields.size() < 400'000) {
+        fields += "a:\r\n";
+    }
+    for (const std::string &rest :
+         {"0\r\n" + fields, "0\r\n" + fields + "\r\n", "1;" + std::string(fields.size(), 'x')}) {
+        ServerFixture fixture;
+        tcp::socket socket = fixture.connect();
+        boost::system::error_code ignored;
+        socket.non_blocking(true);
+        std::string unsent = head + rest;
+        fixture.runUntil([&] {
+            unsent.erase(0, socket.write_some(boost::asio::buffer(unsent), ignored));
+            return unsent.empty();
+        });
+        BOOST_TEST(fixture.receiveAll(socket).starts_with("HTTP/1.1 431"));
+        BOOST_TEST(fixture.exchanges.empty());
+    }
+    ServerFixture fixture;
+    tcp::socket socket = fixture.connect();
+    fixture.send(socket, head + "1\r\nx\r\n0\r\n" + fields.substr(0, 4'000) + "\r\n");
+    BOOST_REQUIRE(fixture.runUntil([&] { return fixture.exchanges.size() == 1; }));
+    BOOST_TEST(fixture.exchanges.front()->request().body() == "x");
+    BOOST_TEST(fixture.memory->used() > 1'000U * 80U);
+}
+
 BOOST_AUTO_TEST_CASE(clientThatLeavesIsNoticed)
 {
     ServerFixture fixture;
