A process that reaches none of those that it was told of calls no cold searcher

What callers saw: cold searchers got 22 to 25 requests a second where 11 are allowed, and crash at rates well above that (FAILBACK). Cause: the one caller of a cold searcher is chosen among the known VMs; a process that has found no seed knows only itself. Change: Fleet::isIsolated; an isolated process leaves cold searchers alone.

--- a/libs/entry/src/entryprocess.cpp
+++ b/libs/entry/src/entryprocess.cpp
@@ -132,6 +132,7 @@
     void answerMetrics(const ExchangePtr &exchange);
     void onMembers();
     std::vector<DaemonId> quotaParticipants(TimePoint now, const Fleet &fleet) const;
+    std::vector<DaemonId> otherSeeds() const;
     FeedAssignment assignFeedPeers() const;
     Address controlAddressOf(DaemonId daemon) const;
     Duration startFallbackDelay() const noexcept
@@ -299,7 +300,8 @@
     if (const std::shared_ptr<const RouteTable> routes = state_.routes()) {
         peers_->setQueryDomains(queryDomains(*routes, pool_));
     }
-    const AdvertisedMembers advertised = peers_->advertisedMembers(now);
+    AdvertisedMembers advertised = peers_->advertisedMembers(now);
+    advertised.fleet.isIsolated = peers_->reachableCount() == 1 && !otherSeeds().empty();
     pool_.setFleet(now, advertised.fleet);
     quotas_.setParticipants(now, quotaParticipants(now, advertised.fleet));
     isAdvertised_ = advertised.hasSelf;
@@ -325,16 +327,25 @@
         }
     }
     if (peers_->reachableCount() == 1 || now - startedAt_ < PeerTask::quotaShareRetention()) {
-        for (const Address &seed : settings_.seeds) {
-            const Address peer{seed.ip, settings_.peerPort};
-            if (daemonId(peer) != peers_->self()) {
-                participants.push_back(daemonId(peer));
-            }
-        }
+        const std::vector<DaemonId> seeds = otherSeeds();
+        participants.insert(participants.end(), seeds.begin(), seeds.end());
     }
     return participants;
 }
 
+// The processes that the seeds name, without this one.
+std::vector<DaemonId> EntryProcess::Implementation::otherSeeds() const
+{
+    std::vector<DaemonId> seeds;
+    for (const Address &seed : settings_.seeds) {
+        const DaemonId daemon = daemonId(Address{seed.ip, settings_.peerPort});
+        if (daemon != peers_->self()) {
+            seeds.push_back(daemon);
+        }
+    }
+    return seeds;
+}
+
 // The first peer delivers the changed items. One in the same failure domain is preferred, because traffic between
 // failure domains is costly.
 FeedAssignment EntryProcess::Implementation::assignFeedPeers() const
--- a/libs/placement/include/placement/limitshare.h
+++ b/libs/placement/include/placement/limitshare.h
@@ -21,6 +21,9 @@
     std::size_t advertisedCount = 1;
     /// Number of all VMs that are reachable; at least 1.
     std::size_t memberCount = 1;
+    /// True if this VM reaches none of the others that it has been told of, so that it doesn't know who carries
+    /// traffic.
+    bool isIsolated = false;
 
     bool operator==(const Fleet &) const = default;
 };
--- a/libs/placement/src/searcherpool.cpp
+++ b/libs/placement/src/searcherpool.cpp
@@ -383,6 +383,10 @@
     if (!searcher.isCold(now) || limits.coldCallsPerSecond <= 0) {
         return true;
     }
+    // Each VM that knows only itself would be the owner.
+    if (fleet_.isIsolated) {
+        return false;
+    }
     const std::uint64_t key = hashBytes(searcher.entry().instance);
     const std::set<std::string>::const_iterator owner
         = std::max_element(callers_.begin(), callers_.end(), [key](const std::string &left, const std::string &right) {
--- a/libs/placement/tests/searcherpool_test.cpp
+++ b/libs/placement/tests/searcherpool_test.cpp
@@ -255,6 +255,32 @@
     BOOST_TEST(calls <= 10 * 1.5 + 5);
 }
 
+// Guards against VMs that start while no other can be found and each take themselves for the one that calls it.
+BOOST_AUTO_TEST_CASE(coldSearcherGetsNothingFromVmsThatKnowNoOther)
+{
+    SearcherPool pool("vm-1", "a", PoolBounds(), 7);
+    BackendLimits limits;
+    limits.name = "desk";
+    limits.maxConnections = 26;
+    limits.coldCallsPerSecond = 10;
+    pool.setBackendLimits({limits});
+    Fleet fleet;
+    fleet.isIsolated = true;
+    TimePoint now{1'000s};
+    pool.setFleet(now, fleet);
+    SearcherEntry cold = entry("s1");
+    cold.remainingColdTime = 3s;
+    pool.put(now, cold);
+    BOOST_TEST(!pool.choose(now, pool.backend("desk"), {}).searcher);
+    fleet.isIsolated = false;
+    pool.setFleet(now, fleet);
+    BOOST_TEST(pool.choose(now, pool.backend("desk"), {}).searcher);
+    fleet.isIsolated = true;
+    pool.setFleet(now, fleet);
+    now += 3s;
+    BOOST_TEST(pool.choose(now, pool.backend("desk"), {}).searcher);
+}
+
 BOOST_AUTO_TEST_CASE(newProcessOfASearcherStartsWithEmptyStatistics)
 {
     PoolFixture fixture;
