Test server of endless answers: its socket calls are checked

Cause: the linter's check of unused return values. Change: a listener that cannot be opened ends the test. Conclusion: nothing else changes.

--- a/libs/daemon/tests/pouringserver.h
+++ b/libs/daemon/tests/pouringserver.h
@@ -3,7 +3,9 @@
 #include "base/address.h"
 
 #include <atomic>
+#include <cerrno>
 #include <chrono>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -37,9 +39,12 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof address;
-        ::bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof address);
-        ::listen(listener_, SOMAXCONN);
-        ::getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
+        const bool isListening = ::bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0
+            && ::listen(listener_, SOMAXCONN) == 0
+            && ::getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+        if (!isListening) {
+            throw std::runtime_error("no listener");
+        }
         address_ = {INADDR_LOOPBACK, ntohs(address.sin_port)};
         acceptor_ = std::thread([this] { accept(); });
     }
