--- a/tests/entry/entry_test.py
+++ b/tests/entry/entry_test.py
@@ -488,6 +488,22 @@
                 entry.store_link.set_harm(Harm.NONE)
             world.wait(lambda: not any(entry.reads_store() for entry in followers), 5, "the readers are not followed again")
 
+    def test_reader_that_alone_was_cut_off_applies_removals_at_once_afterwards(self):
+        # Guards against a reader that takes its own cut for an outage of the store, although its peers went on following it.
+        world = self.world(entries=5)
+        world.wait(lambda: sum(entry.reads_store() for entry in world.entries) == 3, 5, "not three processes read the store")
+        reader = next(entry for entry in world.entries if entry.reads_store())
+        for harm, name in ((Harm.RESET, "i-desk-0"), (Harm.SILENT, "i-0-0")):
+            regained = len(reader.lines("store_regained"))
+            reader.store_link.set_harm(harm)
+            # Longer than the time without an answer that counts as an outage, and than a silence takes to be noticed.
+            time.sleep(5)
+            reader.store_link.set_harm(Harm.NONE)
+            world.wait(lambda: len(reader.lines("store_regained")) > regained, 5, "the store is not followed again")
+            world.searchers[name].unregister()
+            removed = lambda: reader.last_line("searcher_changed").get("searcher") == name
+            world.wait(removed, 1, f"{harm.value}: the removal of {name} is held back")
+
     def test_registrations_that_expire_while_the_store_is_away_are_kept_for_a_while(self):
         # Guards against processes that drop searchers because the store was away and could not renew their registrations.
         world = self.world(entries=5)
