--- a/libs/daemon/tests/searcherconnections_test.cpp
+++ b/libs/daemon/tests/searcherconnections_test.cpp
@@ -21,7 +21,7 @@
 /// Time in which a job must have ended.
 constexpr Duration maxJobTime = 2s;
 
-/// Answers without end, each of them in a hurry and slowly.
+/// Answers without end, each of them sent fast and slowly.
 std::vector<EndlessAnswer> endlessAnswers()
 {
     const std::string head = "HTTP/1.1 200 OK\r\n";
--- a/libs/http/include/http/blockingclient.h
+++ b/libs/http/include/http/blockingclient.h
@@ -6,7 +6,9 @@
 #include "http/responsereader.h"
 
 #include <atomic>
+#include <optional>
 #include <string>
+#include <string_view>
 
 /// \file
 /// Calls a server from a thread that waits for the response.
@@ -50,6 +52,7 @@
 
 private:
     bool isUsable() const noexcept;
+    // The steps of a call. Each returns why it failed, or nothing.
     std::optional<Errc> open(TimePoint deadline);
     std::optional<Errc> send(std::string_view bytes, TimePoint deadline);
     std::optional<Errc> receive(TimePoint deadline);
