Review: the cases remove their temporary folders

Cause: each run left a folder with logs behind. Change: review/common-3/world3.py removes it; an import that nobody used is gone.

--- a/review/common-3/world3.py
+++ b/review/common-3/world3.py
@@ -5,11 +5,11 @@
 long they are cold, and a record of the case.
 """
 
-import asyncio
 import http.client
 import json
 import os
 import pathlib
+import shutil
 import subprocess
 import sys
 import threading
@@ -157,6 +157,7 @@
         self.more_settings = ()
         self.directory = pathlib.Path(entryworld.tempfile.mkdtemp(prefix="sassafrasvane-review-"))
         self.loop = standin.Loop()
+        self.entries = []
         names = ("callers", "readiness", "directory", "control", "peers", "metrics")
         self.ports = {name: entryworld.free_port("127.0.0.10") for name in names}
         self.seeds = [f"127.0.0.{10 + index}:{self.ports['control']}" for index in range(min(3, entries))]
@@ -171,6 +172,10 @@
             self.close()
             raise
 
+    def close(self):
+        super().close()
+        shutil.rmtree(self.directory, ignore_errors=True)
+
     def add(self, instance, service, **more):
         searcher = Searcher(self.loop, self.store, instance, service, "127.0.0.1", entryworld.free_port("127.0.0.1"), **more)
         searcher.start()
